--- /dev/null
+++ b/ava.config.js
@@ -0,0 +1,6 @@
+export default {
+  files: ['packages/*/dist/**/*.test.js'],
+  timeout: '2m',
+  workerThreads: true,
+  concurrency: 6,
+};
--- /dev/null
+++ b/packages/core/src/shared/time.ts
@@ -0,0 +1,53 @@
+/** Helpers on the runtime's clock, which tests pause and advance. */
+
+/** Resolves after `ms`, or at once with `false` when the signal aborts. */
+export const sleep = (ms: number, signal?: AbortSignal): Promise<boolean> =>
+  new Promise(resolve => {
+    if (signal?.aborted === true) {
+      resolve(false);
+      return;
+    }
+    const onAbort = () => {
+      clearTimeout(timer);
+      resolve(false);
+    };
+    const timer = setTimeout(() => {
+      signal?.removeEventListener('abort', onAbort);
+      resolve(true);
+    }, ms);
+    signal?.addEventListener('abort', onAbort, { once: true });
+  });
+
+/** Spreads a period by ±`share` so that instances do not act in step. */
+export const jittered = (
+  ms: number,
+  random: () => number,
+  share = 0.2,
+): number => ms * (1 + share * (2 * random() - 1));
+
+/** A point in time by which an answer is due, in epoch milliseconds. */
+export class Deadline {
+  private constructor(readonly atMs: number) {}
+
+  static after(ms: number): Deadline {
+    return new Deadline(Date.now() + ms);
+  }
+
+  static at(epochMs: number): Deadline {
+    return new Deadline(epochMs);
+  }
+
+  /** Milliseconds left; zero when passed. */
+  get leftMs(): number {
+    return Math.max(0, this.atMs - Date.now());
+  }
+
+  get passed(): boolean {
+    return Date.now() >= this.atMs;
+  }
+
+  /** The earlier of this deadline and one `ms` from now. */
+  within(ms: number): Deadline {
+    return new Deadline(Math.min(this.atMs, Date.now() + ms));
+  }
+}
--- /dev/null
+++ b/scripts/write-tables.mjs
@@ -0,0 +1,21 @@
+// Writes docs/ERRORS.md and docs/EVENTS.md from the tables in the code; with
+// --check it only compares and exits 1 when a page differs.
+import { readFileSync, writeFileSync } from 'node:fs';
+
+import { logEvents, resultCodes } from '../packages/core/dist/index.js';
+import { errorsPage, eventsPage } from '../packages/core/dist/shared/tables.js';
+
+const check = process.argv.includes('--check');
+const pages = {
+  'docs/ERRORS.md': errorsPage(resultCodes),
+  'docs/EVENTS.md': eventsPage(logEvents),
+};
+for (const [name, text] of Object.entries(pages)) {
+  const file = new URL(`../${name}`, import.meta.url);
+  if (!check) {
+    writeFileSync(file, text);
+  } else if (readFileSync(file, 'utf8') !== text) {
+    console.error(`${name} differs from the code; run "npm run tables"`);
+    process.exitCode = 1;
+  }
+}
