--- /dev/null
+++ b/packages/core/src/streams/generation-dispatcher.ts
@@ -0,0 +1,37 @@
+/** Runs a generation on some engine and yields its answer whole. */
+import type { Entitlement } from '../config/entitlement.js';
+import type { Deadline } from '../shared/time.js';
+import type { ModelId, StreamItem } from '../target/target.js';
+
+/** An admitted request for a generation. */
+export interface GenerationRequest {
+  readonly id: string;
+  readonly entitlement: Entitlement;
+  readonly model: ModelId;
+  readonly prompt: string;
+  /** Estimated tokens of `prompt`. */
+  readonly promptTokens: number;
+  readonly maxTokens: number;
+  readonly deadline: Deadline;
+  /** Digest of customer, model, prompt and sampling settings. */
+  readonly fingerprint: string;
+}
+
+export abstract class GenerationDispatcher {
+  /**
+   * Yields chunks with rising `index` and no gap, then one `end` or one
+   * `failure`. Breaks are mended by resuming, or by continuing elsewhere.
+   */
+  abstract dispatch(
+    request: GenerationRequest,
+    signal: AbortSignal,
+  ): AsyncIterable<StreamItem>;
+
+  /** Rejoins the stream of an earlier dispatch, by whichever instance. */
+  abstract rejoin(
+    id: string,
+    customer: string,
+    after: number,
+    signal: AbortSignal,
+  ): AsyncIterable<StreamItem>;
+}
