--- /dev/null
+++ b/packages/bench/src/measure/capacity.ts
@@ -0,0 +1,4 @@
+/** Measurements of `npm run measure -- capacity`. */
+import type { MeasureSuite } from './measurement.js';
+
+export const measureCapacity: MeasureSuite = () => Promise.resolve([]);
