Add peers, membership and the target directory

Cause: routing, configuration and planned changes need to know who is there. Heartbeats carry deltas by registry position; suspicion stays local; only the fleet list's word makes an incarnation gone.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -30,6 +30,10 @@
         'error',
         { allowWithDecorator: true, allowEmpty: true },
       ],
+      '@typescript-eslint/no-unused-vars': [
+        'error',
+        { ignoreRestSiblings: true },
+      ],
       '@typescript-eslint/naming-convention': [
         'error',
         { selector: 'typeLike', format: ['PascalCase'] },
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -20,3 +20,12 @@
 export * from './config/template.js';
 export * from './config/entitlement.js';
 export * from './config/configuration-source.js';
+// Peers and membership
+export * from './peers/peer-link.js';
+export * from './peers/peer-server.js';
+export * from './fleet/fleet-watcher.js';
+export * from './membership/instance-record.js';
+export * from './membership/instance-registry.js';
+export * from './membership/link-choice.js';
+export * from './membership/fleet-directory.js';
+export * from './membership/peer-mesh.js';
