Let a dispatched stream say its id before the first chunk

Cause: the id by which any instance rejoins a stream names the engine, which is chosen inside the dispatcher; the caller has to learn it before a break.

--- a/packages/core/src/streams/generation-dispatcher.ts
+++ b/packages/core/src/streams/generation-dispatcher.ts
@@ -17,15 +17,24 @@
   readonly fingerprint: string;
 }
 
+/**
+ * What a caller's stream consists of. `started` comes once, before the first
+ * chunk, with the id by which any instance can rejoin the stream.
+ */
+export type AnswerItem =
+  | { readonly kind: 'started'; readonly id: string }
+  | StreamItem;
+
 export abstract class GenerationDispatcher {
   /**
-   * Yields chunks with rising `index` and no gap, then one `end` or one
-   * `failure`. Breaks are mended by resuming, or by continuing elsewhere.
+   * Yields `started`, chunks with rising `index` and no gap, then one `end` or
+   * one `failure`. Breaks are mended by resuming, or by continuing elsewhere.
+   * A failure before anything was dispatched comes without `started`.
    */
   abstract dispatch(
     request: GenerationRequest,
     signal: AbortSignal,
-  ): AsyncIterable<StreamItem>;
+  ): AsyncIterable<AnswerItem>;
 
   /** Rejoins the stream of an earlier dispatch, by whichever instance. */
   abstract rejoin(
@@ -33,5 +42,5 @@
     customer: string,
     after: number,
     signal: AbortSignal,
-  ): AsyncIterable<StreamItem>;
+  ): AsyncIterable<AnswerItem>;
 }
