Add request metrics and let quarantine direct repeats of a request

Cause: histograms by customer, class and service need a bound at 3,200 customers, and concurrent first runs of one request on several targets could crash more than two of them. The first customers seen keep a label of their own, the rest share "other". The abstract Quarantine gains an optional candidate target, Passage.target, avoid, reserve, and Quarantine.reserved; callers of the two-argument form compile as before. OpenQuarantine admits everything. Checked: without the limit the cardinality test fails. Conclusion: 3,200 customers take 11 series with a limit of 10 (test).

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -20,3 +20,5 @@
 export * from './config/template.js';
 export * from './config/entitlement.js';
 export * from './config/configuration-source.js';
+// Ledger, quarantine, retries and metrics.
+export * from './metrics/request-metrics.js';
--- /dev/null
+++ b/packages/core/src/metrics/request-metrics.test.ts
@@ -0,0 +1,34 @@
+import test from 'ava';
+import { Registry } from 'prom-client';
+
+import { Failure } from '../shared/failure.js';
+
+import { RequestMetrics } from './request-metrics.js';
+
+test('3,200 customers take no more series than the limit allows', async t => {
+  const registry = new Registry();
+  const metrics = new RequestMetrics({ registry, maxCustomers: 10 });
+  for (let i = 0; i < 3_200; i += 1) {
+    const customer = `customer-${i}`;
+    metrics.observeTotal({ customer, class: 'batch', service: 'models' }, 200);
+  }
+  const lines = (await registry.metrics()).split('\n');
+  const counts = lines.filter(line =>
+    line.startsWith('medlarlever_request_seconds_count'),
+  );
+  t.is(counts.length, 11);
+  t.true(counts.some(line => /customer="other".* 3190$/.test(line)));
+});
+
+test('refusals are counted by code and executed flag', async t => {
+  const registry = new Registry();
+  const metrics = new RequestMetrics({ registry });
+  const failure = new Failure('target_failed', 'x', { executed: 'unknown' });
+  metrics.countRefusal('booking', failure);
+  metrics.countRefusal('booking', failure);
+  const text = await registry.metrics();
+  t.regex(
+    text,
+    /refusals_total\{code="target_failed",executed="unknown",service="booking"\} 2/,
+  );
+});
--- a/packages/core/src/quarantine/quarantine.ts
+++ b/packages/core/src/quarantine/quarantine.ts
@@ -1,4 +1,5 @@
 /** Keeps a request that crashes its targets from crashing the fleet. */
+import { Right } from 'purify-ts';
 import type { Either } from 'purify-ts';
 
 import type { Failure } from '../shared/failure.js';
@@ -7,6 +8,12 @@
 export interface Passage {
   /** Run apart from all other requests, on a target that runs nothing else. */
   readonly isolated: boolean;
+  /** When set, run only here: the same request is running there already. */
+  readonly target?: string;
+  /** Targets that broke off this request; choose others if there are any. */
+  readonly avoid: readonly string[];
+  /** Tells the fleet to send the target of an isolated run nothing else. */
+  readonly reserve: (target: string) => Promise<void>;
   /** Call when the run ended in any way but a crash of the target. */
   readonly release: () => void;
 }
@@ -22,13 +29,43 @@
 export abstract class Quarantine {
   /**
    * Asks how a request may run. Waits while another suspect runs; fails with
-   * `poison_request` when it is known to crash targets.
+   * `poison_request` when it is known to crash targets and with
+   * `suspect_waiting` when it cannot be run apart now.
+   *
+   * `candidate` is the target that the caller means to use. Without it the
+   * call waits while the same request runs anywhere else.
    */
   abstract admit(
     fingerprint: string,
     signal: AbortSignal,
+    candidate?: string,
   ): Promise<Either<Failure, Passage>>;
 
   /** Records a crash; returns once the peers and the table know or cannot. */
   abstract crashed(crash: Crash): Promise<void>;
+
+  /** True while a suspect runs apart on the target: send it nothing else. */
+  abstract reserved(target: string): boolean;
+}
+
+/** Admits everything; for embedding without a fleet and for tests. */
+export class OpenQuarantine extends Quarantine {
+  override admit(): Promise<Either<Failure, Passage>> {
+    return Promise.resolve(
+      Right({
+        isolated: false,
+        avoid: [],
+        reserve: () => Promise.resolve(),
+        release: () => undefined,
+      }),
+    );
+  }
+
+  override crashed(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  override reserved(): boolean {
+    return false;
+  }
 }
--- a/packages/core/src/shared/events.ts
+++ b/packages/core/src/shared/events.ts
@@ -55,6 +55,10 @@
   request_suspected: event(406, 'warn', 'A request ran on a crashing target.'),
   request_poisoned: event(407, 'error', 'A request is refused as poison.'),
   claim_unknown: event(408, 'warn', 'A claim ended with an unknown outcome.'),
+  claim_released: event(411, 'info', 'A claim was released; nothing was run.'),
+  result_delayed: event(412, 'warn', 'A result waits for the platform.'),
+  suspect_cleared: event(413, 'info', 'A suspect ran apart without a crash.'),
+  suspect_unrecorded: event(414, 'warn', 'A crash awaits its record.'),
 } as const satisfies Record<string, LogEvent>;
 
 /** Name of a numbered event. */
--- a/packages/core/src/shared/result-codes.ts
+++ b/packages/core/src/shared/result-codes.ts
@@ -63,6 +63,11 @@
   retry_budget_exhausted: code(3007, 503, 'The retry budget is used up.'),
   shutting_down: code(3008, 503, 'The instance is shutting down.'),
   slow_caller: code(3009, 499, 'The caller read too slowly.'),
+  suspect_waiting: code(
+    3010,
+    503,
+    'The request ran on a crashing target and waits to be run apart.',
+  ),
 
   // 4000: configuration, authority and planned changes
   revision_conflict: code(4001, 409, 'The configuration has moved on.'),
