Estimate tokens and digest the prefix pieces of a prompt

Cause: routing by cached prefix needs the same digests at the instances, in the engines' cache events and in the replay, so one function makes them. Ruled out: hashing each piece alone (an equal middle piece would look cached without its prefix), hashing the whole prompt (no partial matches).

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -15,6 +15,7 @@
 export * from './quarantine/quarantine.js';
 export * from './limits/admission.js';
 export * from './streams/generation-dispatcher.js';
+export * from './routing/prompt-pieces.js';
 export * from './ledger/service-dispatcher.js';
 export * from './roles/role-policy.js';
 export * from './config/template.js';
