--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -15,6 +15,7 @@
 export * from './quarantine/quarantine.js';
 export * from './limits/admission.js';
 export * from './streams/generation-dispatcher.js';
+export * from './routing/prompt-pieces.js';
 export * from './ledger/service-dispatcher.js';
 export * from './roles/role-policy.js';
 export * from './config/template.js';
@@ -22,3 +23,12 @@
 export * from './config/configuration-source.js';
 // Ledger, quarantine, retries and metrics.
 export * from './metrics/request-metrics.js';
+// Peers and membership
+export * from './peers/peer-link.js';
+export * from './peers/peer-server.js';
+export * from './fleet/fleet-watcher.js';
+export * from './membership/instance-record.js';
+export * from './membership/instance-registry.js';
+export * from './membership/link-choice.js';
+export * from './membership/fleet-directory.js';
+export * from './membership/peer-mesh.js';
