Add the daemon's frame, planned changes and settings

Cause: the parts need a process to run in. One kernel holds the parts; each interface is a Nest application on Fastify that gets them by token. Plans are rows that any instance of the target's data centre carries on under a lease; a plan waits for every instance that is not confirmed gone.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -32,3 +32,11 @@
 export * from './membership/link-choice.js';
 export * from './membership/fleet-directory.js';
 export * from './membership/peer-mesh.js';
+export * from './shared/toml.js';
+// Planned changes
+export * from './plans/plan.js';
+export * from './plans/plan-store.js';
+export * from './plans/closed-targets.js';
+export * from './plans/closing.js';
+export * from './plans/plan-runner.js';
+export * from './plans/planner.js';
--- a/packages/core/src/kernel/kernel.ts
+++ b/packages/core/src/kernel/kernel.ts
@@ -76,6 +76,11 @@
     return part;
   }
 
+  /** Names of all provided parts. */
+  get partNames(): readonly string[] {
+    return [...this.#factories.keys()];
+  }
+
   /** Registers a method that peers may call. */
   method(name: string, handler: PeerHandler): void {
     if (this.#methods.has(name)) {
--- /dev/null
+++ b/packages/core/src/plans/plan-runner.ts
@@ -0,0 +1,223 @@
+/** Carries the plans of one data centre on, under that data centre's lease. */
+import type { Maybe } from 'purify-ts';
+import type { Either } from 'purify-ts';
+
+import type { TargetDirectory } from '../membership/target-directory.js';
+import type { Failure } from '../shared/failure.js';
+import type { Log } from '../shared/log.js';
+import { jittered, sleep } from '../shared/time.js';
+import type { Write } from '../table/table.js';
+import { Engine } from '../target/target.js';
+import type { OrderAction, Target } from '../target/target.js';
+
+import type { Closing } from './closing.js';
+import { needsOrder } from './plan.js';
+import type { Plan, PlanRequest } from './plan.js';
+import type { PlanStore, StoredPlan } from './plan-store.js';
+
+const periodMs = 500;
+
+/** Authority over the plans of a data centre. */
+export interface PlanAuthority {
+  /** True while it is worth trying; the guard is what protects. */
+  readonly held: boolean;
+  /** Makes a transaction fail once the authority has passed on. */
+  guard(): Write;
+  /** Carries an order to its end, or says why it cannot yet. */
+  order(
+    target: Engine,
+    plan: Plan,
+    action: OrderAction,
+  ): Promise<Either<Failure, OrderProgress>>;
+}
+
+/** How far an order is. */
+export type OrderProgress =
+  | { readonly kind: 'running'; readonly waitingOn: string }
+  | { readonly kind: 'done' }
+  | { readonly kind: 'failed'; readonly reason: string };
+
+/** Takes the authority when it is free; `Nothing` while another has it. */
+export type AuthoritySource = () => Promise<Maybe<PlanAuthority>>;
+
+export interface PlanRunnerOptions {
+  readonly dataCenter: string;
+  readonly store: PlanStore;
+  readonly closing: Closing;
+  readonly directory: TargetDirectory;
+  readonly authority: AuthoritySource;
+  readonly log: Log;
+  readonly random: () => number;
+}
+
+type Change = Parameters<PlanStore['change']>[1];
+
+export class PlanRunner {
+  readonly #options: PlanRunnerOptions;
+  readonly #stopping = new AbortController();
+
+  constructor(options: PlanRunnerOptions) {
+    this.#options = options;
+  }
+
+  /** Moves plans on until stopped. */
+  async run(): Promise<void> {
+    const { signal } = this.#stopping;
+    while (!signal.aborted) {
+      await this.round().catch((error: unknown) => {
+        this.#options.log.event('step_failed', {
+          step: 'plans',
+          reason: String(error),
+        });
+      });
+      await sleep(jittered(periodMs, this.#options.random), signal);
+    }
+  }
+
+  stop(): void {
+    this.#stopping.abort();
+  }
+
+  /** Moves each open plan of the data centre on by at most one state. */
+  async round(): Promise<void> {
+    const open = (await this.#options.store.open()).orDefault([]);
+    const mine = open.filter(
+      ({ plan }) => plan.dataCenter === this.#options.dataCenter,
+    );
+    if (mine.length === 0) return;
+    const authority = (await this.#options.authority()).extract();
+    if (authority === undefined) return;
+    for (const stored of mine) {
+      if (!authority.held) return;
+      await this.#advance(stored, authority);
+    }
+  }
+
+  async #advance(stored: StoredPlan, authority: PlanAuthority): Promise<void> {
+    const change = await this.#next(stored.plan, authority);
+    if (change === undefined || isSame(stored.plan, change)) return;
+    const guards = [authority.guard()];
+    const moved = await this.#options.store.change(stored, change, guards);
+    moved.ifRight(({ plan }) => {
+      this.#options.log.event('plan_changed', {
+        plan: plan.id,
+        target: plan.request.target,
+        state: plan.state,
+        waitingOn: plan.waitingOn,
+      });
+    });
+  }
+
+  async #next(
+    plan: Plan,
+    authority: PlanAuthority,
+  ): Promise<Change | undefined> {
+    switch (plan.state) {
+      case 'closing':
+      case 'waiting':
+        return this.#close(plan);
+      case 'acting':
+        return this.#act(plan, authority);
+      case 'closed':
+        return this.#watch(plan);
+      case 'cancelling':
+        return { state: 'cancelled', waitingOn: [] };
+      default:
+        return undefined;
+    }
+  }
+
+  /** Goes on only when all acknowledged and nothing runs any more. */
+  async #close(plan: Plan): Promise<Change> {
+    const { target } = plan.request;
+    const { unacknowledged, running } =
+      await this.#options.closing.round(target);
+    if (unacknowledged.length > 0) {
+      return {
+        state: 'closing',
+        waitingOn: unacknowledged.map(name => `instance ${name}`),
+      };
+    }
+    const reported = await this.#runningAt(plan);
+    const left = Math.max(running, reported);
+    if (left > 0) {
+      return { state: 'waiting', waitingOn: [`${left} running requests`] };
+    }
+    const next = needsOrder(plan.request) ? 'acting' : 'closed';
+    return { state: next, waitingOn: [] };
+  }
+
+  /** What the engine itself says; a vanished target runs nothing. */
+  async #runningAt({ request }: Plan): Promise<number> {
+    const target = this.#target(request.target);
+    if (!(target instanceof Engine)) return 0;
+    const load = await target.load();
+    return load.map(({ running, queued }) => running + queued).orDefault(0);
+  }
+
+  async #act(plan: Plan, authority: PlanAuthority): Promise<Change> {
+    const action = toAction(plan.request);
+    const target = this.#target(plan.request.target);
+    if (action === undefined || !(target instanceof Engine)) {
+      return {
+        state: 'failed',
+        waitingOn: [],
+        note: 'the engine is not there',
+      };
+    }
+    const outcome = await authority.order(target, plan, action);
+    return outcome.caseOf<Change>({
+      Left: failure => ({ waitingOn: [failure.message] }),
+      Right: progress => afterOrder(progress),
+    });
+  }
+
+  /** A replacement ends with a new incarnation; the others stay closed. */
+  async #watch(plan: Plan): Promise<Change | undefined> {
+    if (plan.request.kind !== 'replace') {
+      await this.#options.closing.round(plan.request.target);
+      return undefined;
+    }
+    const target = this.#target(plan.request.target);
+    const replaced =
+      target !== undefined && target.incarnation !== plan.incarnation;
+    if (replaced) return { state: 'done', waitingOn: [] };
+    return { waitingOn: ['a new incarnation of the target'] };
+  }
+
+  #target(name: string): Target | undefined {
+    return this.#options.directory
+      .find(name)
+      .map(entry => entry.target)
+      .extract();
+  }
+}
+
+const afterOrder = (progress: OrderProgress): Change => {
+  switch (progress.kind) {
+    case 'running':
+      return { waitingOn: [progress.waitingOn] };
+    case 'done':
+      return { state: 'done', waitingOn: [] };
+    case 'failed':
+      return { state: 'failed', waitingOn: [], note: progress.reason };
+  }
+};
+
+const toAction = (request: PlanRequest): OrderAction | undefined => {
+  switch (request.kind) {
+    case 'role':
+      return { kind: 'role', role: request.role };
+    case 'load':
+      return { kind: 'load', model: request.model };
+    case 'unload':
+      return { kind: 'unload', model: request.model };
+    default:
+      return undefined;
+  }
+};
+
+const isSame = (plan: Plan, change: Change): boolean =>
+  (change.state ?? plan.state) === plan.state &&
+  (change.note ?? plan.note) === plan.note &&
+  (change.waitingOn ?? plan.waitingOn).join() === plan.waitingOn.join();
--- a/packages/core/src/streams/generation-dispatcher.ts
+++ b/packages/core/src/streams/generation-dispatcher.ts
@@ -22,8 +22,7 @@
  * chunk, with the id by which any instance can rejoin the stream.
  */
 export type AnswerItem =
-  | { readonly kind: 'started'; readonly id: string }
-  | StreamItem;
+  { readonly kind: 'started'; readonly id: string } | StreamItem;
 
 export abstract class GenerationDispatcher {
   /**
--- /dev/null
+++ b/packages/daemon/src/apps.ts
@@ -0,0 +1,6 @@
+/** Loads every feature; each registers itself with the kernel. */
+import './membership/app.js';
+import './health/app.js';
+import './generations/app.js';
+import './operations/app.js';
+import './server/app.js';
--- /dev/null
+++ b/packages/daemon/src/daemon.ts
@@ -0,0 +1,50 @@
+/** One daemon in this process: kernel, parts and steps. */
+import { randomUUID } from 'node:crypto';
+
+import type { Log } from '@medlarlever/core';
+
+import './apps.js';
+import { createKernel } from './kernel/app.js';
+import type { DaemonKernel } from './kernel/app.js';
+import {
+  incarnationPart,
+  listenersPart,
+  logPart,
+  randomPart,
+  settingsPart,
+} from './kernel/parts.js';
+import type { Settings } from './settings/settings.js';
+
+/** Unique for this process, below the platform's name for the instance. */
+const createIncarnation = ({ instance }: Settings): string =>
+  [instance.incarnation, randomUUID()].filter(Boolean).join('.');
+
+export class Daemon {
+  readonly kernel: DaemonKernel;
+  readonly #log: Log;
+
+  constructor(settings: Settings, log: Log) {
+    this.#log = log;
+    this.kernel = createKernel(kernel => {
+      kernel.provide(settingsPart, () => settings);
+      kernel.provide(logPart, () => log);
+      kernel.provide(randomPart, () => Math.random);
+      kernel.provide(incarnationPart, () => createIncarnation(settings));
+    });
+  }
+
+  async start(): Promise<void> {
+    await this.kernel.start();
+    this.#log.event('process_started', {
+      incarnation: this.kernel.get(incarnationPart),
+      ...this.kernel.get(listenersPart).addresses(),
+    });
+  }
+
+  async stop(): Promise<void> {
+    await this.kernel.stop((step, error) => {
+      this.#log.event('step_failed', { step, reason: String(error) });
+    });
+    this.#log.event('process_stopped');
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/generations/app.ts
@@ -0,0 +1,22 @@
+/** Registers the completion interfaces. */
+import { registerApp } from '../kernel/app.js';
+import {
+  admissionPart,
+  generationServicePart,
+  generationsPart,
+} from '../kernel/parts.js';
+
+import { GenerationController } from './generation-controller.js';
+import { Generations } from './generations.js';
+
+registerApp('generations', kernel => {
+  kernel.provide(
+    generationServicePart,
+    k =>
+      new Generations({
+        admission: k.get(admissionPart),
+        dispatcher: k.get(generationsPart),
+      }),
+  );
+  kernel.controller('caller', GenerationController);
+});
--- /dev/null
+++ b/packages/daemon/src/kernel/parts.ts
@@ -0,0 +1,59 @@
+/** Tokens of the parts that features share. */
+import { Token } from '@medlarlever/core';
+import type {
+  Admission,
+  ConfigurationSource,
+  FleetDirectory,
+  FleetList,
+  FleetWatcher,
+  GenerationDispatcher,
+  InstanceRegistry,
+  Log,
+  ObjectStore,
+  PeerMesh,
+  PeerServer,
+  Quarantine,
+  ServiceDispatcher,
+  Table,
+  TargetFactory,
+} from '@medlarlever/core';
+import type { Registry } from 'prom-client';
+
+import type { Customers } from '../auth/customers.js';
+import type { Generations } from '../generations/generations.js';
+import type { Readiness } from '../health/readiness.js';
+import type { Listeners } from '../server/listeners.js';
+import type { Settings } from '../settings/settings.js';
+
+export const settingsPart = new Token<Settings>('settings');
+export const logPart = new Token<Log>('log');
+export const randomPart = new Token<() => number>('random');
+export const incarnationPart = new Token<string>('incarnation');
+export const metricsPart = new Token<Registry>('metrics');
+
+export const tablePart = new Token<Table>('table');
+export const objectStorePart = new Token<ObjectStore>('object-store');
+export const fleetListPart = new Token<FleetList>('fleet-list');
+export const fleetWatcherPart = new Token<FleetWatcher>('fleet-watcher');
+
+export const targetFactoryPart = new Token<TargetFactory>('target-factory');
+
+export const registryPart = new Token<InstanceRegistry>('registry');
+export const meshPart = new Token<PeerMesh>('mesh');
+export const peerServerPart = new Token<PeerServer>('peer-server');
+export const directoryPart = new Token<FleetDirectory>('directory');
+
+export const configurationPart = new Token<ConfigurationSource>(
+  'configuration',
+);
+export const customersPart = new Token<Customers>('customers');
+export const listenersPart = new Token<Listeners>('listeners');
+export const readinessPart = new Token<Readiness>('readiness');
+
+export const admissionPart = new Token<Admission>('admission');
+export const quarantinePart = new Token<Quarantine>('quarantine');
+export const generationsPart = new Token<GenerationDispatcher>('generations');
+export const operationsPart = new Token<ServiceDispatcher>('operations');
+export const generationServicePart = new Token<Generations>(
+  'generation-service',
+);
--- /dev/null
+++ b/packages/daemon/src/main.ts
@@ -0,0 +1,58 @@
+/** The program `medlarleverd`. */
+import { JsonLog } from '@medlarlever/core';
+import meow from 'meow';
+
+import { Daemon } from './daemon.js';
+import { loadSettings } from './settings/load-settings.js';
+
+const exitInvalid = 2;
+
+const cli = meow(
+  `
+  Usage
+    $ medlarleverd FILE         run with the settings in FILE (TOML)
+    $ medlarleverd check FILE   check the settings and exit
+
+  SIGTERM and SIGINT shut down gracefully; a second one ends at once.
+
+  Exit codes: 0 stopped or valid, 1 failed, 2 invalid settings or usage
+`,
+  { importMeta: import.meta },
+);
+
+const load = (file: string) =>
+  loadSettings(file)
+    .ifLeft(failure => {
+      console.error(`${failure.number} ${failure.code}\n${failure.message}`);
+      process.exit(exitInvalid);
+    })
+    .unsafeCoerce();
+
+const run = async (file: string): Promise<void> => {
+  const settings = load(file);
+  const log = new JsonLog(settings.instance.name);
+  const daemon = new Daemon(settings, log);
+  process.on('unhandledRejection', reason => {
+    const stack = reason instanceof Error ? reason.stack : undefined;
+    log.event('defect', { message: String(reason), stack });
+  });
+  let stopping = false;
+  const stop = () => {
+    if (stopping) process.exit(1);
+    stopping = true;
+    void daemon.stop().then(() => process.exit(0));
+  };
+  process.on('SIGTERM', stop);
+  process.on('SIGINT', stop);
+  await daemon.start();
+};
+
+const [first, second] = cli.input;
+if (first === 'check' && second !== undefined) {
+  load(second);
+  console.log(`${second}: valid`);
+} else if (first !== undefined && first !== 'check') {
+  await run(first);
+} else {
+  cli.showHelp(exitInvalid);
+}
--- /dev/null
+++ b/packages/daemon/src/membership/peer-controller.ts
@@ -0,0 +1,39 @@
+import { Failure, peerPath } from '@medlarlever/core';
+import type { PeerServer } from '@medlarlever/core';
+import {
+  Body,
+  Controller,
+  Headers,
+  Post,
+  Res,
+  UseGuards,
+} from '@nestjs/common';
+import type { FastifyReply } from 'fastify';
+import { isJSONRPCRequest } from 'json-rpc-2.0';
+
+import { PeerGuard } from '../auth/guards.js';
+import { InjectPart } from '../kernel/app.js';
+import { peerServerPart } from '../kernel/parts.js';
+import type { JsonBody } from '../server/body-parser.js';
+
+/** JSON-RPC 2.0 endpoint for the other instances. */
+@Controller()
+@UseGuards(PeerGuard)
+export class PeerController {
+  constructor(@InjectPart(peerServerPart) readonly server: PeerServer) {}
+
+  @Post(peerPath)
+  async receive(
+    @Body() body: JsonBody,
+    @Headers('x-instance') from: string | undefined,
+    @Res() reply: FastifyReply,
+  ): Promise<void> {
+    const request = body.value;
+    if (!isJSONRPCRequest(request)) {
+      throw new Failure('invalid_request', 'not a JSON-RPC 2.0 request');
+    }
+    const response = await this.server.receive(request, from ?? '');
+    if (response === null) await reply.status(204).send();
+    else await reply.status(200).send(response);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/operations/operation-controller.ts
@@ -0,0 +1,120 @@
+import type { ServerResponse } from 'node:http';
+
+import type {
+  Admission,
+  OperationAnswer,
+  OperationRequest,
+  ServiceDispatcher,
+} from '@medlarlever/core';
+import {
+  Body,
+  Controller,
+  Headers,
+  Param,
+  Post,
+  Req,
+  Res,
+  UseGuards,
+} from '@nestjs/common';
+import type { FastifyReply } from 'fastify';
+
+import { CallerGuard } from '../auth/guards.js';
+import type { CallerRequest } from '../auth/guards.js';
+import type { Readiness } from '../health/readiness.js';
+import { InjectPart } from '../kernel/app.js';
+import {
+  admissionPart,
+  operationsPart,
+  readinessPart,
+} from '../kernel/parts.js';
+import type { JsonBody } from '../server/body-parser.js';
+import { orThrow, sendFailure } from '../server/failures.js';
+
+import { toOperationRequest } from './operation-request.js';
+
+/** Calls of plain services. */
+@Controller('v1/services')
+@UseGuards(CallerGuard)
+export class OperationController {
+  constructor(
+    @InjectPart(admissionPart) readonly admission: Admission,
+    @InjectPart(operationsPart) readonly operations: ServiceDispatcher,
+    @InjectPart(readinessPart) readonly readiness: Readiness,
+  ) {}
+
+  @Post(':service/:operation')
+  async call(
+    @Req() { entitlement }: CallerRequest,
+    @Param('service') service: string,
+    @Param('operation') operation: string,
+    @Headers('idempotency-key') key: string | undefined,
+    @Body() body: JsonBody | undefined,
+    @Res() reply: FastifyReply,
+  ): Promise<void> {
+    const call = { service, operation, key, body };
+    const request = orThrow(toOperationRequest(entitlement, call));
+    const leave = orThrow(this.readiness.enter());
+    try {
+      await this.#run(request, reply);
+    } finally {
+      leave();
+    }
+  }
+
+  async #run(request: OperationRequest, reply: FastifyReply): Promise<void> {
+    const signal = signalOf(request, reply.raw);
+    const ticket = await this.admission.enter(
+      {
+        entitlement: request.entitlement,
+        service: request.operation.service,
+        deadline: request.deadline,
+        promptTokens: 0,
+        outputTokens: 0,
+      },
+      signal,
+    );
+    const { release } = orThrow(ticket);
+    try {
+      const outcome = await this.operations.dispatch(request, signal);
+      outcome
+        .ifLeft(failure => {
+          sendFailure(reply, failure);
+        })
+        .ifRight(answer => {
+          sendAnswer(reply, request, answer);
+        });
+    } finally {
+      release();
+    }
+  }
+}
+
+const sendAnswer = (
+  reply: FastifyReply,
+  { id }: OperationRequest,
+  { status, contentType, body, repeated }: OperationAnswer,
+): void => {
+  void reply
+    .status(status)
+    .header('content-type', contentType)
+    .header('x-request-id', id)
+    .header('idempotent-replayed', String(repeated))
+    .send(body);
+};
+
+/**
+ * A caller that goes away ends waiting and idempotent work; a call that must
+ * not be repeated runs on, so that its answer is stored.
+ */
+const signalOf = (
+  { operation }: OperationRequest,
+  response: ServerResponse,
+): AbortSignal => {
+  const controller = new AbortController();
+  if (operation.idempotent) {
+    response.on('close', () => {
+      if (!response.writableFinished) controller.abort();
+    });
+  }
+  return controller.signal;
+};
--- /dev/null
+++ b/packages/daemon/src/server/app.ts
@@ -0,0 +1,59 @@
+/** Registers the three interfaces and the graceful shutdown. */
+import { sleep } from '@medlarlever/core';
+
+import { registerApp } from '../kernel/app.js';
+import type { DaemonKernel, Interface } from '../kernel/app.js';
+import {
+  listenersPart,
+  logPart,
+  readinessPart,
+  registryPart,
+  settingsPart,
+} from '../kernel/parts.js';
+import { startRank } from '../kernel/ranks.js';
+
+import { Listener } from './listener.js';
+import { Listeners } from './listeners.js';
+
+const registerListener = (
+  kernel: DaemonKernel,
+  name: Interface,
+  rank: number,
+): void => {
+  kernel.step({
+    name: `${name} listener`,
+    rank,
+    start: async () => {
+      const address = kernel.get(settingsPart).listen[name];
+      const listener = await Listener.open(kernel, name, address);
+      kernel.get(listenersPart).add(name, listener);
+    },
+    stop: () => kernel.get(listenersPart).close(name),
+  });
+};
+
+/** Lets the balancer notice, then the running requests end. */
+const drain = async (kernel: DaemonKernel): Promise<void> => {
+  const { shutdown } = kernel.get(settingsPart);
+  const readiness = kernel.get(readinessPart);
+  kernel.get(logPart).event('process_draining', { running: readiness.running });
+  kernel.get(registryPart).updateSelf({ state: 'leaving' });
+  readiness.announceStop();
+  await sleep(shutdown.notice_ms);
+  readiness.refuse();
+  const cut = new AbortController();
+  await Promise.race([readiness.idle(), sleep(shutdown.grace_ms, cut.signal)]);
+  cut.abort();
+};
+
+registerApp('server', kernel => {
+  kernel.provide(listenersPart, () => new Listeners());
+  registerListener(kernel, 'peer', startRank.peerListener);
+  registerListener(kernel, 'operator', startRank.operatorListener);
+  registerListener(kernel, 'caller', startRank.callerListener);
+  kernel.step({
+    name: 'drain',
+    rank: startRank.drain,
+    stop: () => drain(kernel),
+  });
+});
--- /dev/null
+++ b/packages/daemon/src/server/failures.ts
@@ -0,0 +1,76 @@
+/** Turns every error of an interface into a numbered error body. */
+import { Failure, toFailure } from '@medlarlever/core';
+import type { Log } from '@medlarlever/core';
+import { Catch, HttpException } from '@nestjs/common';
+import type { ArgumentsHost, ExceptionFilter } from '@nestjs/common';
+import type { FastifyReply } from 'fastify';
+import type { Either } from 'purify-ts';
+
+const fastifyCodes: Readonly<Record<string, [Failure['code'], string]>> = {
+  FST_ERR_CTP_BODY_TOO_LARGE: ['body_too_large', 'the body is too large'],
+  FST_ERR_CTP_INVALID_MEDIA_TYPE: [
+    'unsupported_media',
+    'the content type must be application/json',
+  ],
+  FST_ERR_CTP_EMPTY_JSON_BODY: ['malformed_body', 'the body is empty'],
+  FST_ERR_CTP_INVALID_CONTENT_LENGTH: [
+    'malformed_body',
+    'the body differs from its content length',
+  ],
+};
+
+/** Maps framework errors; anything else becomes `internal`. */
+export const classifyError = (error: unknown): Failure => {
+  if (error instanceof Failure) return error;
+  const code = (error as { code?: unknown }).code;
+  const known = typeof code === 'string' ? fastifyCodes[code] : undefined;
+  if (known !== undefined) return new Failure(known[0], known[1]);
+  if (error instanceof HttpException) return fromHttp(error);
+  return toFailure(error);
+};
+
+const fromHttp = (error: HttpException): Failure => {
+  const status = error.getStatus();
+  if (status === 404) return new Failure('not_found', error.message);
+  if (status === 413) return new Failure('body_too_large', error.message);
+  if (status === 415) return new Failure('unsupported_media', error.message);
+  if (status < 500) return new Failure('invalid_request', error.message);
+  return new Failure('internal', error.message, { executed: 'unknown' });
+};
+
+/** Sends the body and, where known, when to come back. */
+export const sendFailure = (reply: FastifyReply, failure: Failure): void => {
+  if (failure.retryAfterMs !== undefined) {
+    reply.header('retry-after', Math.ceil(failure.retryAfterMs / 1_000));
+  }
+  void reply
+    .status(failure.status)
+    .header('content-type', 'application/json; charset=utf-8')
+    .send(JSON.stringify(failure.toBody()));
+};
+
+/** The value, or the failure thrown for the filter to send. */
+export const orThrow = <T>(outcome: Either<Failure, T>): T =>
+  outcome.caseOf({
+    Left: failure => {
+      throw failure;
+    },
+    Right: value => value,
+  });
+
+@Catch()
+export class FailureFilter implements ExceptionFilter {
+  constructor(readonly log: Log) {}
+
+  catch(error: unknown, host: ArgumentsHost): void {
+    const failure = classifyError(error);
+    if (failure.code === 'internal') {
+      this.log.event('defect', {
+        message: failure.message,
+        stack: (failure.cause as Error | undefined)?.stack,
+      });
+    }
+    const reply = host.switchToHttp().getResponse<FastifyReply>();
+    sendFailure(reply, failure);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/server/listener.ts
@@ -0,0 +1,122 @@
+/** One HTTP interface of the daemon: a Nest application on Fastify. */
+import type { Socket } from 'node:net';
+
+import { Failure, Token } from '@medlarlever/core';
+import { Module } from '@nestjs/common';
+import type {
+  DynamicModule,
+  NestApplicationOptions,
+  Provider,
+} from '@nestjs/common';
+import { NestFactory } from '@nestjs/core';
+import { FastifyAdapter } from '@nestjs/platform-fastify';
+import type { NestFastifyApplication } from '@nestjs/platform-fastify';
+import type { FastifyInstance } from 'fastify';
+
+import type { DaemonKernel, Interface } from '../kernel/app.js';
+import { logPart, settingsPart } from '../kernel/parts.js';
+
+import { installBodyParser } from './body-parser.js';
+import { FailureFilter, classifyError, sendFailure } from './failures.js';
+
+/** Nest's own log stays off: numbered events are the only log. */
+// eslint-disable-next-line @typescript-eslint/no-unsafe-class-instance-assignment -- Nest declares its options as a class
+const nestOptions: NestApplicationOptions = {
+  logger: false,
+  bodyParser: false,
+  abortOnError: false,
+};
+
+const keepAliveMs = 65_000;
+
+@Module({})
+class InterfaceModule {}
+
+const moduleOf = (kernel: DaemonKernel, name: Interface): DynamicModule => ({
+  module: InterfaceModule,
+  controllers: [...kernel.controllers(name)],
+  providers: kernel.partNames.map((part): Provider => ({
+    provide: part,
+    useFactory: (): unknown => kernel.get(new Token<unknown>(part)),
+  })),
+});
+
+/** Answers requests that never became one: trickled, oversized or broken. */
+const answerBrokenRequest = (error: Error, socket: Socket): void => {
+  if (!socket.writable) return;
+  const code = (error as { code?: string }).code;
+  const timedOut = code === 'ERR_HTTP_REQUEST_TIMEOUT';
+  const failure = timedOut
+    ? new Failure('request_timeout', 'the request did not arrive in time')
+    : new Failure('malformed_body', 'the request is not valid HTTP');
+  const body = JSON.stringify(failure.toBody());
+  socket.end(
+    `HTTP/1.1 ${failure.status} Refused\r\n` +
+      'content-type: application/json\r\nconnection: close\r\n' +
+      `content-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`,
+  );
+};
+
+const createAdapter = (kernel: DaemonKernel): FastifyAdapter => {
+  const { requests } = kernel.get(settingsPart);
+  return new FastifyAdapter({
+    bodyLimit: requests.max_body_bytes,
+    requestTimeout: requests.body_timeout_ms,
+    connectionTimeout: 0,
+    keepAliveTimeout: keepAliveMs,
+    forceCloseConnections: 'idle',
+    clientErrorHandler: answerBrokenRequest,
+    http: { connectionsCheckingInterval: 1_000 },
+  });
+};
+
+const splitAddress = (address: string) => {
+  const colon = address.lastIndexOf(':');
+  return {
+    host: address.slice(0, colon).replace(/^\[|\]$/g, ''),
+    port: Number(address.slice(colon + 1)),
+  };
+};
+
+export class Listener {
+  readonly #app: NestFastifyApplication;
+
+  private constructor(app: NestFastifyApplication) {
+    this.#app = app;
+  }
+
+  /** Builds the interface and listens on `ip:port`. */
+  static async open(
+    kernel: DaemonKernel,
+    name: Interface,
+    address: string,
+  ): Promise<Listener> {
+    const adapter = createAdapter(kernel);
+    const app = await NestFactory.create<NestFastifyApplication>(
+      moduleOf(kernel, name),
+      adapter,
+      nestOptions,
+    );
+    app.useGlobalFilters(new FailureFilter(kernel.get(logPart)));
+    const fastify = adapter.getInstance<FastifyInstance>();
+    installBodyParser(fastify);
+    await app.init();
+    fastify.setErrorHandler((error, _request, reply) => {
+      sendFailure(reply, classifyError(error));
+    });
+    const { host, port } = splitAddress(address);
+    await app.listen(port, host);
+    return new Listener(app);
+  }
+
+  /** `ip:port` on which it listens. */
+  get address(): string {
+    const bound = this.#app.getHttpServer().address();
+    if (bound === null || typeof bound === 'string') return String(bound);
+    return `${bound.address}:${bound.port}`;
+  }
+
+  async close(): Promise<void> {
+    await this.#app.close();
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/settings/load-settings.ts
@@ -0,0 +1,32 @@
+/** Loads the settings file of a daemon. */
+import { readFileSync } from 'node:fs';
+
+import { Failure, formatProblem, readToml } from '@medlarlever/core';
+import { Left } from 'purify-ts';
+import type { Either } from 'purify-ts';
+
+import { settingsSchema } from './settings.js';
+import type { Settings } from './settings.js';
+
+/** Checks the text; `file` only names it in messages. */
+export const parseSettings = (
+  file: string,
+  text: string,
+): Either<Failure, Settings> =>
+  readToml(text, settingsSchema).mapLeft(
+    problems =>
+      new Failure(
+        'invalid_settings',
+        problems.map(problem => formatProblem(file, problem)).join('\n'),
+      ),
+  );
+
+/** Reads and checks the file. */
+export const loadSettings = (file: string): Either<Failure, Settings> => {
+  try {
+    return parseSettings(file, readFileSync(file, 'utf8'));
+  } catch (error) {
+    const reason = error instanceof Error ? error.message : String(error);
+    return Left(new Failure('unreadable_file', `${file}: ${reason}`));
+  }
+};
