Add the in-memory platform, engine and service for tests

Cause: every part of the library needs a table, targets and a fleet list that can be told to fail before it can be tested.

Ruled out: fakes inside core, because core must not carry test code or depend on the stand-ins; a timer for each generation, because prefill would then not slow the decoding of others. One loop per engine steps all generations.

Contract: Generation.maxTokens counts continued tokens, a continuation's first chunk has index `continuation.tokens`, aborting a stream does not cancel it. prefixPieces and estimateTokens in core are shared by engines and routing.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -9,6 +9,7 @@
 export * from './object-store/object-store.js';
 export * from './fleet/fleet-list.js';
 export * from './target/target.js';
+export * from './target/prefix-pieces.js';
 export * from './peers/peer.js';
 export * from './peers/peer-group.js';
 export * from './membership/target-directory.js';
--- a/packages/core/src/target/target.ts
+++ b/packages/core/src/target/target.ts
@@ -54,11 +54,15 @@
   readonly id: string;
   readonly model: ModelId;
   readonly prompt: string;
+  /** Tokens of the whole answer, continued ones included. */
   readonly maxTokens: number;
   /** Larger runs first. */
   readonly priority: number;
   readonly deadline: Deadline;
-  /** Text generated so far elsewhere, to be continued after `prompt`. */
+  /**
+   * Text generated so far elsewhere, to be continued after `prompt`. The first
+   * chunk then has `index` equal to `tokens`.
+   */
   readonly continuation?: { readonly text: string; readonly tokens: number };
   /** KV cache exported by another engine. */
   readonly cacheFrom?: { readonly address: string; readonly id: string };
@@ -127,7 +131,8 @@
 export abstract class Engine extends Target {
   /**
    * Starts a generation and yields its stream until an end or failure.
-   * A failure before anything was sent carries `executed: "no"`.
+   * A failure before anything was sent carries `executed: "no"`. Aborting the
+   * signal ends the iteration at once but does not cancel the generation.
    */
   abstract generate(
     generation: Generation,
--- /dev/null
+++ b/packages/stand-ins/src/engine/fake-engine.test.ts
@@ -0,0 +1,128 @@
+import { Deadline } from '@medlarlever/core';
+import type { Generation, StreamItem } from '@medlarlever/core';
+import fakeTimers from '@sinonjs/fake-timers';
+import test from 'ava';
+
+import { wholeAnswer } from '../shared/answers.js';
+
+import { FakeEngine } from './fake-engine.js';
+
+const model = { name: 'style-base', version: '1' };
+
+const generation = (change: Partial<Generation> = {}): Generation => ({
+  id: 'g1',
+  model,
+  prompt: 'Is "Bogota" right?',
+  maxTokens: 12,
+  priority: 5,
+  deadline: Deadline.after(60_000),
+  ...change,
+});
+
+const collect = async (stream: AsyncIterable<StreamItem>) => {
+  const items: StreamItem[] = [];
+  for await (const item of stream) items.push(item);
+  return items;
+};
+
+const textOf = (items: readonly StreamItem[]) =>
+  items.map(item => (item.kind === 'chunk' ? item.chunk.text : '')).join('');
+
+const never = new AbortController().signal;
+
+test.serial(
+  'a stream can be left, resumed and continued elsewhere',
+  async t => {
+    const clock = fakeTimers.install();
+    t.teardown(() => {
+      clock.uninstall();
+    });
+    const neighbours = new Map<string, FakeEngine>();
+    const first = new FakeEngine({ name: 'e1', neighbours });
+    const second = new FakeEngine({ name: 'e2', neighbours });
+    const whole = wholeAnswer(generation().prompt, model, 12);
+
+    const left = collect(first.generate(generation(), never));
+    await clock.tickAsync(100);
+    first.silence();
+    await clock.tickAsync(40);
+    first.reset();
+    const start = await left;
+    t.like(start.at(-1), { kind: 'failure', failure: { executed: 'unknown' } });
+    const seen = start.filter(item => item.kind === 'chunk').length;
+
+    const resumed = collect(first.resume('g1', seen - 1, never));
+    await clock.tickAsync(20);
+    await first.exportStream('g1');
+    const middle = await resumed;
+    t.like(middle.at(-1), { kind: 'end', end: { reason: 'moved' } });
+
+    const text = textOf(start) + textOf(middle);
+    const tokens = start.concat(middle).filter(i => i.kind === 'chunk').length;
+    const rest = collect(
+      second.generate(
+        generation({
+          continuation: { text, tokens },
+          cacheFrom: { address: first.address, id: 'g1' },
+        }),
+        never,
+      ),
+    );
+    await clock.tickAsync(5_000);
+    t.is(text + textOf(await rest), whole);
+    t.deepEqual(first.executions, ['g1']);
+  },
+);
+
+test.serial('an order with an old fencing number has no effect', async t => {
+  const clock = fakeTimers.install();
+  t.teardown(() => {
+    clock.uninstall();
+  });
+  const order = (id: string, fencing: number) => ({
+    id,
+    fencing,
+    action: { kind: 'role' as const, role: 'decode' as const },
+  });
+  const strict = new FakeEngine();
+  t.true((await strict.order(order('a', 2))).isRight());
+  t.like((await strict.order(order('b', 3))).extract(), {
+    code: 'order_conflict',
+    executed: 'no',
+  });
+  await clock.tickAsync(4_000);
+  t.like((await strict.orderStatus('a')).extract(), { state: 'done' });
+  t.true((await strict.order(order('c', 1))).isLeft());
+  t.is(strict.model.orders.conflicts, 0);
+
+  const lax = new FakeEngine({ checksFencing: false });
+  await lax.order(order('a', 2));
+  t.true((await lax.order(order('b', 1))).isRight());
+  t.is(lax.model.orders.conflicts, 1);
+});
+
+test.serial('the cache repeats nothing and its events come late', async t => {
+  const clock = fakeTimers.install();
+  t.teardown(() => {
+    clock.uninstall();
+  });
+  const engine = new FakeEngine({ cacheLagMs: 500 });
+  const prompt = 'x'.repeat(4 * 4_096 * 2);
+  const run = async (id: string) => {
+    const startMs = Date.now();
+    const items = engine.generate(
+      generation({ id, prompt, maxTokens: 1 }),
+      never,
+    );
+    const done = collect(items).then(() => Date.now() - startMs);
+    await clock.tickAsync(2_000);
+    return done;
+  };
+  const cold = run('a');
+  const early = await engine.cacheEvents(0);
+  const coldMs = await cold;
+  const warmMs = await run('b');
+  t.deepEqual(early.extract(), []);
+  t.is((await engine.cacheEvents(0)).orDefault([])[0]?.pieces.length, 2);
+  t.true(coldMs > warmMs + 300, `${coldMs} ${warmMs}`);
+});
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,1 +1,10 @@
-export {};
+/** Small stand-ins for the platform, the engines and the services. */
+export * from './platform/memory-table.js';
+export * from './platform/memory-object-store.js';
+export * from './platform/memory-fleet-list.js';
+export * from './shared/answers.js';
+export * from './engine/engine-settings.js';
+export * from './engine/engine-model.js';
+export * from './engine/fake-engine.js';
+export * from './service/service-model.js';
+export * from './service/fake-service.js';
--- /dev/null
+++ b/packages/stand-ins/src/shared/stream-queue.ts
@@ -0,0 +1,38 @@
+/** An unbounded queue that is read as an async iterable. */
+export class StreamQueue<T> implements AsyncIterable<T> {
+  readonly #items: T[] = [];
+  #ended = false;
+  #wake: (() => void) | undefined;
+
+  push(item: T): void {
+    if (this.#ended) return;
+    this.#items.push(item);
+    this.#wake?.();
+  }
+
+  /** Ends the iteration once the items so far were read. */
+  end(): void {
+    this.#ended = true;
+    this.#wake?.();
+  }
+
+  /** Ends the iteration at once and drops what was not read. */
+  close(): void {
+    this.#items.length = 0;
+    this.end();
+  }
+
+  async *[Symbol.asyncIterator](): AsyncGenerator<T, void, undefined> {
+    for (;;) {
+      const item = this.#items.shift();
+      if (item !== undefined) {
+        yield item;
+        continue;
+      }
+      if (this.#ended) return;
+      await new Promise<void>(resolve => {
+        this.#wake = resolve;
+      });
+    }
+  }
+}
