--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -20,3 +20,10 @@
 export * from './config/template.js';
 export * from './config/entitlement.js';
 export * from './config/configuration-source.js';
+
+export * from './roles/role-capacity.js';
+export * from './roles/baseline-policies.js';
+export * from './roles/demand-history.js';
+export * from './roles/horizon-policy.js';
+export * from './roles/role-controller.js';
+export * from './roles/role-settings.js';
--- /dev/null
+++ b/packages/core/src/roles/demand-history.ts
@@ -0,0 +1,51 @@
+/** Demand of the recent past, averaged over windows of several lengths. */
+import type { DemandView } from './role-policy.js';
+
+/** Rates of one data centre averaged over a window. */
+export interface Rates {
+  readonly prefillRate: number;
+  readonly decodeRate: number;
+  readonly requestRate: number;
+}
+
+interface Sample extends Rates {
+  readonly atMs: number;
+}
+
+export class DemandHistory {
+  readonly #keepMs: number;
+  readonly #samples = new Map<string, Sample[]>();
+
+  constructor(keepMs: number) {
+    this.#keepMs = keepMs;
+  }
+
+  /** Adds the picture of one data centre and drops what is too old. */
+  add(nowMs: number, demand: DemandView): void {
+    const samples = this.#samples.get(demand.dataCenter) ?? [];
+    const atMs = nowMs - demand.ageMs;
+    if (atMs <= (samples.at(-1)?.atMs ?? -Infinity)) return;
+    samples.push({ ...demand, atMs });
+    const oldest = nowMs - this.#keepMs;
+    const kept = samples.findIndex(sample => sample.atMs >= oldest);
+    // One sample before the window shows that the window is covered.
+    samples.splice(0, Math.max(0, kept - 1));
+    this.#samples.set(demand.dataCenter, samples);
+  }
+
+  /** Mean rates over the window; `undefined` until it is covered. */
+  mean(dataCenter: string, nowMs: number, windowMs: number): Rates | undefined {
+    const samples = this.#samples.get(dataCenter) ?? [];
+    const from = nowMs - windowMs;
+    if ((samples[0]?.atMs ?? Infinity) > from) return undefined;
+    const inside = samples.filter(sample => sample.atMs > from);
+    if (inside.length === 0) return undefined;
+    const mean = (pick: (rates: Rates) => number) =>
+      inside.reduce((sum, sample) => sum + pick(sample), 0) / inside.length;
+    return {
+      prefillRate: mean(rates => rates.prefillRate),
+      decodeRate: mean(rates => rates.decodeRate),
+      requestRate: mean(rates => rates.requestRate),
+    };
+  }
+}
--- a/packages/core/src/roles/role-policy.ts
+++ b/packages/core/src/roles/role-policy.ts
@@ -24,6 +24,8 @@
   readonly prefillRate: number;
   /** Output tokens asked for, per second. */
   readonly decodeRate: number;
+  /** Requests that arrived, per second. */
+  readonly requestRate: number;
   readonly ageMs: number;
 }
 
