--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -16,8 +16,26 @@
 export * from './quarantine/quarantine.js';
 export * from './limits/admission.js';
 export * from './streams/generation-dispatcher.js';
+export * from './routing/prompt-pieces.js';
 export * from './ledger/service-dispatcher.js';
 export * from './roles/role-policy.js';
+export * from './roles/role-capacity.js';
+export * from './roles/baseline-policies.js';
+export * from './roles/demand-history.js';
+export * from './roles/horizon-policy.js';
+export * from './roles/role-controller.js';
+export * from './roles/role-settings.js';
 export * from './config/template.js';
 export * from './config/entitlement.js';
 export * from './config/configuration-source.js';
+// Ledger, quarantine, retries and metrics.
+export * from './metrics/request-metrics.js';
+// Peers and membership
+export * from './peers/peer-link.js';
+export * from './peers/peer-server.js';
+export * from './fleet/fleet-watcher.js';
+export * from './membership/instance-record.js';
+export * from './membership/instance-registry.js';
+export * from './membership/link-choice.js';
+export * from './membership/fleet-directory.js';
+export * from './membership/peer-mesh.js';
