--- /dev/null
+++ b/packages/core/src/fleet/http-fleet-list.ts
@@ -0,0 +1,76 @@
+/** The fleet list in the format of Prometheus HTTP service discovery. */
+import { Left, Right } from 'purify-ts';
+import type { Either } from 'purify-ts';
+import { request } from 'undici';
+import { z } from 'zod';
+
+import { Failure } from '../shared/failure.js';
+import { errorText } from '../shared/http-errors.js';
+
+import { FleetList, fleetMemberSchema } from './fleet-list.js';
+import type { FleetMember } from './fleet-list.js';
+
+const callTimeoutMs = 5_000;
+
+export interface HttpFleetListOptions {
+  readonly url: string;
+  readonly timeoutMs?: number;
+}
+
+/** `[{"targets": ["ip:port"], "labels": {...}}]` */
+export const targetGroupsSchema = z.array(
+  z.object({
+    targets: z.array(z.string()),
+    labels: z.record(z.string(), z.string()).default({}),
+  }),
+);
+export type TargetGroups = z.infer<typeof targetGroupsSchema>;
+
+const toMember = (address: string, labels: Record<string, string>) => {
+  const { data_center: dataCenter, ...rest } = labels;
+  return fleetMemberSchema.safeParse({ ...rest, dataCenter, address }).data;
+};
+
+/** Members of the groups; entries that are not of this fleet are left out. */
+export const toMembers = (groups: TargetGroups): FleetMember[] =>
+  groups.flatMap(({ targets, labels }) =>
+    targets.flatMap(address => toMember(address, labels) ?? []),
+  );
+
+/** One group for each member. */
+export const toTargetGroups = (members: readonly FleetMember[]): TargetGroups =>
+  members.map(({ address, dataCenter, service, ...labels }) => ({
+    targets: [address],
+    labels: {
+      ...labels,
+      data_center: dataCenter,
+      ...(service === undefined ? {} : { service }),
+    },
+  }));
+
+export class HttpFleetList extends FleetList {
+  constructor(private readonly options: HttpFleetListOptions) {
+    super();
+  }
+
+  override async list(): Promise<Either<Failure, readonly FleetMember[]>> {
+    try {
+      const { url, timeoutMs = callTimeoutMs } = this.options;
+      const signal = AbortSignal.timeout(timeoutMs);
+      const { statusCode, body } = await request(url, { signal });
+      if (statusCode !== 200) {
+        await body.dump();
+        return this.#unavailable(`status ${statusCode}`);
+      }
+      return Right(toMembers(targetGroupsSchema.parse(await body.json())));
+    } catch (error) {
+      return this.#unavailable(errorText(error));
+    }
+  }
+
+  #unavailable(reason: string) {
+    return Left(
+      new Failure('platform_unavailable', `no fleet list: ${reason}`),
+    );
+  }
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -9,7 +9,7 @@
 export * from './object-store/object-store.js';
 export * from './fleet/fleet-list.js';
 export * from './target/target.js';
-export * from './target/prefix-pieces.js';
+export * from './target/model-key.js';
 export * from './peers/peer.js';
 export * from './peers/peer-group.js';
 export * from './membership/target-directory.js';
@@ -39,3 +39,9 @@
 export * from './membership/link-choice.js';
 export * from './membership/fleet-directory.js';
 export * from './membership/peer-mesh.js';
+// Clients of the outside systems
+export * from './shared/http-errors.js';
+export * from './table/dynamo-items.js';
+export * from './table/http-table.js';
+export * from './object-store/http-object-store.js';
+export * from './fleet/http-fleet-list.js';
--- /dev/null
+++ b/packages/core/src/object-store/http-object-store.ts
@@ -0,0 +1,92 @@
+/** The platform's object store over S3's REST shape. */
+import { Just, Left, Nothing, Right } from 'purify-ts';
+import type { Either, Maybe } from 'purify-ts';
+import { Pool } from 'undici';
+import type { Dispatcher } from 'undici';
+
+import { Failure } from '../shared/failure.js';
+import { errorText, neverSent } from '../shared/http-errors.js';
+
+import { ObjectStore } from './object-store.js';
+
+const callTimeoutMs = 10_000;
+const maxConnections = 8;
+
+export interface HttpObjectStoreOptions {
+  /** Origin of the service, `http://ip:port`. */
+  readonly url: string;
+  readonly bucket: string;
+  readonly timeoutMs?: number;
+}
+
+const unavailable = (message: string) =>
+  new Failure('platform_unavailable', message);
+
+export class HttpObjectStore extends ObjectStore {
+  readonly #pool: Pool;
+  readonly #timeoutMs: number;
+
+  constructor(private readonly options: HttpObjectStoreOptions) {
+    super();
+    this.#timeoutMs = options.timeoutMs ?? callTimeoutMs;
+    this.#pool = new Pool(options.url, {
+      connections: maxConnections,
+      connectTimeout: this.#timeoutMs,
+    });
+  }
+
+  override async get(
+    name: string,
+  ): Promise<Either<Failure, Maybe<Uint8Array>>> {
+    try {
+      const answer = await this.#request('GET', name);
+      const body = await answer.body.bytes();
+      if (answer.statusCode === 200) return Right(Just(body));
+      if (answer.statusCode === 404) return Right(Nothing);
+      return Left(unavailable(`the store answered ${answer.statusCode}`));
+    } catch (error) {
+      return Left(unavailable(`no answer of the store: ${errorText(error)}`));
+    }
+  }
+
+  override async put(
+    name: string,
+    body: Uint8Array,
+  ): Promise<Either<Failure, void>> {
+    try {
+      const answer = await this.#request('PUT', name, body);
+      await answer.body.dump();
+      if (answer.statusCode === 200) return Right(undefined);
+      return Left(this.#unknown(`the store answered ${answer.statusCode}`));
+    } catch (error) {
+      const message = `no answer of the store: ${errorText(error)}`;
+      return Left(
+        neverSent(error) ? unavailable(message) : this.#unknown(message),
+      );
+    }
+  }
+
+  /** Closes the connections; running calls end first. */
+  close(): Promise<void> {
+    return this.#pool.close();
+  }
+
+  #request(
+    method: 'GET' | 'PUT',
+    name: string,
+    body?: Uint8Array,
+  ): Promise<Dispatcher.ResponseData> {
+    const key = name.split('/').map(encodeURIComponent).join('/');
+    return this.#pool.request({
+      method,
+      path: `/${this.options.bucket}/${key}`,
+      headers: { 'content-type': 'application/octet-stream' },
+      body,
+      signal: AbortSignal.timeout(this.#timeoutMs),
+    });
+  }
+
+  #unknown(message: string): Failure {
+    return new Failure('platform_unknown', message, { executed: 'unknown' });
+  }
+}
