--- /dev/null
+++ b/packages/bench/src/membership/membership.test.ts
@@ -0,0 +1,117 @@
+import FakeTimers from '@sinonjs/fake-timers';
+import type { Clock } from '@sinonjs/fake-timers';
+import { MemoryNetwork } from '@medlarlever/stand-ins';
+import test from 'ava';
+
+import { createInstances } from './instances.js';
+import type { Instance } from './instances.js';
+
+const joinMs = 6_000;
+
+const withClock = async (run: (clock: Clock) => Promise<void>) => {
+  const clock = FakeTimers.install({ now: 1_000_000 });
+  try {
+    await run(clock);
+  } finally {
+    clock.uninstall();
+  }
+};
+
+const start = (instances: readonly Instance[]) => {
+  for (const { mesh } of instances) void mesh.run();
+};
+
+const stop = async (clock: Clock, instances: readonly Instance[]) => {
+  const stopped = Promise.all(instances.map(({ mesh }) => mesh.stop()));
+  await clock.tickAsync(5_000);
+  await stopped;
+};
+
+const namesAt = ({ registry }: Instance) =>
+  registry
+    .all()
+    .map(({ name }) => name)
+    .sort();
+
+test.serial('instances learn of each other from a few contacts', t =>
+  withClock(async clock => {
+    const network = new MemoryNetwork();
+    const instances = createInstances({
+      count: 8,
+      dataCenters: 3,
+      network,
+      seed: 1,
+    });
+    start(instances);
+    await clock.tickAsync(joinMs);
+    const all = instances.map(({ record }) => record.name).sort();
+    for (const instance of instances) t.deepEqual(namesAt(instance), all);
+    await stop(clock, instances);
+  }),
+);
+
+test.serial('a changed record reaches a ring of many within 5 s', t =>
+  withClock(async clock => {
+    const network = new MemoryNetwork();
+    const instances = createInstances({
+      count: 40,
+      dataCenters: 5,
+      network,
+      seed: 2,
+    });
+    start(instances);
+    await clock.tickAsync(4 * joinMs);
+    instances[0]?.registry.updateSelf({ revision: 7 });
+    await clock.tickAsync(5_000);
+    const name = instances[0]?.record.name ?? '';
+    const lacking = instances.filter(
+      ({ registry }) => registry.find(name)?.revision !== 7,
+    );
+    t.deepEqual(lacking.map(namesAt), []);
+    await stop(clock, instances);
+  }),
+);
+
+test.serial('a silent instance is suspected, and is not once it answers', t =>
+  withClock(async clock => {
+    const network = new MemoryNetwork();
+    const instances = createInstances({
+      count: 3,
+      dataCenters: 1,
+      network,
+      seed: 3,
+    });
+    const [first, second] = instances;
+    if (first === undefined || second === undefined) throw new Error('none');
+    start(instances);
+    await clock.tickAsync(joinMs);
+    network.cut(first.record.address, second.record.address);
+    network.cut(second.record.address, first.record.address);
+    await clock.tickAsync(10_000);
+    const stateAtFirst = () => first.registry.find(second.record.name)?.state;
+    t.is(stateAtFirst(), 'suspected');
+    network.heal();
+    await clock.tickAsync(5_000);
+    t.is(stateAtFirst(), 'live');
+    await stop(clock, instances);
+  }),
+);
+
+test.serial('a restarted instance replaces its earlier incarnation', t => {
+  const network = new MemoryNetwork();
+  const [instance] = createInstances({
+    count: 1,
+    dataCenters: 1,
+    network,
+    seed: 4,
+  });
+  if (instance === undefined) throw new Error('none');
+  const { registry, record } = instance;
+  const old = { ...record, name: 'other', startedAtMs: 1, version: 9 };
+  const next = { ...old, incarnation: 'next', startedAtMs: 2, version: 0 };
+  registry.merge([next]);
+  registry.merge([old]);
+  t.is(registry.find('other')?.incarnation, 'next');
+  t.false(registry.remove('other', old.incarnation));
+  t.true(registry.remove('other', 'next'));
+});
--- a/packages/core/src/plans/plan-store.ts
+++ b/packages/core/src/plans/plan-store.ts
@@ -1,11 +1,18 @@
 /** Plans in the platform's table: one row each, one open plan a target. */
-import { randomUUID } from 'node:crypto';
-
-import { Left, Maybe, Right } from 'purify-ts';
+import { Left, Right } from 'purify-ts';
 import type { Either } from 'purify-ts';
 
 import { Failure } from '../shared/failure.js';
-import type { Row, RowKey, Table, Write } from '../table/table.js';
+import { runSteps } from '../shared/run-steps.js';
+import { settle } from '../table/settle.js';
+import type {
+  Condition,
+  Row,
+  RowKey,
+  Table,
+  Write,
+} from '../table/table.js';
+import { randomToken } from '../table/token.js';
 
 import { isOpen, planSchema } from './plan.js';
 import type { Plan } from './plan.js';
@@ -32,53 +39,55 @@
   sort: `${String(createdAtMs).padStart(16, '0')}-${id}`,
 });
 
-const toStored = (row: Row): StoredPlan => ({
-  plan: planSchema.parse(row.value),
-  version: row.version,
-});
+/** `null` in the row of a target whose last plan ended: rows are kept. */
+const openPlanSchema = planSchema.nullable();
+
+const toStored = (row: Row): StoredPlan[] => {
+  const plan = openPlanSchema.parse(row.value);
+  return plan === null ? [] : [{ plan, version: row.version }];
+};
+
+export interface PlanStoreOptions {
+  readonly table: Table;
+  readonly random: () => number;
+}
 
 export class PlanStore {
+  readonly #options: PlanStoreOptions;
   readonly #table: Table;
 
-  constructor(table: Table) {
-    this.#table = table;
+  constructor(options: PlanStoreOptions) {
+    this.#options = options;
+    this.#table = options.table;
   }
 
   async open(): Promise<Either<Failure, readonly StoredPlan[]>> {
     const rows = await this.#table.scan(openPartition);
-    return rows.map(found => found.map(toStored));
+    return rows.map(found => found.flatMap(toStored));
   }
 
   async ended(): Promise<Either<Failure, readonly Plan[]>> {
     const rows = await this.#table.scan(endedPartition);
     return rows.map(found =>
-      found.slice(-listedPlans).map(row => toStored(row).plan),
+      found.slice(-listedPlans).map(row => planSchema.parse(row.value)),
     );
   }
 
-  async find(target: string): Promise<Either<Failure, Maybe<StoredPlan>>> {
-    const key = { partition: openPartition, sort: target };
-    const rows = await this.#table.read([key]);
-    return rows.map(([row]) => Maybe.fromNullable(row).map(toStored));
-  }
-
   /** Stores a new plan; `plan_conflict` when the target has an open one. */
-  async create(plan: Plan): Promise<Either<Failure, StoredPlan>> {
-    const committed = await this.#commit([
-      {
-        kind: 'put',
-        key: openKey(plan),
-        condition: { kind: 'absent' },
-        value: plan,
-      },
-    ]);
-    return committed
-      .mapLeft(failure =>
-        failure.code === 'condition_failed'
-          ? new Failure('plan_conflict', 'another plan covers the target')
-          : failure,
-      )
-      .map(() => ({ plan, version: 1 }));
+  create(plan: Plan): Promise<Either<Failure, StoredPlan>> {
+    const key = openKey(plan);
+    return runSteps(async unwrap => {
+      const [row] = await unwrap(this.#table.read([key]));
+      if (row !== undefined && toStored(row).length > 0) throw conflict();
+      const condition: Condition =
+        row === undefined
+          ? { kind: 'absent' }
+          : { kind: 'version', version: row.version };
+      const write: Write = { kind: 'put', key, condition, value: plan };
+      const outcome = await this.#commit([write]);
+      await unwrap(outcome.mapLeft(asPlanConflict));
+      return { plan, version: (row?.version ?? 0) + 1 };
+    });
   }
 
   /**
@@ -92,10 +101,11 @@
   ): Promise<Either<Failure, StoredPlan>> {
     const plan = { ...stored.plan, ...change, changedAtMs: Date.now() };
     const condition = { kind: 'version', version: stored.version } as const;
+    const key = openKey(plan);
     const writes: Write[] = isOpen(plan)
-      ? [{ kind: 'put', key: openKey(plan), condition, value: plan }]
+      ? [{ kind: 'put', key, condition, value: plan }]
       : [
-          { kind: 'delete', key: openKey(plan), condition },
+          { kind: 'put', key, condition, value: null },
           {
             kind: 'put',
             key: endedKey(plan),
@@ -108,8 +118,9 @@
   }
 
   async #commit(writes: readonly Write[]): Promise<Either<Failure, void>> {
-    const token = randomUUID();
-    const commit = await this.#table.commit({ token, writes: [...writes] });
+    const { table, random } = this.#options;
+    const transaction = { token: randomToken(random), writes: [...writes] };
+    const commit = await settle({ table, transaction, random });
     return commit.chain(({ kind }) =>
       kind === 'committed'
         ? Right(undefined)
@@ -117,3 +128,9 @@
     );
   }
 }
+
+const conflict = () =>
+  new Failure('plan_conflict', 'another plan covers the target');
+
+const asPlanConflict = (failure: Failure): Failure =>
+  failure.code === 'condition_failed' ? conflict() : failure;
--- a/packages/core/src/plans/planner.ts
+++ b/packages/core/src/plans/planner.ts
@@ -6,16 +6,14 @@
 
 import type { FleetDirectory } from '../membership/fleet-directory.js';
 import { Failure } from '../shared/failure.js';
-import type { Table } from '../table/table.js';
 
 import type { Plan, PlanRequest } from './plan.js';
-import { PlanStore } from './plan-store.js';
-import type { StoredPlan } from './plan-store.js';
+import type { PlanStore, StoredPlan } from './plan-store.js';
 
 const cancellable = new Set<Plan['state']>(['closing', 'waiting', 'closed']);
 
 export interface PlannerOptions {
-  readonly table: Table;
+  readonly store: PlanStore;
   readonly directory: FleetDirectory;
 }
 
@@ -23,8 +21,8 @@
   readonly #store: PlanStore;
   readonly #directory: FleetDirectory;
 
-  constructor({ table, directory }: PlannerOptions) {
-    this.#store = new PlanStore(table);
+  constructor({ store, directory }: PlannerOptions) {
+    this.#store = store;
     this.#directory = directory;
   }
 
--- a/packages/daemon/src/kernel/app.ts
+++ b/packages/daemon/src/kernel/app.ts
@@ -1,15 +1,31 @@
 /** The daemon's kernel: the library's, with controllers for each interface. */
 import { Kernel } from '@medlarlever/core';
-import type { Token } from '@medlarlever/core';
+import type { PeerHandler, Token } from '@medlarlever/core';
 import { Inject } from '@nestjs/common';
 import type { Type } from '@nestjs/common';
 
 /** The interfaces on which a daemon listens. */
 export type Interface = 'caller' | 'operator' | 'peer';
 
+type MethodSource = () => ReadonlyMap<string, PeerHandler>;
+
 export class DaemonKernel extends Kernel {
+  readonly #deferred: MethodSource[] = [];
   readonly #controllers = new Map<Interface, Type[]>();
 
+  /** Adds peer methods of a part that is built later. */
+  deferMethods(methods: MethodSource): void {
+    this.#deferred.push(methods);
+  }
+
+  /** Registers the deferred methods; called once all apps are installed. */
+  collectMethods(): ReadonlyMap<string, PeerHandler> {
+    for (const source of this.#deferred.splice(0)) {
+      for (const [name, handler] of source()) this.method(name, handler);
+    }
+    return this.methods;
+  }
+
   /** Adds a controller to an interface. */
   controller(name: Interface, controller: Type): void {
     this.#controllers.set(name, [...this.controllers(name), controller]);
--- a/packages/daemon/src/kernel/parts.ts
+++ b/packages/daemon/src/kernel/parts.ts
@@ -2,7 +2,11 @@
 import { Token } from '@medlarlever/core';
 import type {
   Admission,
-  ConfigurationSource,
+  ClosedTargets,
+  ConfigurationEditor,
+  ConfigurationHolder,
+  ConfigurationPoller,
+  ConfigurationStore,
   FleetDirectory,
   FleetList,
   FleetWatcher,
@@ -12,6 +16,7 @@
   ObjectStore,
   PeerMesh,
   PeerServer,
+  Planner,
   Quarantine,
   ServiceDispatcher,
   Table,
@@ -43,9 +48,14 @@
 export const peerServerPart = new Token<PeerServer>('peer-server');
 export const directoryPart = new Token<FleetDirectory>('directory');
 
-export const configurationPart = new Token<ConfigurationSource>(
+export const configurationPart = new Token<ConfigurationHolder>(
   'configuration',
 );
+export const configurationStorePart = new Token<ConfigurationStore>(
+  'configuration-store',
+);
+export const pollerPart = new Token<ConfigurationPoller>('poller');
+export const editorPart = new Token<ConfigurationEditor>('editor');
 export const customersPart = new Token<Customers>('customers');
 export const listenersPart = new Token<Listeners>('listeners');
 export const readinessPart = new Token<Readiness>('readiness');
@@ -57,3 +67,6 @@
 export const generationServicePart = new Token<Generations>(
   'generation-service',
 );
+
+export const plannerPart = new Token<Planner>('planner');
+export const closedTargetsPart = new Token<ClosedTargets>('closed-targets');
--- a/packages/daemon/src/membership/app.ts
+++ b/packages/daemon/src/membership/app.ts
@@ -136,7 +136,7 @@
   kernel.provide(directoryPart, createDirectory);
   kernel.provide(peerServerPart, () => {
     kernel.get(meshPart).register(kernel);
-    return new PeerServer(kernel.methods);
+    return new PeerServer(kernel.collectMethods());
   });
   kernel.controller('peer', PeerController);
   registerMethods(kernel);
--- /dev/null
+++ b/packages/daemon/src/platform/app.ts
@@ -0,0 +1,55 @@
+/** Registers the clients of the platform. */
+import {
+  HttpFleetList,
+  HttpObjectStore,
+  HttpTable,
+  TableClient,
+} from '@medlarlever/core';
+
+import { registerApp } from '../kernel/app.js';
+import {
+  fleetListPart,
+  logPart,
+  objectStorePart,
+  randomPart,
+  registryPart,
+  settingsPart,
+  tablePart,
+} from '../kernel/parts.js';
+
+registerApp('platform', kernel => {
+  kernel.provide(tablePart, k => {
+    const { platform } = k.get(settingsPart);
+    const registry = k.get(registryPart);
+    return new TableClient({
+      table: new HttpTable({
+        url: platform.table_url,
+        table: platform.table_name,
+        timeoutMs: platform.timeout_ms,
+      }),
+      log: k.get(logPart),
+      random: k.get(randomPart),
+      instances: () => registry.all().length,
+      callTimeoutMs: platform.timeout_ms,
+      rates: {
+        readsPerSecond: platform.reads_per_second,
+        writesPerSecond: platform.writes_per_second,
+      },
+    });
+  });
+  kernel.provide(objectStorePart, k => {
+    const { platform } = k.get(settingsPart);
+    return new HttpObjectStore({
+      url: platform.object_url,
+      bucket: platform.bucket,
+      timeoutMs: platform.timeout_ms,
+    });
+  });
+  kernel.provide(fleetListPart, k => {
+    const { platform } = k.get(settingsPart);
+    return new HttpFleetList({
+      url: platform.fleet_url,
+      timeoutMs: platform.timeout_ms,
+    });
+  });
+});
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -8,3 +8,4 @@
 export * from './engine/fake-engine.js';
 export * from './service/service-model.js';
 export * from './service/fake-service.js';
+export * from './peers/memory-network.js';
