--- /dev/null
+++ b/packages/core/src/routing/load-poller.ts
@@ -0,0 +1,123 @@
+/** Keeps load reports and cache contents current: one task for each engine. */
+import type { TargetDirectory } from '../membership/target-directory.js';
+import { jittered, sleep } from '../shared/time.js';
+import type { Engine } from '../target/target.js';
+
+import type { LoadBook } from './load-book.js';
+import type { PrefixIndex } from './prefix-index.js';
+
+export interface LoadPollerOptions {
+  readonly directory: TargetDirectory;
+  readonly book: LoadBook;
+  readonly prefixes: PrefixIndex;
+  readonly random: () => number;
+  /** Period for engines of this data centre. */
+  readonly intervalMs?: number;
+  /** Period for engines of other data centres. */
+  readonly remoteIntervalMs?: number;
+  /** Bounds the calls of an instance before many engines. */
+  readonly maxPollsPerSecond?: number;
+}
+
+interface PollTask {
+  readonly incarnation: string;
+  readonly stopper: AbortController;
+  readonly done: Promise<void>;
+}
+
+export class LoadPoller {
+  readonly #options: LoadPollerOptions;
+  readonly #intervalMs: number;
+  readonly #remoteIntervalMs: number;
+  readonly #maxPollsPerSecond: number;
+  readonly #tasks = new Map<string, PollTask>();
+
+  constructor(options: LoadPollerOptions) {
+    this.#options = options;
+    this.#intervalMs = options.intervalMs ?? 500;
+    this.#remoteIntervalMs = options.remoteIntervalMs ?? 2_000;
+    this.#maxPollsPerSecond = options.maxPollsPerSecond ?? 40;
+  }
+
+  /** Polls the engines of the directory until the signal aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    do this.#follow();
+    while (
+      await sleep(jittered(this.#intervalMs, this.#options.random), signal)
+    );
+    const running = [...this.#tasks.values()];
+    for (const name of [...this.#tasks.keys()]) this.#stop(name);
+    await Promise.all(running.map(task => task.done));
+  }
+
+  /** Starts tasks for new incarnations and ends those of the others. */
+  #follow(): void {
+    const engines = new Map<string, Engine>();
+    const remote = new Set<string>();
+    for (const { target, local } of this.#options.directory.engines()) {
+      engines.set(target.name, target);
+      if (!local) remote.add(target.name);
+    }
+    for (const [name, task] of this.#tasks) {
+      if (engines.get(name)?.incarnation !== task.incarnation) {
+        this.#stop(name);
+      }
+    }
+    for (const [name, engine] of engines) {
+      if (this.#tasks.has(name)) continue;
+      const periodMs = remote.has(name)
+        ? this.#remoteIntervalMs
+        : this.#intervalMs;
+      this.#start(engine, periodMs);
+    }
+  }
+
+  #start(engine: Engine, periodMs: number): void {
+    const stopper = new AbortController();
+    const done = this.#poll(engine, periodMs, stopper.signal);
+    this.#tasks.set(engine.name, {
+      incarnation: engine.incarnation,
+      stopper,
+      done,
+    });
+  }
+
+  /** What is known of an engine that left or restarted holds no more. */
+  #stop(name: string): void {
+    this.#tasks.get(name)?.stopper.abort();
+    this.#tasks.delete(name);
+    this.#options.book.forget(name);
+    this.#options.prefixes.forget(name);
+  }
+
+  async #poll(
+    engine: Engine,
+    periodMs: number,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const { random } = this.#options;
+    do await this.#pollOnce(engine, signal);
+    while (await sleep(jittered(this.#period(periodMs), random), signal));
+  }
+
+  #period(periodMs: number): number {
+    const sparedMs = (this.#tasks.size / this.#maxPollsPerSecond) * 1_000;
+    return Math.max(periodMs, sparedMs);
+  }
+
+  async #pollOnce(engine: Engine, signal: AbortSignal): Promise<void> {
+    const { book, directory, prefixes } = this.#options;
+    const [load, events] = await Promise.all([
+      engine.load(),
+      engine.cacheEvents(prefixes.sequence(engine.name)),
+    ]);
+    if (signal.aborted) return;
+    load.ifRight(report => {
+      book.reported(engine.name, report);
+      if (report.leaving) directory.markLeaving(engine.name, 'target');
+    });
+    events.ifRight(list => {
+      prefixes.learn(engine.name, list);
+    });
+  }
+}
