--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -9,6 +9,7 @@
 export * from './object-store/object-store.js';
 export * from './fleet/fleet-list.js';
 export * from './target/target.js';
+export * from './target/model-key.js';
 export * from './peers/peer.js';
 export * from './peers/peer-group.js';
 export * from './membership/target-directory.js';
@@ -45,3 +46,17 @@
 export * from './membership/link-choice.js';
 export * from './membership/fleet-directory.js';
 export * from './membership/peer-mesh.js';
+export * from './shared/toml.js';
+// Planned changes
+export * from './plans/plan.js';
+export * from './plans/plan-store.js';
+export * from './plans/closed-targets.js';
+export * from './plans/closing.js';
+export * from './plans/plan-runner.js';
+export * from './plans/planner.js';
+// Clients of the outside systems
+export * from './shared/http-errors.js';
+export * from './table/dynamo-items.js';
+export * from './table/http-table.js';
+export * from './object-store/http-object-store.js';
+export * from './fleet/http-fleet-list.js';
