Add the table client and the configuration by revisions

Ruled out: retry under a new token (doubles the write), read-back alone (an overwritten row no longer carries the token), one row for the whole configuration (size and polling), agreement among peers (a coordination service of our own).

Conclusion: racing changes give one acceptance and one conflict with its difference; a lost answer is settled or asked about by operation id; no source takes an instance back.

--- /dev/null
+++ b/packages/bench/src/control/configuration.test.ts
@@ -0,0 +1,181 @@
+import type { AcceptedChange, Failure } from '@medlarlever/core';
+import { MemoryObjectStore, MemoryTable } from '@medlarlever/stand-ins';
+import test from 'ava';
+import type { Either } from 'purify-ts';
+
+import {
+  createChange,
+  createConfigNode,
+  LocalPeer,
+  LocalPeerGroup,
+  outcomeOf,
+  withPausedClock,
+} from './fixtures.js';
+
+const createPlatform = () => ({
+  table: new MemoryTable(),
+  objects: new MemoryObjectStore(),
+});
+
+const revisionOf = (result: Either<Failure, AcceptedChange>) =>
+  result.map(({ revision }) => revision).extract();
+
+const minuteMs = 60_000;
+
+test.serial('of racing changes one is accepted and the other sees why', t =>
+  withPausedClock(async () => {
+    const platform = createPlatform();
+    const a = createConfigNode({ ...platform, seed: 1 });
+    const b = createConfigNode({ ...platform, seed: 2 });
+    const results = await Promise.all([
+      a.editor.apply(createChange('op-a', 0, 1)),
+      b.editor.apply(createChange('op-b', 0, 2)),
+    ]);
+    t.deepEqual(results.map(outcomeOf).sort(), ['ok', 'revision_conflict']);
+    const failures = results.flatMap(result =>
+      result.isLeft() ? [result.extract()] : [],
+    );
+    t.like(failures, [
+      {
+        details: {
+          head: 1,
+          difference: [{ template: 'style', change: 'added' }],
+        },
+      },
+    ]);
+    t.is(platform.table.rows('config-revisions').length, 1);
+  }),
+);
+
+test.serial('a lost answer is settled and the change is made once', t =>
+  withPausedClock(async clock => {
+    const platform = createPlatform();
+    const { editor } = createConfigNode(platform);
+    platform.table.faults.loseAnswers = 2;
+    const applying = editor.apply(createChange('op-1', 0));
+    await clock.tickAsync(minuteMs);
+    t.is(revisionOf(await applying), 1);
+    t.is(platform.table.rows('config-revisions').length, 1);
+  }),
+);
+
+test.serial('an operation id has one result through any instance', t =>
+  withPausedClock(async clock => {
+    const platform = createPlatform();
+    const first = createConfigNode({ ...platform, patienceMs: 500 });
+    platform.table.faults.loseAnswers = 100;
+    const applying = first.editor.apply(createChange('op-1', 0));
+    await clock.tickAsync(minuteMs);
+    t.is(outcomeOf(await applying), 'platform_unknown');
+    platform.table.faults.loseAnswers = 0;
+
+    const second = createConfigNode({ ...platform, seed: 2 });
+    t.deepEqual((await second.editor.operation('op-1')).extract(), {
+      state: 'committed',
+      revision: 1,
+    });
+    const again = await second.editor.apply(createChange('op-1', 0));
+    t.is(revisionOf(again), 1);
+    const reused = await second.editor.apply(createChange('op-1', 0, 9));
+    t.is(outcomeOf(reused), 'operation_reused');
+    t.is(platform.table.rows('config-revisions').length, 1);
+  }),
+);
+
+test.serial('an effect that comes late does not double a repeated change', t =>
+  withPausedClock(async clock => {
+    const platform = createPlatform();
+    const first = createConfigNode({ ...platform, patienceMs: 50 });
+    platform.table.faults.delayEffects = 1;
+    platform.table.faults.delayMs = 5_000;
+    const applying = first.editor.apply(createChange('op-1', 0));
+    await clock.tickAsync(1_000);
+    t.is(outcomeOf(await applying), 'platform_unknown');
+    t.deepEqual((await first.editor.operation('op-1')).extract(), {
+      state: 'unknown',
+    });
+    const second = createConfigNode({ ...platform, seed: 2 });
+    t.is(revisionOf(await second.editor.apply(createChange('op-1', 0))), 1);
+    await clock.tickAsync(10_000);
+    const history = await second.editor.history();
+    t.is(history.map(records => records.length).extract(), 1);
+  }),
+);
+
+test.serial('a starting instance takes the newest revision of its peers', t =>
+  withPausedClock(async clock => {
+    const platform = createPlatform();
+    const old = createConfigNode({ ...platform, seed: 1 });
+    await old.editor.apply(createChange('op-1', 0));
+    const newer = createConfigNode({ ...platform, seed: 2 });
+    await newer.editor.apply(createChange('op-2', 1, 7));
+    platform.table.faults.down = true;
+    platform.objects.faults.down = true;
+
+    const peers = new LocalPeerGroup('dc-1');
+    const peerOf = (name: string, node: typeof old) =>
+      new LocalPeer(name, 'dc-1', () => node.poller.peerMethods());
+    peers.members.push(peerOf('old', old));
+    const fresh = createConfigNode({ ...platform, peers, seed: 3 });
+    fresh.holder.saw(2);
+    await fresh.poller.poll();
+    t.true(fresh.holder.current().isNothing(), 'revision 1 is older than seen');
+
+    peers.members.push(peerOf('newer', newer));
+    fresh.poller.start();
+    await clock.tickAsync(5_000);
+    t.is(fresh.holder.revision, 2);
+    await fresh.poller.stop();
+  }),
+);
+
+test.serial('no offer from anywhere takes an instance back', async t => {
+  const platform = createPlatform();
+  const { editor, holder, log } = createConfigNode(platform);
+  await editor.apply(createChange('op-1', 0));
+  const first = holder.current().unsafeCoerce();
+  await editor.apply(createChange('op-2', 1, 7));
+  t.is(holder.offer(first, 'late peer'), 'stale');
+  t.is(holder.revision, 2);
+  t.true(log.entries.some(({ name }) => name === 'revision_refused'));
+});
+
+test.serial('an instance cut off goes on and catches up by itself', t =>
+  withPausedClock(async clock => {
+    const objects = new MemoryObjectStore();
+    const table = new MemoryTable();
+    const writer = createConfigNode({ table, objects, seed: 1 });
+    await writer.editor.apply(createChange('op-1', 0));
+    const node = createConfigNode({ table, objects, seed: 2 });
+    node.poller.start();
+    await clock.tickAsync(5_000);
+    t.is(node.holder.revision, 1);
+
+    table.faults.down = true;
+    await clock.tickAsync(10 * minuteMs);
+    t.is(node.holder.revision, 1, 'it serves on what it has');
+    table.faults.down = false;
+    await writer.editor.apply(createChange('op-2', 1, 7));
+    await clock.tickAsync(5_000);
+    t.is(node.holder.revision, 2);
+    await node.poller.stop();
+  }),
+);
+
+test.serial('a hint brings a revision in force within a second', t =>
+  withPausedClock(async clock => {
+    const platform = createPlatform();
+    const peers = new LocalPeerGroup('dc-1');
+    const writer = createConfigNode({ ...platform, peers, seed: 1 });
+    const reader = createConfigNode({ ...platform, seed: 2 });
+    peers.members.push(
+      new LocalPeer('reader', 'dc-1', () => reader.poller.peerMethods()),
+    );
+    reader.poller.start();
+    await clock.tickAsync(10);
+    await writer.editor.apply(createChange('op-1', 0));
+    await clock.tickAsync(600);
+    t.is(reader.holder.revision, 1);
+    await reader.poller.stop();
+  }),
+);
--- /dev/null
+++ b/packages/bench/src/control/fixtures.ts
@@ -0,0 +1,147 @@
+/** Fixtures of control tests, drills and measurements. */
+import { install } from '@sinonjs/fake-timers';
+import {
+  ConfigurationEditor,
+  ConfigurationHolder,
+  ConfigurationPoller,
+  ConfigurationStore,
+  LonePeerGroup,
+  MemoryLog,
+  Peer,
+  PeerGroup,
+  Failure,
+} from '@medlarlever/core';
+import type { ObjectStore, PeerHandler, Table } from '@medlarlever/core';
+import { unsafeUniformIntDistribution, xoroshiro128plus } from 'pure-rand';
+import { Left } from 'purify-ts';
+import type { Either } from 'purify-ts';
+
+const largest = 2 ** 32 - 1;
+
+/** Random numbers in [0, 1) from a seed. */
+export const seededRandom = (seed: number): (() => number) => {
+  const generator = xoroshiro128plus(seed);
+  return () =>
+    unsafeUniformIntDistribution(0, largest, generator) / (largest + 1);
+};
+
+/** Runs with the clock paused; `clock.tickAsync` advances it. */
+export const withPausedClock = async <T>(
+  run: (clock: ReturnType<typeof install>) => Promise<T>,
+): Promise<T> => {
+  const clock = install({
+    toFake: ['Date', 'performance', 'setTimeout', 'clearTimeout'],
+  });
+  try {
+    return await run(clock);
+  } finally {
+    clock.uninstall();
+  }
+};
+
+/** Calls handlers of another node in this process; can be cut off. */
+export class LocalPeer extends Peer {
+  cut = false;
+
+  constructor(
+    readonly name: string,
+    readonly dataCenter: string,
+    private readonly handlers: () => ReadonlyMap<string, PeerHandler>,
+  ) {
+    super();
+  }
+
+  get incarnation(): string {
+    return `${this.name}#1`;
+  }
+
+  override async call(
+    method: string,
+    params: unknown,
+  ): Promise<Either<Failure, unknown>> {
+    const handler = this.handlers().get(method);
+    await Promise.resolve();
+    if (this.cut || handler === undefined) {
+      return Left(new Failure('target_failed', 'the peer is unreachable'));
+    }
+    return handler(params, 'peer');
+  }
+
+  override notify(method: string, params: unknown): void {
+    void this.call(method, params);
+  }
+}
+
+/** Peers that a test adds and cuts off. */
+export class LocalPeerGroup extends PeerGroup {
+  readonly members: LocalPeer[] = [];
+
+  constructor(readonly dataCenter: string) {
+    super();
+  }
+
+  override peers(): readonly LocalPeer[] {
+    return this.members.filter(peer => !peer.cut);
+  }
+}
+
+export interface ConfigNodeOptions {
+  readonly table: Table;
+  readonly objects: ObjectStore;
+  readonly peers?: PeerGroup;
+  readonly seed?: number;
+  readonly patienceMs?: number;
+}
+
+/** The configuration parts of one instance. */
+export interface ConfigNode {
+  readonly log: MemoryLog;
+  readonly store: ConfigurationStore;
+  readonly holder: ConfigurationHolder;
+  readonly poller: ConfigurationPoller;
+  readonly editor: ConfigurationEditor;
+}
+
+export const createConfigNode = (options: ConfigNodeOptions): ConfigNode => {
+  const { table, objects, patienceMs } = options;
+  const peers = options.peers ?? new LonePeerGroup('dc-1');
+  const random = seededRandom(options.seed ?? 1);
+  const log = new MemoryLog();
+  const store = new ConfigurationStore({ table, objects, random });
+  const holder = new ConfigurationHolder(log);
+  const poller = new ConfigurationPoller({ store, holder, peers, log, random });
+  const editor = new ConfigurationEditor({
+    table,
+    store,
+    log,
+    random,
+    patienceMs,
+    onCommitted: head => poller.publish(head),
+  });
+  return { log, store, holder, poller, editor };
+};
+
+/** A small template; `priority` makes one differ from another. */
+export const createTemplate = (name: string, priority = 5) => ({
+  name,
+  ranking: { priority },
+  customers: {
+    [`${name}-desk`]: { key_hashes: ['0'.repeat(64)] },
+  },
+});
+
+/** A change that sets one template. */
+export const createChange = (
+  operationId: string,
+  baseRevision: number,
+  priority = 5,
+  name = 'style',
+) => ({
+  operationId,
+  baseRevision,
+  templates: { [name]: createTemplate(name, priority) },
+});
+
+/** Name of the failure, or `ok`. */
+export const outcomeOf = (result: Either<Failure, unknown>): string =>
+  result.caseOf({ Left: failure => failure.code, Right: () => 'ok' });
--- /dev/null
+++ b/packages/core/src/config/check-change.ts
@@ -0,0 +1,40 @@
+/** Checks a submitted change before anything is stored. */
+import { Left, Right } from 'purify-ts';
+import type { Either } from 'purify-ts';
+import { z } from 'zod';
+
+import { Failure } from '../shared/failure.js';
+
+import { templateSchema } from './template.js';
+
+const maxIdLength = 128;
+
+/** A change as an operator submits it; `null` removes a template. */
+export const configurationChangeSchema = z.object({
+  /** Chosen by the operator; the same id has one result for good. */
+  operationId: z.string().min(1).max(maxIdLength),
+  /** Revision that the operator looked at. */
+  baseRevision: z.number().int().nonnegative(),
+  templates: z
+    .record(z.string(), templateSchema.nullable())
+    .refine(change => Object.keys(change).length > 0, 'must name a template'),
+  author: z.string().max(maxIdLength).default(''),
+});
+export type ConfigurationChange = z.infer<typeof configurationChangeSchema>;
+
+const invalid = (message: string) =>
+  Left(new Failure('invalid_template', message));
+
+/** Checks the shape of a change and that each template has its own name. */
+export const checkChange = (
+  input: unknown,
+): Either<Failure, ConfigurationChange> => {
+  const parsed = configurationChangeSchema.safeParse(input);
+  if (!parsed.success) return invalid(z.prettifyError(parsed.error));
+  const misnamed = Object.entries(parsed.data.templates).find(
+    ([name, template]) => template !== null && template.name !== name,
+  );
+  return misnamed === undefined
+    ? Right(parsed.data)
+    : invalid(`template "${misnamed[0]}" names itself differently`);
+};
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -45,3 +45,18 @@
 export * from './table/http-table.js';
 export * from './object-store/http-object-store.js';
 export * from './fleet/http-fleet-list.js';
+// Table client, configuration and authority
+export * from './shared/run-steps.js';
+export * from './table/token.js';
+export * from './table/settle.js';
+export * from './table/call-budget.js';
+export * from './table/table-client.js';
+export * from './config/digest.js';
+export * from './config/revision-rows.js';
+export * from './config/configuration-store.js';
+export * from './config/configuration-holder.js';
+export * from './config/configuration-poller.js';
+export * from './config/configuration-editor.js';
+export * from './config/check-change.js';
+export * from './config/difference.js';
+export * from './config/instance-revisions.js';
