--- a/packages/bench/src/membership/instances.ts
+++ b/packages/bench/src/membership/instances.ts
@@ -1,7 +1,12 @@
 /** In-process instances that know each other over a memory network. */
-import { InstanceRegistry, Kernel, MemoryLog, PeerMesh } from '@medlarlever/core';
+import {
+  InstanceRegistry,
+  Kernel,
+  MemoryLog,
+  PeerMesh,
+} from '@medlarlever/core';
 import type { InstanceRecord } from '@medlarlever/core';
-import { MemoryNetwork } from '@medlarlever/stand-ins';
+import type { MemoryNetwork } from '@medlarlever/stand-ins';
 import { xoroshiro128plus } from 'pure-rand';
 
 export interface Instance {
--- a/packages/core/src/plans/plan-store.ts
+++ b/packages/core/src/plans/plan-store.ts
@@ -5,13 +5,7 @@
 import { Failure } from '../shared/failure.js';
 import { runSteps } from '../shared/run-steps.js';
 import { settle } from '../table/settle.js';
-import type {
-  Condition,
-  Row,
-  RowKey,
-  Table,
-  Write,
-} from '../table/table.js';
+import type { Condition, Row, RowKey, Table, Write } from '../table/table.js';
 import { randomToken } from '../table/token.js';
 
 import { isOpen, planSchema } from './plan.js';
--- a/packages/daemon/src/apps.ts
+++ b/packages/daemon/src/apps.ts
@@ -1,5 +1,7 @@
 /** Loads every feature; each registers itself with the kernel. */
+import './platform/app.js';
 import './membership/app.js';
+import './config/app.js';
 import './health/app.js';
 import './generations/app.js';
 import './operations/app.js';
--- a/packages/daemon/src/config/app.ts
+++ b/packages/daemon/src/config/app.ts
@@ -35,7 +35,10 @@
 };
 
 registerApp('config', kernel => {
-  kernel.provide(configurationPart, k => new ConfigurationHolder(k.get(logPart)));
+  kernel.provide(
+    configurationPart,
+    k => new ConfigurationHolder(k.get(logPart)),
+  );
   kernel.provide(
     configurationStorePart,
     k =>
