--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -17,6 +17,13 @@
 export * from './limits/admission.js';
 export * from './streams/generation-dispatcher.js';
 export * from './routing/prompt-pieces.js';
+export * from './routing/prefix-index.js';
+export * from './routing/load-book.js';
+export * from './routing/load-poller.js';
+export * from './routing/dispatch-news.js';
+export * from './routing/output-estimator.js';
+export * from './routing/cost.js';
+export * from './routing/router.js';
 export * from './ledger/service-dispatcher.js';
 export * from './roles/role-policy.js';
 export * from './roles/role-capacity.js';
@@ -39,6 +46,14 @@
 export * from './membership/link-choice.js';
 export * from './membership/fleet-directory.js';
 export * from './membership/peer-mesh.js';
+export * from './shared/toml.js';
+// Planned changes
+export * from './plans/plan.js';
+export * from './plans/plan-store.js';
+export * from './plans/closed-targets.js';
+export * from './plans/closing.js';
+export * from './plans/plan-runner.js';
+export * from './plans/planner.js';
 // Clients of the outside systems
 export * from './shared/http-errors.js';
 export * from './table/dynamo-items.js';
