Speak to engines and services over HTTP; run the stand-ins as processes

Cause: the daemon needs clients of the outside systems, and the demo, drills and measurements need programs that speak their protocols and fail on demand.

Ruled out: one pool for everything, because load reports would wait behind streams; undici's pooled connections for calls that may not be repeated, because a pooled connection may have gone silent. Those calls use connections that answered lately, or a new one proven by its health.

Found by the tests: a scan with both a prefix and a start read from the beginning, because the next page's start overwrote the first; mended.

Seen failing with the mechanism broken: calls through the shared pool; reset connections counted as never sent.

--- a/packages/core/src/table/http-table.ts
+++ b/packages/core/src/table/http-table.ts
@@ -99,10 +99,11 @@
   ): Promise<Either<Failure, readonly Row[]>> {
     const rows: Row[] = [];
     const limit = options.limit ?? Number.MAX_SAFE_INTEGER;
-    let start: unknown;
+    const query = this.#queryBody(partition, options);
+    let start: unknown = query.ExclusiveStartKey;
     do {
       const answer = await this.#readCall('Query', {
-        ...this.#queryBody(partition, options),
+        ...query,
         Limit: options.limit === undefined ? undefined : limit - rows.length,
         ExclusiveStartKey: start,
       });
--- /dev/null
+++ b/packages/core/src/target/http-target-factory.ts
@@ -0,0 +1,22 @@
+/** Makes HTTP clients for the members of the fleet list. */
+import type { FleetMember } from '../fleet/fleet-list.js';
+import { TargetFactory } from '../membership/target-directory.js';
+
+import type { ConnectionSettings } from './http-connections.js';
+import { HttpEngine } from './http-engine.js';
+import { HttpService } from './http-service.js';
+
+export class HttpTargetFactory extends TargetFactory {
+  constructor(private readonly settings: Partial<ConnectionSettings> = {}) {
+    super();
+  }
+
+  override engine(member: FleetMember): HttpEngine {
+    return new HttpEngine({ ...member, settings: this.settings });
+  }
+
+  override service(member: FleetMember): HttpService {
+    const { service = member.name } = member;
+    return new HttpService({ ...member, service, settings: this.settings });
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/engine/engine-server.test.ts
@@ -0,0 +1,133 @@
+import { Deadline, HttpEngine } from '@medlarlever/core';
+import type { Generation, StreamItem } from '@medlarlever/core';
+import test from 'ava';
+import type { ExecutionContext } from 'ava';
+import { request } from 'undici';
+
+import { wholeAnswer } from '../shared/answers.js';
+import { listen } from '../shared/http-server.js';
+
+import { EngineModel } from './engine-model.js';
+import type { EngineOptions } from './engine-settings.js';
+import { createEngineServer } from './engine-server.js';
+
+const modelId = { name: 'style-base', version: '1' };
+const never = new AbortController().signal;
+
+const startEngine = async (
+  t: ExecutionContext,
+  options: EngineOptions = {},
+) => {
+  const model = new EngineModel({ decodeMs: 1, heartbeatMs: 100, ...options });
+  const app = createEngineServer(model);
+  const address = await listen(app, '127.0.0.1', 0);
+  const engine = new HttpEngine({
+    name: 'e1',
+    incarnation: 'e1#1',
+    dataCenter: 'dc-1',
+    address,
+    settings: { heartbeatLimitMs: 1_500 },
+  });
+  t.teardown(async () => {
+    model.faults.hang = false;
+    engine.reset();
+    await app.close();
+  });
+  const fault = async (faults: object) => {
+    const { body } = await request(`http://${address}/faults`, {
+      method: 'POST',
+      headers: { 'content-type': 'application/json' },
+      body: JSON.stringify(faults),
+    });
+    await body.dump();
+  };
+  return { model, app, engine, fault };
+};
+
+const generation = (id: string, maxTokens: number): Generation => ({
+  id,
+  model: modelId,
+  prompt: 'À quelle heure?',
+  maxTokens,
+  priority: 5,
+  deadline: Deadline.after(60_000),
+});
+
+const textOf = (items: readonly StreamItem[]) =>
+  items.map(item => (item.kind === 'chunk' ? item.chunk.text : '')).join('');
+
+const collect = async (stream: AsyncIterable<StreamItem>) => {
+  const items: StreamItem[] = [];
+  for await (const item of stream) items.push(item);
+  return items;
+};
+
+test('a stream on a silent connection ends and is resumed on a new one', async t => {
+  const { engine, model, fault } = await startEngine(t, { decodeMs: 20 });
+  const whole = wholeAnswer(generation('g', 40).prompt, modelId, 40);
+  const items: StreamItem[] = [];
+  for await (const item of engine.generate(generation('g', 40), never)) {
+    items.push(item);
+    if (item.kind === 'chunk' && item.chunk.index === 5) {
+      await fault({ silence: true });
+    }
+  }
+  t.like(items.at(-1), { kind: 'failure', failure: { executed: 'unknown' } });
+  t.true((await engine.probe(1_000)).isRight());
+  engine.reset();
+  const last = items.findLast(item => item.kind === 'chunk');
+  const after = last?.kind === 'chunk' ? last.chunk.index : -1;
+  const rest = await collect(engine.resume('g', after, never));
+  t.is(textOf(items) + textOf(rest), whole);
+  t.like(rest.at(-1), { kind: 'end', end: { outputTokens: 40 } });
+  t.deepEqual(model.executions, ['g']);
+});
+
+test('a continuation starts where the text so far ends', async t => {
+  const { engine } = await startEngine(t);
+  const whole = wholeAnswer(generation('g', 8).prompt, modelId, 8);
+  const text = wholeAnswer(generation('g', 8).prompt, modelId, 3);
+  const rest = await collect(
+    engine.generate(
+      { ...generation('g2', 8), continuation: { text, tokens: 3 } },
+      never,
+    ),
+  );
+  t.like(
+    rest.find(item => item.kind === 'chunk'),
+    { chunk: { index: 3 } },
+  );
+  t.is(text + textOf(rest), whole);
+});
+
+test('"not run" is said only when it is true', async t => {
+  const { engine, model, app, fault } = await startEngine(t);
+  await fault({ refuse: true });
+  const refused = await collect(engine.generate(generation('a', 2), never));
+  t.like(refused, [
+    { kind: 'failure', failure: { code: 'target_rejected', executed: 'no' } },
+  ]);
+  await fault({ refuse: false, slowFactor: 1_000 });
+  const stream = engine.generate(generation('b', 100), never);
+  const broken = collect(stream);
+  while (model.executions.length === 0) await engine.load();
+  await app.close();
+  t.like((await broken).at(-1), { failure: { executed: 'unknown' } });
+  const gone = await collect(engine.generate(generation('c', 2), never));
+  t.like(gone, [{ kind: 'failure', failure: { executed: 'no' } }]);
+  t.deepEqual(model.executions, ['b']);
+});
+
+test('orders and load come over as they are', async t => {
+  const { engine, model } = await startEngine(t, { roleChangeMs: 50 });
+  const role = 'prefill' as const;
+  const action = { kind: 'role' as const, role };
+  const running = await engine.order({ id: 'o1', fencing: 4, action });
+  t.like(running.extract(), { state: 'running' });
+  const stale = await engine.order({ id: 'o2', fencing: 3, action });
+  t.like(stale.extract(), { code: 'order_conflict', executed: 'no' });
+  while (model.orders.busy) await engine.orderStatus('o1');
+  t.like((await engine.orderStatus('o1')).extract(), { state: 'done' });
+  t.like((await engine.orderStatus('none')).extract(), { code: 'not_found' });
+  t.true((await engine.load()).isRight());
+});
--- a/packages/stand-ins/src/engine/order-book.ts
+++ b/packages/stand-ins/src/engine/order-book.ts
@@ -60,9 +60,15 @@
 
   async #carryOut({ id, action }: Order): Promise<void> {
     this.#running += 1;
-    const done = await this.run(action);
-    this.#running -= 1;
-    if (done) this.#statuses.set(id, { id, state: 'done' });
+    try {
+      const done = await this.run(action);
+      if (done) this.#statuses.set(id, { id, state: 'done' });
+    } catch (error) {
+      const reason = String(error);
+      this.#statuses.set(id, { id, state: 'failed', reason });
+    } finally {
+      this.#running -= 1;
+    }
   }
 }
 
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -8,3 +8,8 @@
 export * from './engine/fake-engine.js';
 export * from './service/service-model.js';
 export * from './service/fake-service.js';
+export * from './engine/engine-server.js';
+export * from './service/service-server.js';
+export * from './platform/platform-server.js';
+export * from './platform/weight-store.js';
+export { listen } from './shared/http-server.js';
--- /dev/null
+++ b/packages/stand-ins/src/main.ts
@@ -0,0 +1,124 @@
+/** `medlarlever-stand-in platform|engine|service`: one stand-in, one process. */
+import { randomUUID } from 'node:crypto';
+
+import { modelIdSchema, roleSchema } from '@medlarlever/core';
+import type { FastifyInstance } from 'fastify';
+import meow from 'meow';
+
+import { EngineModel } from './engine/engine-model.js';
+import { importOverHttp, loadOverHttp } from './engine/engine-process.js';
+import { createEngineServer } from './engine/engine-server.js';
+import {
+  createPlatform,
+  createPlatformServer,
+} from './platform/platform-server.js';
+import { ServiceModel } from './service/service-model.js';
+import { createServiceServer } from './service/service-server.js';
+import { listen } from './shared/http-server.js';
+
+const cli = meow(
+  `
+  Usage: medlarlever-stand-in platform|engine|service [flags]
+
+  Prints one line of JSON with its address once it listens.
+
+  --host IP, --port N        where to listen; port 0 picks a free one
+  --name NAME                name of the engine or service instance
+  platform:
+  --fleet-lag-ms N           how late the fleet list is
+  --weight-bytes N, --weight-rate N   size of a model, bytes a second
+  engine:
+  --role mixed|prefill|decode
+  --model NAME@VERSION[+ADAPTER]      repeatable
+  --slots N, --prefill-rate N, --decode-ms N, --cache-pieces N
+  --load-lag-ms N, --cache-lag-ms N, --cache-gap-every N, --role-change-ms N
+  --no-checks-fencing        takes orders whatever their fencing number
+  --weights URL              loads weights from this platform
+  service:
+  --service NAME             service that it runs
+`,
+  {
+    importMeta: import.meta,
+    flags: {
+      host: { type: 'string', default: '127.0.0.1' },
+      port: { type: 'number', default: 0 },
+      name: { type: 'string', default: 'stand-in' },
+      fleetLagMs: { type: 'number', default: 1_000 },
+      weightBytes: { type: 'number', default: 4 * 1024 * 1024 },
+      weightRate: { type: 'number', default: 16 * 1024 * 1024 },
+      role: { type: 'string', default: 'mixed' },
+      model: { type: 'string', isMultiple: true, default: ['style-base@1'] },
+      slots: { type: 'number' },
+      prefillRate: { type: 'number' },
+      decodeMs: { type: 'number' },
+      cachePieces: { type: 'number' },
+      loadLagMs: { type: 'number' },
+      cacheLagMs: { type: 'number' },
+      cacheGapEvery: { type: 'number' },
+      roleChangeMs: { type: 'number' },
+      checksFencing: { type: 'boolean', default: true },
+      weights: { type: 'string' },
+      service: { type: 'string', default: 'booking' },
+    },
+  },
+);
+const { flags } = cli;
+
+/** A crash leaves no time to say goodbye. */
+const die = () => {
+  process.kill(process.pid, 'SIGKILL');
+};
+
+const modelOf = (text: string) => {
+  const [name, rest = ''] = text.split('@');
+  const [version, adapter] = rest.split('+');
+  return modelIdSchema.parse({ name, version, adapter });
+};
+
+const engine = (): FastifyInstance => {
+  const { weights } = flags;
+  const model = new EngineModel(
+    {
+      ...flags,
+      role: roleSchema.parse(flags.role),
+      models: flags.model.map(modelOf),
+      prefillTokensPerSecond: flags.prefillRate,
+    },
+    {
+      importCache: importOverHttp,
+      loadWeights: weights === undefined ? undefined : loadOverHttp(weights),
+      onCrash: die,
+    },
+  );
+  return createEngineServer(model);
+};
+
+const servers: Record<string, () => FastifyInstance> = {
+  engine,
+  platform: () =>
+    createPlatformServer(
+      createPlatform({
+        fleetLagMs: flags.fleetLagMs,
+        weightBytes: flags.weightBytes,
+        weightBytesPerSecond: flags.weightRate,
+      }),
+    ),
+  service: () => createServiceServer(new ServiceModel(flags.service, die)),
+};
+
+const kind = cli.input[0] ?? '';
+const create = servers[kind];
+if (create === undefined) {
+  cli.showHelp(2);
+} else {
+  const app = create();
+  const address = await listen(app, flags.host, flags.port);
+  const { name, service } = flags;
+  const incarnation = `${name}-${randomUUID()}`;
+  console.log(JSON.stringify({ kind, name, address, incarnation, service }));
+  for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+    process.once(signal, () => {
+      void app.close().then(() => process.exit(0));
+    });
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/platform/platform-server.test.ts
@@ -0,0 +1,114 @@
+import { HttpFleetList, HttpObjectStore, HttpTable } from '@medlarlever/core';
+import type { FleetMember, Transaction, Write } from '@medlarlever/core';
+import test from 'ava';
+import type { ExecutionContext } from 'ava';
+
+import { listen } from '../shared/http-server.js';
+
+import { createPlatform, createPlatformServer } from './platform-server.js';
+
+const startPlatform = async (t: ExecutionContext) => {
+  const platform = createPlatform({
+    fleetLagMs: 0,
+    weightBytes: 1,
+    weightBytesPerSecond: 1,
+  });
+  const app = createPlatformServer(platform);
+  const url = `http://${await listen(app, '127.0.0.1', 0)}`;
+  const table = new HttpTable({ url, table: 'state', timeoutMs: 500 });
+  t.teardown(async () => {
+    await table.close();
+    await app.close();
+  });
+  return { platform, app, url, table };
+};
+
+const put = (
+  sort: string,
+  value: unknown,
+  condition: Write['condition'] = { kind: 'any' },
+): Write => ({ kind: 'put', key: { partition: 'p', sort }, condition, value });
+
+const transaction = (token: string, ...writes: Write[]): Transaction => ({
+  token,
+  writes,
+});
+
+test('the table keeps its contract over HTTP', async t => {
+  const { table } = await startPlatform(t);
+  const absent = { kind: 'absent' } as const;
+  await table.commit(
+    transaction('t1', put('a', { n: 1 }, absent), put('b', 2)),
+  );
+  await table.commit(transaction('t2', put('a', { n: 2 })));
+  const repeated = await table.commit(transaction('t2', put('a', { n: 2 })));
+  t.deepEqual(repeated.extract(), { kind: 'committed' });
+
+  const row = {
+    partition: 'p',
+    sort: 'a',
+    version: 2,
+    token: 't2',
+    value: { n: 2 },
+  };
+  const conflict = await table.commit(
+    transaction(
+      't3',
+      put('a', 9, { kind: 'version', version: 1 }),
+      put('c', 3),
+    ),
+  );
+  t.deepEqual(conflict.extract(), { kind: 'conflict', rows: [row, undefined] });
+
+  await table.commit(transaction('t4', put('ab', 4), put('ac', 5)));
+  const scan = await table.scan('p', { prefix: 'a', after: 'a', limit: 1 });
+  t.deepEqual(
+    scan.orDefault([]).map(({ sort }) => sort),
+    ['ab'],
+  );
+});
+
+test('only a write that certainly had no effect is unavailable', async t => {
+  const { table, platform, app } = await startPlatform(t);
+  platform.table.faults.loseAnswers = 1;
+  const lost = await table.commit(transaction('t1', put('a', 1)));
+  t.like(lost.extract(), { code: 'platform_unknown', executed: 'unknown' });
+  t.is(platform.table.rows('p')[0]?.token, 't1');
+
+  platform.table.faults.slowMs = 1_000;
+  const slow = await table.commit(transaction('t2', put('a', 2)));
+  t.like(slow.extract(), { code: 'platform_unknown' });
+  platform.table.faults.slowMs = 0;
+
+  platform.table.faults.down = true;
+  const down = await table.commit(transaction('t3', put('a', 3)));
+  t.like(down.extract(), { code: 'platform_unavailable', executed: 'no' });
+
+  await app.close();
+  const refused = await table.commit(transaction('t4', put('a', 4)));
+  t.like(refused.extract(), { code: 'platform_unavailable' });
+});
+
+test('objects and the fleet list come back as they were put', async t => {
+  const { url, platform } = await startPlatform(t);
+  const objects = new HttpObjectStore({ url, bucket: 'medlar' });
+  t.teardown(() => objects.close());
+  const body = new Uint8Array([0, 255, 10]);
+  await objects.put('template/a b', body);
+  const found = (await objects.get('template/a b')).toMaybe().join();
+  t.deepEqual([...found.orDefault(new Uint8Array())], [...body]);
+  t.true((await objects.get('none')).map(o => o.isNothing()).orDefault(false));
+
+  const member: FleetMember = {
+    name: 'booking-1',
+    kind: 'service',
+    dataCenter: 'dc-2',
+    incarnation: 'i7',
+    address: '127.0.0.1:9',
+    state: 'leaving',
+    service: 'booking',
+  };
+  platform.fleet.set([member]);
+  const list = await new HttpFleetList({ url: `${url}/fleet` }).list();
+  t.deepEqual(list.extract(), [member]);
+});
--- /dev/null
+++ b/packages/stand-ins/src/platform/platform-server.ts
@@ -0,0 +1,136 @@
+/** Table, object store, weight store and fleet list on one address. */
+import { Readable } from 'node:stream';
+
+import { Failure, fleetMemberSchema, toTargetGroups } from '@medlarlever/core';
+import type { FastifyInstance, FastifyReply } from 'fastify';
+import { z } from 'zod';
+
+import { createServer, neverAnswer } from '../shared/http-server.js';
+
+import { MemoryFleetList } from './memory-fleet-list.js';
+import { MemoryObjectStore } from './memory-object-store.js';
+import { MemoryTable } from './memory-table.js';
+import { addTableRoutes } from './table-routes.js';
+import { WeightStore } from './weight-store.js';
+
+export interface PlatformOptions {
+  readonly fleetLagMs: number;
+  readonly weightBytes: number;
+  readonly weightBytesPerSecond: number;
+}
+
+export interface Platform {
+  readonly table: MemoryTable;
+  readonly objects: MemoryObjectStore;
+  readonly fleet: MemoryFleetList;
+  readonly weights: WeightStore;
+}
+
+const storeFaults = {
+  down: z.boolean(),
+  slowMs: z.number().nonnegative(),
+  loseAnswers: z.number().int().nonnegative(),
+};
+
+const faultsSchema = z
+  .object({
+    table: z
+      .object({
+        ...storeFaults,
+        delayEffects: z.number().int().nonnegative(),
+        delayMs: z.number().nonnegative(),
+      })
+      .partial()
+      .strict(),
+    objects: z.object(storeFaults).partial().strict(),
+    fleet: z
+      .object({
+        down: z.boolean(),
+        slowMs: z.number().nonnegative(),
+        lagMs: z.number().nonnegative(),
+      })
+      .partial()
+      .strict(),
+  })
+  .partial()
+  .strict();
+
+export const createPlatform = (options: PlatformOptions): Platform => {
+  const fleet = new MemoryFleetList();
+  fleet.faults.lagMs = options.fleetLagMs;
+  return {
+    table: new MemoryTable(),
+    objects: new MemoryObjectStore(),
+    fleet,
+    weights: new WeightStore(options.weightBytes, options.weightBytesPerSecond),
+  };
+};
+
+const addFleet = (app: FastifyInstance, { fleet }: Platform): void => {
+  app.get('/fleet', async (_request, reply) => {
+    const listed = await fleet.list();
+    const members = listed.extract();
+    if (members instanceof Failure) return reply.status(503).send();
+    return reply.send(toTargetGroups(members));
+  });
+  app.post('/fleet', request => {
+    fleet.set(z.array(fleetMemberSchema).parse(request.body));
+    return { ok: true };
+  });
+};
+
+const addObjects = (app: FastifyInstance, { objects }: Platform): void => {
+  app.get('/:bucket/*', async (request, reply) => {
+    const found = await objects.get((request.params as { '*': string })['*']);
+    const object = found.extract();
+    if (object instanceof Failure) return reply.status(503).send();
+    return object.caseOf<FastifyReply>({
+      Nothing: () => reply.status(404).send(),
+      Just: bytes =>
+        reply.type('application/octet-stream').send(Buffer.from(bytes)),
+    });
+  });
+  app.put('/:bucket/*', async (request, reply) => {
+    const name = (request.params as { '*': string })['*'];
+    const outcome = await objects.put(name, request.body as Buffer);
+    const failure = outcome.extract();
+    if (failure === undefined) return reply.send();
+    if (failure.code === 'platform_unknown') return neverAnswer(request);
+    return reply.status(503).send();
+  });
+};
+
+/** The platform's server. */
+export const createPlatformServer = (platform: Platform): FastifyInstance => {
+  const { app } = createServer();
+  const { table, objects, fleet, weights } = platform;
+  app.addContentTypeParser(
+    'application/x-amz-json-1.0',
+    { parseAs: 'string' },
+    app.getDefaultJsonParser('error', 'error'),
+  );
+  app.addContentTypeParser(
+    'application/octet-stream',
+    { parseAs: 'buffer' },
+    (_request, body, done) => {
+      done(null, body);
+    },
+  );
+  addTableRoutes(app, table);
+  addFleet(app, platform);
+  app.get('/weights/:name', (request, reply) => {
+    const { name } = request.params as { name: string };
+    const stream = Readable.from(weights.read(name), { objectMode: false });
+    return reply.type('application/octet-stream').send(stream);
+  });
+  app.post('/faults', request => {
+    const faults = faultsSchema.parse(request.body);
+    Object.assign(table.faults, faults.table);
+    Object.assign(objects.faults, faults.objects);
+    Object.assign(fleet.faults, faults.fleet);
+    return { ok: true };
+  });
+  app.get('/calls', () => ({ table: table.calls, weights: weights.reads }));
+  addObjects(app, platform);
+  return app;
+};
--- /dev/null
+++ b/packages/stand-ins/src/platform/table-routes.ts
@@ -0,0 +1,91 @@
+/** DynamoDB's JSON API in front of the table in memory. */
+import { Failure, toItem } from '@medlarlever/core';
+import type { Commit, Row } from '@medlarlever/core';
+import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify';
+import type { Either } from 'purify-ts';
+
+import { neverAnswer } from '../shared/http-server.js';
+
+import {
+  querySchema,
+  toRowKeys,
+  toScan,
+  toTransaction,
+  transactGetSchema,
+  transactWriteSchema,
+} from './dynamo-requests.js';
+import type { MemoryTable } from './memory-table.js';
+
+const errorType = 'com.amazonaws.dynamodb.v20120810#';
+
+const sendError = (reply: FastifyReply, name: string, more: object = {}) =>
+  reply.status(400).send({ __type: errorType + name, ...more });
+
+/** A lost answer is a request that nobody answers. */
+const send = async <T>(
+  request: FastifyRequest,
+  reply: FastifyReply,
+  result: Either<Failure, T>,
+  toBody: (value: T) => unknown,
+) => {
+  const value = result.extract();
+  if (!(value instanceof Failure)) {
+    await reply.send(toBody(value));
+    return;
+  }
+  if (value.code === 'platform_unknown') await neverAnswer(request);
+  else if (value.code === 'platform_unavailable') {
+    await sendError(reply, 'ThrottlingException');
+  } else await sendError(reply, 'IdempotentParameterMismatchException');
+};
+
+const toReason = (row: Row | undefined) => ({
+  Code: 'ConditionalCheckFailed',
+  Item: row === undefined ? undefined : toItem(row),
+});
+
+const sendCommit = async (reply: FastifyReply, commit: Commit) => {
+  if (commit.kind === 'committed') return reply.send({});
+  const CancellationReasons = commit.rows.map(toReason);
+  const name = 'TransactionCanceledException';
+  return sendError(reply, name, { CancellationReasons });
+};
+
+export const addTableRoutes = (
+  app: FastifyInstance,
+  table: MemoryTable,
+): void => {
+  const actions: Record<
+    string,
+    (request: FastifyRequest, reply: FastifyReply) => Promise<unknown>
+  > = {
+    TransactWriteItems: async (request, reply) => {
+      const sent = transactWriteSchema.parse(request.body);
+      const result = await table.commit(toTransaction(sent));
+      const commit = result.extract();
+      if (!(commit instanceof Failure)) return sendCommit(reply, commit);
+      return send(request, reply, result, () => ({}));
+    },
+    TransactGetItems: async (request, reply) => {
+      const keys = toRowKeys(transactGetSchema.parse(request.body));
+      const found = await table.read(keys);
+      return send(request, reply, found, rows => ({
+        Responses: rows.map(row =>
+          row === undefined ? {} : { Item: toItem(row) },
+        ),
+      }));
+    },
+    Query: async (request, reply) => {
+      const { partition, ...options } = toScan(querySchema.parse(request.body));
+      const found = await table.scan(partition, options);
+      return send(request, reply, found, rows => ({ Items: rows.map(toItem) }));
+    },
+  };
+  app.post('/', async (request, reply) => {
+    const target = String(request.headers['x-amz-target']);
+    const action = actions[target.split('.').at(-1) ?? ''];
+    if (action === undefined) return sendError(reply, 'ValidationException');
+    await action(request, reply);
+    return reply;
+  });
+};
