--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -13,3 +13,4 @@
 export * from './platform/platform-server.js';
 export * from './platform/weight-store.js';
 export { listen } from './shared/http-server.js';
+export * from './peers/memory-network.js';
