Serve a request from end to end by separate processes

Cause: the parts stood alone. The daemon now routes a completion to an engine stand-in over HTTP, applies a configuration from the operators' interface and shuts down gracefully.

--- a/packages/core/src/membership/fleet-directory.ts
+++ b/packages/core/src/membership/fleet-directory.ts
@@ -58,11 +58,16 @@
     );
   }
 
-  override services(service: string): readonly DirectoryEntry<Service>[] {
+  /** The targets of every plain service. */
+  allServices(): readonly DirectoryEntry<Service>[] {
     return [...this.#known.values()].flatMap(known =>
-      known.target instanceof Service && known.member.service === service
-        ? [this.#entry(known, known.target)]
-        : [],
+      known.target instanceof Service ? [this.#entry(known, known.target)] : [],
+    );
+  }
+
+  override services(service: string): readonly DirectoryEntry<Service>[] {
+    return this.allServices().filter(
+      ({ target }) => target.service === service,
     );
   }
 
--- a/packages/daemon/src/kernel/parts.ts
+++ b/packages/daemon/src/kernel/parts.ts
@@ -12,12 +12,16 @@
   FleetWatcher,
   GenerationDispatcher,
   InstanceRegistry,
+  LoadBook,
+  LoadPoller,
   Log,
   ObjectStore,
   PeerMesh,
   PeerServer,
   Planner,
+  PrefixIndex,
   Quarantine,
+  Router,
   ServiceDispatcher,
   Table,
   TargetFactory,
@@ -27,6 +31,8 @@
 import type { Customers } from '../auth/customers.js';
 import type { Generations } from '../generations/generations.js';
 import type { Readiness } from '../health/readiness.js';
+import type { RequestLog } from '../requests/request-log.js';
+import type { Roles } from '../roles/roles.js';
 import type { Listeners } from '../server/listeners.js';
 import type { Settings } from '../settings/settings.js';
 
@@ -70,3 +76,11 @@
 
 export const plannerPart = new Token<Planner>('planner');
 export const closedTargetsPart = new Token<ClosedTargets>('closed-targets');
+
+export const loadBookPart = new Token<LoadBook>('load-book');
+export const loadPollerPart = new Token<LoadPoller>('load-poller');
+export const prefixesPart = new Token<PrefixIndex>('prefixes');
+export const routerPart = new Token<Router>('router');
+
+export const requestLogPart = new Token<RequestLog>('request-log');
+export const rolesPart = new Token<Roles>('roles');
--- /dev/null
+++ b/packages/daemon/src/operator/app.ts
@@ -0,0 +1,13 @@
+/** Registers the operators' interface. */
+import { registerApp } from '../kernel/app.js';
+import { requestLogPart } from '../kernel/parts.js';
+import { RequestLog } from '../requests/request-log.js';
+
+import { ConfigurationController } from './configuration-controller.js';
+import { StatusController } from './status-controller.js';
+
+registerApp('operator', kernel => {
+  kernel.provide(requestLogPart, () => new RequestLog());
+  kernel.controller('operator', ConfigurationController);
+  kernel.controller('operator', StatusController);
+});
--- /dev/null
+++ b/packages/daemon/src/operator/status.ts
@@ -0,0 +1,83 @@
+/** The state of the deployment as this instance sees it. */
+import type {
+  FleetDirectory,
+  InstanceRegistry,
+  LoadBook,
+  RoleController,
+} from '@medlarlever/core';
+
+import type { Readiness } from '../health/readiness.js';
+
+const recentRoleRecords = 5;
+
+/** What the status is put together from. */
+export interface StatusSources {
+  readonly registry: InstanceRegistry;
+  readonly directory: FleetDirectory;
+  readonly loads: LoadBook;
+  readonly readiness: Readiness;
+  readonly roles: RoleController | undefined;
+}
+
+const instancesOf = (registry: InstanceRegistry) =>
+  registry
+    .all()
+    .map(({ name, dataCenter, incarnation, state, revision, lastSeenMs }) => ({
+      name,
+      dataCenter,
+      incarnation,
+      state,
+      revision,
+      lastSeenMs,
+    }));
+
+const enginesOf = ({ directory, loads }: StatusSources) =>
+  directory.engines().map(({ target, leaving }) => {
+    const report = loads.report(target.name);
+    const unavailable = report?.accepting === false ? 'busy' : 'open';
+    return {
+      name: target.name,
+      kind: 'engine' as const,
+      dataCenter: target.dataCenter,
+      state: leaving ? 'closed' : unavailable,
+      role: report?.role,
+      models: report?.models ?? [],
+      running: report?.running ?? 0,
+      queued: report?.queued ?? 0,
+      ageMs: report === undefined ? undefined : Date.now() - report.atMs,
+      leaving,
+    };
+  });
+
+const servicesOf = ({ directory }: StatusSources) =>
+  directory.allServices().map(({ target, leaving }) => ({
+    name: target.name,
+    kind: 'service' as const,
+    dataCenter: target.dataCenter,
+    service: target.service,
+    state: leaving ? 'closed' : 'open',
+    leaving,
+  }));
+
+/** The status as operators get it. */
+export const statusOf = (sources: StatusSources) => {
+  const { registry, readiness, roles } = sources;
+  return {
+    instance: registry.self.name,
+    dataCenter: registry.self.dataCenter,
+    revision: registry.self.revision,
+    ready: readiness.ready,
+    running: readiness.running,
+    instances: instancesOf(registry),
+    targets: [...enginesOf(sources), ...servicesOf(sources)],
+    roles: (roles?.records ?? [])
+      .slice(-recentRoleRecords)
+      .map(({ atMs, decision, failures }) => ({
+        atMs,
+        dataCenter: registry.self.dataCenter,
+        explanation: decision.explanation,
+        changes: decision.changes,
+        failures,
+      })),
+  };
+};
--- a/packages/daemon/src/server/listener.ts
+++ b/packages/daemon/src/server/listener.ts
@@ -17,7 +17,7 @@
 import { logPart, settingsPart } from '../kernel/parts.js';
 
 import { installBodyParser } from './body-parser.js';
-import { FailureFilter, classifyError, sendFailure } from './failures.js';
+import { FailureFilter } from './failures.js';
 
 /** Nest's own log stays off: numbered events are the only log. */
 // eslint-disable-next-line @typescript-eslint/no-unsafe-class-instance-assignment -- Nest declares its options as a class
@@ -101,9 +101,6 @@
     const fastify = adapter.getInstance<FastifyInstance>();
     installBodyParser(fastify);
     await app.init();
-    fastify.setErrorHandler((error, _request, reply) => {
-      sendFailure(reply, classifyError(error));
-    });
     const { host, port } = splitAddress(address);
     await app.listen(port, host);
     return new Listener(app);
--- /dev/null
+++ b/packages/daemon/src/targets/app.ts
@@ -0,0 +1,66 @@
+/** Registers target clients, load reports and the router. */
+import {
+  HttpTargetFactory,
+  LoadBook,
+  LoadPoller,
+  PrefixIndex,
+  Router,
+} from '@medlarlever/core';
+
+import { registerApp } from '../kernel/app.js';
+import {
+  directoryPart,
+  loadBookPart,
+  loadPollerPart,
+  prefixesPart,
+  randomPart,
+  routerPart,
+  settingsPart,
+  targetFactoryPart,
+} from '../kernel/parts.js';
+import { startRank } from '../kernel/ranks.js';
+
+registerApp('targets', kernel => {
+  kernel.provide(targetFactoryPart, k => {
+    const { streams } = k.get(settingsPart);
+    return new HttpTargetFactory({
+      heartbeatLimitMs: streams.heartbeat_limit_ms,
+    });
+  });
+  kernel.provide(loadBookPart, () => new LoadBook());
+  kernel.provide(prefixesPart, () => new PrefixIndex());
+  kernel.provide(
+    routerPart,
+    k =>
+      new Router({
+        directory: k.get(directoryPart),
+        book: k.get(loadBookPart),
+        prefixes: k.get(prefixesPart),
+        random: k.get(randomPart),
+      }),
+  );
+  kernel.provide(
+    loadPollerPart,
+    k =>
+      new LoadPoller({
+        directory: k.get(directoryPart),
+        book: k.get(loadBookPart),
+        prefixes: k.get(prefixesPart),
+        random: k.get(randomPart),
+      }),
+  );
+  const stopping = new AbortController();
+  let polling: Promise<void> = Promise.resolve();
+  kernel.step({
+    name: 'targets',
+    rank: startRank.targets,
+    start: () => {
+      polling = kernel.get(loadPollerPart).run(stopping.signal);
+      return Promise.resolve();
+    },
+    stop: () => {
+      stopping.abort();
+      return polling;
+    },
+  });
+});
