Add the ledger of non-idempotent operations and the retry layer

Cause: a style amendment, a booking or a fee must run at most once through lost answers, pauses, outages and replaced instances; retries of plain services must not spread a fault. Ruled out: taking a claim over by time (the holder may still act), deleting released rows (their version would come back), recording a result before the answer goes out without a limit (a store outage would hold it back), a retry budget that starts full, waiting callers at a half-open circuit.

--- /dev/null
+++ b/packages/bench/src/operations/retries.test.ts
@@ -0,0 +1,99 @@
+import FakeTimers from '@sinonjs/fake-timers';
+import test from 'ava';
+import type { ExecutionContext } from 'ava';
+
+import { OperationFleet } from './operation-fleet.js';
+import type { OperationFleetOptions } from './operation-fleet.js';
+
+const newRig = (t: ExecutionContext, options: OperationFleetOptions) => {
+  const clock = FakeTimers.install({ now: Date.UTC(2026, 0, 1) });
+  t.teardown(() => {
+    clock.uninstall();
+  });
+  return { clock, fleet: new OperationFleet(options) };
+};
+
+/** Sends lookups at a steady pace and gives their outcomes. */
+const sendSteadily = async (
+  { clock, fleet }: ReturnType<typeof newRig>,
+  count: number,
+  service = 'booking',
+) => {
+  const sent = [];
+  for (let i = 0; i < count; i += 1) {
+    const body = `{"n":${i}}`;
+    sent.push(fleet.send(i, { service, operation: 'status', body }));
+    await clock.tickAsync(10);
+  }
+  await clock.tickAsync(15_000);
+  return (await Promise.all(sent)).map(one => one.extract());
+};
+
+test.serial('a call that was not run moves to another target', async t => {
+  const { clock, fleet } = newRig(t, { seed: 1, instances: 1 });
+  for (let i = 0; i < 30; i += 1) {
+    void fleet.send(0, { operation: 'status', body: `{"n":${i}}` });
+    await clock.tickAsync(1);
+  }
+  fleet.service('booking-1').faults.refuse = true;
+  for (let i = 0; i < 8; i += 1) {
+    const sent = fleet.send(0, { key: `k${i}` });
+    await clock.tickAsync(20);
+    t.true((await sent).isRight());
+    t.is(fleet.runsOf(`k${i}`), 1);
+  }
+  t.true(fleet.service('booking-1').calls.call > 0);
+});
+
+test.serial('a retry goes to another target, never twice to one', async t => {
+  const rig = newRig(t, { seed: 2, instances: 1 });
+  await sendSteadily(rig, 40);
+  for (const { faults } of rig.fleet.pool.services) faults.refuse = true;
+  const seen = new Map<string, number>();
+  for (const service of rig.fleet.pool.services) {
+    const call = service.call.bind(service);
+    service.call = (given, signal) => {
+      const place = `${given.id}@${service.name}`;
+      seen.set(place, (seen.get(place) ?? 0) + 1);
+      return call(given, signal);
+    };
+  }
+  await sendSteadily(rig, 40);
+  t.is(Math.max(...seen.values()), 1);
+  t.true(
+    new Set([...seen.keys()].map(key => key.split('@')[0])).size < seen.size,
+  );
+});
+
+test.serial('a target that recovers gets work again', async t => {
+  const rig = newRig(t, { seed: 3, instances: 1, runners: 1 });
+  const service = rig.fleet.service('booking-1');
+  service.faults.refuse = true;
+  await sendSteadily(rig, 50);
+  t.true(service.calls.call < 10);
+  service.faults.refuse = false;
+  await rig.clock.tickAsync(60_000);
+  const booked = rig.fleet.send(0, { key: 'a' });
+  await rig.clock.tickAsync(1_000);
+  await booked;
+  const outcomes = await sendSteadily(rig, 50);
+  t.true(
+    outcomes.every(outcome => 'status' in outcome && outcome.status === 200),
+  );
+});
+
+test.serial('non-idempotent traffic alone also closes a circuit', async t => {
+  const { clock, fleet } = newRig(t, { seed: 4, instances: 1, runners: 1 });
+  const service = fleet.service('booking-1');
+  service.faults.refuse = true;
+  const book = async (key: string) => {
+    const sent = fleet.send(0, { key, deadlineMs: 1_000 });
+    await clock.tickAsync(3_000);
+    return sent;
+  };
+  for (let i = 0; i < 5; i += 1) await book(`a${i}`);
+  service.faults.refuse = false;
+  await clock.tickAsync(60_000);
+  await book('b');
+  t.true((await book('c')).isRight());
+});
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -37,6 +37,17 @@
 export * from './config/configuration-source.js';
 // Ledger, quarantine, retries and metrics.
 export * from './metrics/request-metrics.js';
+export * from './ledger/claim.js';
+export * from './ledger/claim-budget.js';
+export * from './ledger/claim-store.js';
+export * from './ledger/key-age.js';
+export * from './ledger/ledger.js';
+export * from './ledger/ledger-dispatcher.js';
+export * from './retries/retry-budget.js';
+export * from './retries/target-breaker.js';
+export * from './retries/service-targets.js';
+export * from './retries/service-runner.js';
+export * from './table/settled-commit.js';
 // Peers and membership
 export * from './peers/peer-link.js';
 export * from './peers/peer-server.js';
--- /dev/null
+++ b/packages/core/src/ledger/claim-store.ts
@@ -0,0 +1,115 @@
+/** Writes claims and their results; resolves lost answers by the token. */
+import { randomUUID } from 'node:crypto';
+
+import type { Either } from 'purify-ts';
+
+import type { Failure } from '../shared/failure.js';
+import type { Log } from '../shared/log.js';
+import { settleCommit } from '../table/settled-commit.js';
+import type { Row, Table, Write } from '../table/table.js';
+
+import { claimRowKey, storedClaimOf } from './claim.js';
+import type { Claim, ClaimName, StoredClaim } from './claim.js';
+
+/** A claim that this process made and must settle. */
+export interface HeldClaim {
+  readonly name: ClaimName;
+  readonly stored: StoredClaim;
+}
+
+/** What came of an attempt to claim. */
+export type ClaimAttempt =
+  | { readonly kind: 'claimed'; readonly held: HeldClaim }
+  /** Another claim stands; nothing was written. */
+  | { readonly kind: 'taken'; readonly stored: StoredClaim }
+  /** Certainly not written. */
+  | { readonly kind: 'unsent' }
+  /** May have been written, or may still be; `held` must be released. */
+  | { readonly kind: 'unsettled'; readonly held: HeldClaim };
+
+export interface ClaimStoreOptions {
+  readonly table: Table;
+  readonly log: Log;
+  readonly random: () => number;
+}
+
+export class ClaimStore {
+  constructor(readonly options: ClaimStoreOptions) {}
+
+  /** Claims the key, over a released claim when one is given. */
+  async claim(
+    name: ClaimName,
+    claim: Claim,
+    released: StoredClaim | undefined,
+    signal: AbortSignal,
+  ): Promise<ClaimAttempt> {
+    const version = released?.version ?? 0;
+    const held = { name, stored: { claim, version: version + 1 } };
+    const outcome = await this.#settle(claim.token, this.#put(held), signal);
+    if (outcome.kind === 'committed') return { kind: 'claimed', held };
+    if (outcome.kind === 'unsettled') return { kind: 'unsettled', held };
+    if (outcome.kind === 'unsent') return { kind: 'unsent' };
+    const row = outcome.rows[0];
+    if (row !== undefined) return { kind: 'taken', stored: storedClaimOf(row) };
+    return { kind: 'unsent' };
+  }
+
+  /**
+   * Waits until it is known whether an unsettled claim was written. False
+   * when it was not and never will be, or when the signal ended the wait.
+   */
+  async confirm(held: HeldClaim, signal: AbortSignal): Promise<boolean> {
+    const { token } = held.stored.claim;
+    const outcome = await this.#settle(token, this.#put(held), signal, true);
+    return outcome.kind === 'committed';
+  }
+
+  /** Replaces a claim by what became of it; false when it has moved on. */
+  async settle(
+    held: HeldClaim,
+    change: Partial<Claim>,
+    signal: AbortSignal,
+  ): Promise<boolean> {
+    const { claim, version } = held.stored;
+    const next = { claim: { ...claim, ...change }, version: version + 1 };
+    const write = this.#put({ name: held.name, stored: next });
+    const outcome = await this.#settle(randomUUID(), write, signal, true);
+    return outcome.kind === 'committed';
+  }
+
+  async read(
+    name: ClaimName,
+  ): Promise<Either<Failure, StoredClaim | undefined>> {
+    const rows = await this.options.table.read([claimRowKey(name)]);
+    const first = ([row]: readonly (Row | undefined)[]) => row;
+    return rows
+      .map(first)
+      .map(row => (row === undefined ? undefined : storedClaimOf(row)));
+  }
+
+  /** The write that makes `held.stored` follow the version before it. */
+  #put(held: HeldClaim): Write {
+    const { claim, version } = held.stored;
+    const condition =
+      version === 1
+        ? ({ kind: 'absent' } as const)
+        : ({ kind: 'version', version: version - 1 } as const);
+    const key = claimRowKey(held.name);
+    return { kind: 'put', key, condition, value: claim };
+  }
+
+  #settle(
+    token: string,
+    write: Write,
+    signal: AbortSignal,
+    persistent = false,
+  ) {
+    const { table, random, log } = this.options;
+    const onUnknown = () => {
+      log.event('write_unknown', { part: 'ledger', token });
+    };
+    const transaction = { token, writes: [write] };
+    const options = { random, signal, persistent, onUnknown };
+    return settleCommit(table, transaction, options);
+  }
+}
--- a/packages/core/src/shared/time.ts
+++ b/packages/core/src/shared/time.ts
@@ -18,6 +18,26 @@
     signal?.addEventListener('abort', onAbort, { once: true });
   });
 
+/** Resolves with `undefined` once the signal aborts. */
+export const aborted = (signal: AbortSignal): Promise<undefined> =>
+  new Promise(resolve => {
+    const onAbort = () => {
+      resolve(undefined);
+    };
+    if (signal.aborted) onAbort();
+    else signal.addEventListener('abort', onAbort, { once: true });
+  });
+
+/** Aborts after `ms` on the runtime's clock; keeps no process alive. */
+export const abortAfter = (ms: number): AbortSignal => {
+  const controller = new AbortController();
+  const timer = setTimeout(() => {
+    controller.abort();
+  }, ms);
+  timer.unref();
+  return controller.signal;
+};
+
 /** Spreads a period by ±`share` so that instances do not act in step. */
 export const jittered = (
   ms: number,
