--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -43,6 +43,17 @@
 export * from './config/configuration-source.js';
 // Ledger, quarantine, retries and metrics.
 export * from './metrics/request-metrics.js';
+export * from './ledger/claim.js';
+export * from './ledger/claim-budget.js';
+export * from './ledger/claim-store.js';
+export * from './ledger/key-age.js';
+export * from './ledger/ledger.js';
+export * from './ledger/ledger-dispatcher.js';
+export * from './retries/retry-budget.js';
+export * from './retries/target-breaker.js';
+export * from './retries/service-targets.js';
+export * from './retries/service-runner.js';
+export * from './table/settled-commit.js';
 // Peers and membership
 export * from './peers/peer-link.js';
 export * from './peers/peer-server.js';
@@ -66,6 +77,12 @@
 export * from './table/http-table.js';
 export * from './object-store/http-object-store.js';
 export * from './fleet/http-fleet-list.js';
+export * from './target/http-connections.js';
+export * from './target/http-answers.js';
+export * from './target/completion-stream.js';
+export * from './target/http-engine.js';
+export * from './target/http-service.js';
+export * from './target/http-target-factory.js';
 // Table client, configuration and authority
 export * from './shared/run-steps.js';
 export * from './table/token.js';
