End the engine of a test with the test

Cause: engine-server.test ended after 103 s (seen alone, three runs): a model slowed a thousandfold went on decoding 100 tokens after its server closed, and the runner waits for the event loop. Ruled out: sockets (all are closed by force). The teardown now crashes the model: 7 s with all four tests passing.

--- a/packages/stand-ins/src/engine/engine-server.test.ts
+++ b/packages/stand-ins/src/engine/engine-server.test.ts
@@ -30,6 +30,7 @@
   });
   t.teardown(async () => {
     model.faults.hang = false;
+    model.crash();
     engine.reset();
     await app.close();
   });
