--- a/packages/daemon/src/generations/app.ts
+++ b/packages/daemon/src/generations/app.ts
@@ -10,10 +10,8 @@
 import { DirectDispatcher } from './direct-dispatcher.js';
 import { GenerationController } from './generation-controller.js';
 import { Generations } from './generations.js';
-import { OpenAdmission } from './open-admission.js';
 
 registerApp('generations', kernel => {
-  kernel.provide(admissionPart, () => new OpenAdmission());
   kernel.provide(generationsPart, k => new DirectDispatcher(k.get(routerPart)));
   kernel.provide(
     generationServicePart,
--- a/packages/daemon/src/kernel/parts.ts
+++ b/packages/daemon/src/kernel/parts.ts
@@ -1,12 +1,12 @@
 /** Tokens of the parts that features share. */
 import { Token } from '@medlarlever/core';
 import type {
-  Admission,
   ClosedTargets,
   ConfigurationEditor,
   ConfigurationHolder,
   ConfigurationPoller,
   ConfigurationStore,
+  FairAdmission,
   FleetDirectory,
   FleetList,
   FleetWatcher,
@@ -14,6 +14,7 @@
   InstanceRegistry,
   LoadBook,
   LoadPoller,
+  Ledger,
   Log,
   ObjectStore,
   PeerMesh,
@@ -21,8 +22,10 @@
   Planner,
   PrefixIndex,
   Quarantine,
+  RequestMetrics,
   Router,
   ServiceDispatcher,
+  ServiceTargets,
   Table,
   TargetFactory,
 } from '@medlarlever/core';
@@ -66,7 +69,7 @@
 export const listenersPart = new Token<Listeners>('listeners');
 export const readinessPart = new Token<Readiness>('readiness');
 
-export const admissionPart = new Token<Admission>('admission');
+export const admissionPart = new Token<FairAdmission>('admission');
 export const quarantinePart = new Token<Quarantine>('quarantine');
 export const generationsPart = new Token<GenerationDispatcher>('generations');
 export const operationsPart = new Token<ServiceDispatcher>('operations');
@@ -84,3 +87,6 @@
 
 export const requestLogPart = new Token<RequestLog>('request-log');
 export const rolesPart = new Token<Roles>('roles');
+export const requestMetricsPart = new Token<RequestMetrics>('request-metrics');
+export const ledgerPart = new Token<Ledger>('ledger');
+export const serviceTargetsPart = new Token<ServiceTargets>('service-targets');
--- a/packages/daemon/src/operations/app.ts
+++ b/packages/daemon/src/operations/app.ts
@@ -1,8 +1,82 @@
-/** Registers the interface of the plain services. */
+/** Registers the ledger, the retry layer and the interface of services. */
+import {
+  ClaimBudget,
+  Deadline,
+  Ledger,
+  LedgerDispatcher,
+  ServiceRunner,
+  ServiceTargets,
+} from '@medlarlever/core';
+
 import { registerApp } from '../kernel/app.js';
+import type { DaemonKernel } from '../kernel/app.js';
+import {
+  directoryPart,
+  fleetWatcherPart,
+  incarnationPart,
+  ledgerPart,
+  logPart,
+  operationsPart,
+  quarantinePart,
+  randomPart,
+  registryPart,
+  requestMetricsPart,
+  serviceTargetsPart,
+  settingsPart,
+  tablePart,
+} from '../kernel/parts.js';
+import { startRank } from '../kernel/ranks.js';
 
 import { OperationController } from './operation-controller.js';
 
+/** How long a stop waits for answers that are not stored yet. */
+const unsettledWaitMs = 10_000;
+
+const createLedger = (kernel: DaemonKernel): Ledger => {
+  const watcher = kernel.get(fleetWatcherPart);
+  return new Ledger({
+    table: kernel.get(tablePart),
+    log: kernel.get(logPart),
+    random: kernel.get(randomPart),
+    budget: new ClaimBudget({
+      instances: () => kernel.get(registryPart).all().length,
+    }),
+    instance: kernel.get(settingsPart).instance.name,
+    incarnation: kernel.get(incarnationPart),
+    isGone: (_instance, incarnation) => watcher.isGone(incarnation),
+  });
+};
+
+const createTargets = (kernel: DaemonKernel): ServiceTargets =>
+  new ServiceTargets({
+    directory: kernel.get(directoryPart),
+    quarantine: kernel.get(quarantinePart),
+    log: kernel.get(logPart),
+    random: kernel.get(randomPart),
+  });
+
+const createDispatcher = (kernel: DaemonKernel): LedgerDispatcher =>
+  new LedgerDispatcher({
+    ledger: kernel.get(ledgerPart),
+    runner: new ServiceRunner({
+      targets: kernel.get(serviceTargetsPart),
+      quarantine: kernel.get(quarantinePart),
+      log: kernel.get(logPart),
+      metrics: kernel.get(requestMetricsPart),
+    }),
+  });
+
 registerApp('operations', kernel => {
+  kernel.provide(ledgerPart, () => createLedger(kernel));
+  kernel.provide(serviceTargetsPart, () => createTargets(kernel));
+  kernel.provide(operationsPart, () => createDispatcher(kernel));
   kernel.controller('caller', OperationController);
+  kernel.step({
+    name: 'ledger',
+    rank: startRank.control,
+    stop: async () => {
+      const deadline = Deadline.after(unsettledWaitMs);
+      await kernel.get(ledgerPart).stop(deadline);
+    },
+  });
 });
