Add the operators' command line, the template check and the demo

Cause: operators had no program to check, apply and look with, and nothing showed the whole path with real processes.

Ruled out: checking contradictions only in the command line; the daemon's checkChange uses the same function, so a hand-written request is refused too.

--- /dev/null
+++ b/packages/bench/src/demo/deployment.ts
@@ -0,0 +1,213 @@
+/** The processes of the demo: platform, targets and daemons. */
+import { createHash } from 'node:crypto';
+import { mkdtemp, writeFile } from 'node:fs/promises';
+import { createServer } from 'node:net';
+import type { AddressInfo } from 'node:net';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+
+import type { FleetMember } from '@medlarlever/core';
+import { request } from 'undici';
+import { z } from 'zod';
+
+import { DemoProcess } from './process.js';
+
+const host = '127.0.0.1';
+const startLimitMs = 60_000;
+const dataCenters = ['bogota-1', 'bogota-2', 'bogota-3'] as const;
+const enginesPerDataCenter = 2;
+const models = ['style-base@1', 'style-base@1+bogota', 'style-base@1+cali'];
+
+export const operatorKey = 'demo-operator-key';
+
+const readySchema = z.object({
+  name: z.string(),
+  address: z.string(),
+  incarnation: z.string(),
+});
+
+export interface Daemon {
+  readonly process: DemoProcess;
+  readonly dataCenter: string;
+  readonly callerUrl: string;
+  readonly operatorUrl: string;
+}
+
+export interface StandIn {
+  readonly process: DemoProcess;
+  readonly member: FleetMember;
+}
+
+export interface Deployment {
+  readonly platform: DemoProcess;
+  readonly platformUrl: string;
+  readonly targets: readonly StandIn[];
+  readonly daemons: readonly Daemon[];
+}
+
+const freePort = (): Promise<number> =>
+  new Promise(resolve => {
+    const server = createServer();
+    server.listen(0, host, () => {
+      const { port } = server.address() as AddressInfo;
+      server.close(() => {
+        resolve(port);
+      });
+    });
+  });
+
+const startStandIn = async (
+  started: DemoProcess[],
+  kind: 'platform' | 'engine' | 'service',
+  name: string,
+  args: readonly string[] = [],
+) => {
+  const process = new DemoProcess({
+    name,
+    program: 'stand-ins/bin/medlarlever-stand-in.js',
+    args: [kind, '--name', name, ...args],
+  });
+  started.push(process);
+  const line = await process.line(text => text.startsWith('{'), startLimitMs);
+  if (line === undefined) throw new Error(`${name} did not start`);
+  return { process, ready: readySchema.parse(JSON.parse(line)) };
+};
+
+const startTarget = async (
+  started: DemoProcess[],
+  kind: 'engine' | 'service',
+  name: string,
+  dataCenter: string,
+): Promise<StandIn> => {
+  const args =
+    kind === 'engine'
+      ? [...models.flatMap(model => ['--model', model]), '--decode-ms', '30']
+      : ['--service', 'style-guide'];
+  const { process, ready } = await startStandIn(started, kind, name, args);
+  const service = kind === 'service' ? 'style-guide' : undefined;
+  const state = 'live' as const;
+  return { process, member: { ...ready, kind, dataCenter, state, service } };
+};
+
+const settingsOf = (
+  name: string,
+  dataCenter: string,
+  ports: readonly number[],
+  platformUrl: string,
+): string => `
+[instance]
+name = "${name}"
+data_center = "${dataCenter}"
+deployment = "demo"
+incarnation = "${name}-1"
+
+[listen]
+caller = "${host}:${ports[0] ?? 0}"
+operator = "${host}:${ports[1] ?? 0}"
+peer = "${host}:${ports[2] ?? 0}"
+
+[platform]
+table_url = "${platformUrl}"
+object_url = "${platformUrl}"
+fleet_url = "${platformUrl}/fleet"
+
+[peers]
+secret = "secret of the demo's peers"
+
+[[operators]]
+name = "demo"
+key_hash = "${createHash('sha256').update(operatorKey).digest('hex')}"
+
+[streams]
+secret = "secret of the demo's streams"
+
+[shutdown]
+notice_ms = 200
+grace_ms = 10000
+`;
+
+const startDaemon = async (
+  started: DemoProcess[],
+  name: string,
+  dataCenter: string,
+  platformUrl: string,
+) => {
+  const ports = [await freePort(), await freePort(), await freePort()];
+  const folder = await mkdtemp(join(tmpdir(), 'medlarlever-demo-'));
+  const file = join(folder, `${name}.toml`);
+  await writeFile(file, settingsOf(name, dataCenter, ports, platformUrl));
+  const process = new DemoProcess({
+    name,
+    program: 'daemon/bin/medlarleverd.js',
+    args: [file],
+  });
+  started.push(process);
+  const line = await process.line(
+    text => text.includes('process_started'),
+    startLimitMs,
+  );
+  if (line === undefined) throw new Error(`${name} did not start`);
+  const [caller = 0, operator = 0, peer = 0] = ports;
+  const daemon: Daemon = {
+    process,
+    dataCenter,
+    callerUrl: `http://${host}:${caller}`,
+    operatorUrl: `http://${host}:${operator}`,
+  };
+  const member: FleetMember = {
+    name,
+    kind: 'entry',
+    dataCenter,
+    incarnation: `${name}-1`,
+    address: `${host}:${peer}`,
+    state: 'live',
+  };
+  return { daemon, member };
+};
+
+/** Tells the platform which members there are. */
+export const tellFleet = async (
+  platformUrl: string,
+  members: readonly FleetMember[],
+): Promise<void> => {
+  const { body } = await request(`${platformUrl}/fleet`, {
+    method: 'POST',
+    headers: { 'content-type': 'application/json' },
+    body: JSON.stringify(members),
+  });
+  await body.dump();
+};
+
+/** Starts everything; each started process is added to `started` at once. */
+export const startDeployment = async (
+  started: DemoProcess[],
+): Promise<Deployment> => {
+  const { process: platform, ready } = await startStandIn(
+    started,
+    'platform',
+    'platform',
+  );
+  const platformUrl = `http://${ready.address}`;
+  const targets = await Promise.all(
+    dataCenters.flatMap((dataCenter, index) => [
+      ...Array.from({ length: enginesPerDataCenter }, (_, n) => {
+        const number = index * enginesPerDataCenter + n + 1;
+        return startTarget(started, 'engine', `style-${number}`, dataCenter);
+      }),
+      startTarget(started, 'service', `guide-${index + 1}`, dataCenter),
+    ]),
+  );
+  const daemons = await Promise.all(
+    dataCenters.map((dataCenter, index) =>
+      startDaemon(started, `entry-${index + 1}`, dataCenter, platformUrl),
+    ),
+  );
+  const members = [...targets, ...daemons].map(({ member }) => member);
+  await tellFleet(platformUrl, members);
+  return {
+    platform,
+    platformUrl,
+    targets,
+    daemons: daemons.map(({ daemon }) => daemon),
+  };
+};
--- /dev/null
+++ b/packages/cli/bin/medlarlever.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import '../dist/main.js';
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+/** The operators' command line, as a library. */
+export * from './exit-codes.js';
+export * from './operator-client.js';
--- a/packages/core/src/config/check-change.ts
+++ b/packages/core/src/config/check-change.ts
@@ -5,6 +5,7 @@
 
 import { Failure } from '../shared/failure.js';
 
+import { contradictions } from './check-template.js';
 import { templateSchema } from './template.js';
 
 const maxIdLength = 128;
@@ -25,6 +26,16 @@
 const invalid = (message: string) =>
   Left(new Failure('invalid_template', message));
 
+const contradictionIn = ({ templates }: ConfigurationChange) =>
+  Object.values(templates)
+    .filter(template => template !== null)
+    .flatMap(template =>
+      contradictions(template).map(
+        ({ path, message }) => `${template.name}.${path.join('.')}: ${message}`,
+      ),
+    )
+    .at(0);
+
 /** Checks the shape of a change and that each template has its own name. */
 export const checkChange = (
   input: unknown,
@@ -34,7 +45,9 @@
   const misnamed = Object.entries(parsed.data.templates).find(
     ([name, template]) => template !== null && template.name !== name,
   );
-  return misnamed === undefined
-    ? Right(parsed.data)
-    : invalid(`template "${misnamed[0]}" names itself differently`);
+  if (misnamed !== undefined) {
+    return invalid(`template "${misnamed[0]}" names itself differently`);
+  }
+  const found = contradictionIn(parsed.data);
+  return found === undefined ? Right(parsed.data) : invalid(found);
 };
--- /dev/null
+++ b/packages/core/src/config/check-template.test.ts
@@ -0,0 +1,75 @@
+import test from 'ava';
+
+import { checkTemplate } from './check-template.js';
+
+const hash = 'a'.repeat(64);
+
+const template = (change: (text: string) => string = text => text) =>
+  change(`name = "desk"
+
+[parameters.release]
+type = "string"
+
+[[models]]
+alias = "style"
+name = "style-base"
+version = "\${release}"
+
+[[operations]]
+service = "guide"
+operation = "publish"
+idempotent = false
+
+[customers.bogota]
+key_hashes = ["${hash}"]
+parameters = { release = "7" }
+`);
+
+const problemsOf = (text: string) => checkTemplate(text).swap().orDefault([]);
+
+test('a template without contradictions passes', t => {
+  t.is(
+    checkTemplate(template())
+      .map(({ name }) => name)
+      .extract(),
+    'desk',
+  );
+});
+
+test('each contradiction is named with its line', t => {
+  const cases: [string, string, number, RegExp][] = [
+    ['"${release}"', '"${relase}"', 9, /relase.*declared: release/],
+    ['release = "7"', 'relese = "7"', 18, /lacks "release"/],
+    ['release = "7"', 'release = 7', 18, /must be a string/],
+    ['idempotent', 'idempotnt', 14, /[Uu]nrecognized/],
+  ];
+  for (const [from, to, line, message] of cases) {
+    const problems = problemsOf(template(text => text.replace(from, to)));
+    const found = problems.find(problem => message.test(problem.message));
+    t.truthy(found, `${to}: ${JSON.stringify(problems)}`);
+    t.is(found?.line, line, to);
+  }
+});
+
+test('aliases, operations and keys are unique', t => {
+  const repeat = `
+[[models]]
+alias = "style"
+name = "other"
+version = "1"
+
+[[operations]]
+service = "guide"
+operation = "publish"
+idempotent = true
+
+[customers.cali]
+key_hashes = ["${hash}"]
+parameters = { release = "7" }
+`;
+  const messages = problemsOf(template(text => text + repeat));
+  t.deepEqual(
+    messages.map(({ key }) => key),
+    ['models.1.alias', 'operations.1.operation', 'customers.cali.key_hashes'],
+  );
+});
--- /dev/null
+++ b/packages/core/src/config/check-template.ts
@@ -0,0 +1,141 @@
+/** Finds what a schema cannot: parts of a template that contradict others. */
+import { Left, Right } from 'purify-ts';
+import type { Either } from 'purify-ts';
+
+import { locateKey, readToml } from '../shared/toml.js';
+import type { Problem } from '../shared/toml.js';
+
+import { templateSchema } from './template.js';
+import type { Template, TemplateCustomer } from './template.js';
+
+/** A part of a template that contradicts another part. */
+export interface Contradiction {
+  readonly path: readonly string[];
+  readonly message: string;
+}
+
+const parameterPattern = /\$\{([^}]*)\}/g;
+
+const listed = (names: readonly string[]): string =>
+  names.length === 0 ? 'none is declared' : `declared: ${names.join(', ')}`;
+
+const unknownParameters = (template: Template): Contradiction[] => {
+  const declared = Object.keys(template.parameters);
+  const check = (text: string | undefined, path: readonly string[]) =>
+    [...(text ?? '').matchAll(parameterPattern)]
+      .map(match => match[1] ?? '')
+      .filter(name => !declared.includes(name))
+      .map(name => ({
+        path,
+        message: `\${${name}} is not a parameter; ${listed(declared)}`,
+      }));
+  return template.models.flatMap((model, index) =>
+    (['name', 'version', 'adapter'] as const).flatMap(field =>
+      check(model[field], ['models', String(index), field]),
+    ),
+  );
+};
+
+const wrongDefaults = (template: Template): Contradiction[] =>
+  Object.entries(template.parameters)
+    .filter(([, { default: value }]) => value !== undefined)
+    .filter(([, { type, default: value }]) => typeof value !== type)
+    .map(([name, { type }]) => ({
+      path: ['parameters', name, 'default'],
+      message: `must be a ${type}`,
+    }));
+
+const customerProblems = (
+  template: Template,
+  name: string,
+  customer: TemplateCustomer,
+): Contradiction[] => {
+  const path = ['customers', name, 'parameters'];
+  const missing = Object.entries(template.parameters)
+    .filter(([, parameter]) => parameter.default === undefined)
+    .filter(([key]) => customer.parameters[key] === undefined)
+    .map(([key, { type }]) => ({
+      path,
+      message: `lacks "${key}" (${type}), which has no default`,
+    }));
+  const wrong = Object.entries(customer.parameters).flatMap(([key, value]) => {
+    const parameter = template.parameters[key];
+    if (parameter?.type === typeof value) return [];
+    const message =
+      parameter === undefined
+        ? `is not a parameter; ${listed(Object.keys(template.parameters))}`
+        : `must be a ${parameter.type}`;
+    return [{ path: [...path, key], message }];
+  });
+  return [...missing, ...wrong];
+};
+
+/** Reports every place whose key an earlier place had. */
+const repeated = (
+  places: readonly { readonly key: string; readonly path: string[] }[],
+  describe: (key: string) => string,
+): Contradiction[] => {
+  const seen = new Set<string>();
+  return places.flatMap(({ key, path }) => {
+    if (seen.has(key)) return [{ path, message: describe(key) }];
+    seen.add(key);
+    return [];
+  });
+};
+
+const duplicates = (template: Template): Contradiction[] => {
+  const aliases = template.models.map(({ alias }, index) => ({
+    key: alias,
+    path: ['models', String(index), 'alias'],
+  }));
+  const operations = template.operations.map((each, index) => ({
+    key: `${each.service}/${each.operation}`,
+    path: ['operations', String(index), 'operation'],
+  }));
+  const hashes = Object.entries(template.customers).flatMap(
+    ([name, { key_hashes }]) =>
+      key_hashes.map(key => ({ key, path: ['customers', name, 'key_hashes'] })),
+  );
+  return [
+    ...repeated(aliases, key => `alias "${key}" is used twice`),
+    ...repeated(operations, key => `operation "${key}" is listed twice`),
+    ...repeated(hashes, key => `key hash ${key.slice(0, 8)}... is used twice`),
+  ];
+};
+
+const lateFirstToken = ({ ranking }: Template): Contradiction[] =>
+  ranking.first_token_ms <= ranking.deadline_ms
+    ? []
+    : [
+        {
+          path: ['ranking', 'first_token_ms'],
+          message: `must not exceed deadline_ms (${ranking.deadline_ms})`,
+        },
+      ];
+
+/** Everything in a template that contradicts another part of it. */
+export const contradictions = (template: Template): Contradiction[] => [
+  ...unknownParameters(template),
+  ...wrongDefaults(template),
+  ...Object.entries(template.customers).flatMap(([name, customer]) =>
+    customerProblems(template, name, customer),
+  ),
+  ...duplicates(template),
+  ...lateFirstToken(template),
+];
+
+/** Checks the TOML text of a template and gives the line of each problem. */
+export const checkTemplate = (
+  text: string,
+): Either<readonly Problem[], Template> =>
+  readToml(text, templateSchema).chain(template => {
+    const found = contradictions(template);
+    if (found.length === 0) return Right(template);
+    return Left(
+      found.map(({ path, message }) => ({
+        line: locateKey(text, path),
+        key: path.join('.'),
+        message,
+      })),
+    );
+  });
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -96,3 +96,4 @@
 export * from './config/check-change.js';
 export * from './config/difference.js';
 export * from './config/instance-revisions.js';
+export * from './config/check-template.js';
--- a/packages/core/src/target/model-key.ts
+++ b/packages/core/src/target/model-key.ts
@@ -1,4 +1,7 @@
 /** A model as one text, for maps and for the engines' interface. */
+import { Maybe } from 'purify-ts';
+
+import { modelIdSchema } from './target.js';
 import type { ModelId } from './target.js';
 
 /** `name@version`, with `+adapter` when there is one. */
@@ -6,3 +9,11 @@
   const base = `${model.name}@${model.version}`;
   return model.adapter === undefined ? base : `${base}+${model.adapter}`;
 };
+
+const keyPattern = /^(?<name>[^@]+)@(?<version>[^+]+)(?:\+(?<adapter>.+))?$/;
+
+/** The model that `modelKey` wrote, if the text has that form. */
+export const parseModelKey = (text: string): Maybe<ModelId> => {
+  const groups = keyPattern.exec(text)?.groups;
+  return Maybe.fromNullable(modelIdSchema.safeParse(groups).data);
+};
--- a/packages/stand-ins/src/engine/engine-server.ts
+++ b/packages/stand-ins/src/engine/engine-server.ts
@@ -2,8 +2,8 @@
 import {
   completionRequestSchema,
   loadReportSchema,
-  modelIdSchema,
   orderSchema,
+  parseModelKey,
 } from '@medlarlever/core';
 import type {
   CompletionEvent,
@@ -22,10 +22,8 @@
 import type { EngineModel } from './engine-model.js';
 import type { GenerationJob, JobRequest } from './generation-job.js';
 
-const modelPattern = /^(?<name>[^@]+)@(?<version>[^+]+)(?:\+(?<adapter>.+))?$/;
-
-const parseModel = (text: string): ModelId =>
-  modelIdSchema.parse(modelPattern.exec(text)?.groups ?? {});
+/** Loaded nowhere, so a malformed name is refused. */
+const noModel: ModelId = { name: '?', version: '?' };
 
 const faultsSchema = z
   .object({
@@ -50,7 +48,7 @@
   const { remote_address: address, remote_id: remoteId } = transfer ?? {};
   return {
     id,
-    model: parseModel(body.model),
+    model: parseModelKey(body.model).orDefault(noModel),
     prompt: body.prompt.slice(0, split),
     maxTokens: body.max_tokens + done,
     priority: body.priority,
--- a/packages/stand-ins/src/main.ts
+++ b/packages/stand-ins/src/main.ts
@@ -1,7 +1,7 @@
 /** `medlarlever-stand-in platform|engine|service`: one stand-in, one process. */
 import { randomUUID } from 'node:crypto';
 
-import { modelIdSchema, roleSchema } from '@medlarlever/core';
+import { parseModelKey, roleSchema } from '@medlarlever/core';
 import type { FastifyInstance } from 'fastify';
 import meow from 'meow';
 
@@ -69,19 +69,13 @@
   process.kill(process.pid, 'SIGKILL');
 };
 
-const modelOf = (text: string) => {
-  const [name, rest = ''] = text.split('@');
-  const [version, adapter] = rest.split('+');
-  return modelIdSchema.parse({ name, version, adapter });
-};
-
 const engine = (): FastifyInstance => {
   const { weights } = flags;
   const model = new EngineModel(
     {
       ...flags,
       role: roleSchema.parse(flags.role),
-      models: flags.model.map(modelOf),
+      models: flags.model.flatMap(key => parseModelKey(key).toList()),
       prefillTokensPerSecond: flags.prefillRate,
     },
     {
