--- a/packages/core/src/plans/plan-runner.ts
+++ b/packages/core/src/plans/plan-runner.ts
@@ -1,9 +1,7 @@
 /** Carries the plans of one data centre on, under that data centre's lease. */
 import type { Maybe } from 'purify-ts';
-import type { Either } from 'purify-ts';
 
 import type { TargetDirectory } from '../membership/target-directory.js';
-import type { Failure } from '../shared/failure.js';
 import type { Log } from '../shared/log.js';
 import { jittered, sleep } from '../shared/time.js';
 import type { Write } from '../table/table.js';
@@ -11,6 +9,7 @@
 import type { OrderAction, Target } from '../target/target.js';
 
 import type { Closing } from './closing.js';
+import type { OrderProgress } from './order-carrier.js';
 import { needsOrder } from './plan.js';
 import type { Plan, PlanRequest } from './plan.js';
 import type { PlanStore, StoredPlan } from './plan-store.js';
@@ -23,19 +22,10 @@
   readonly held: boolean;
   /** Makes a transaction fail once the authority has passed on. */
   guard(): Write;
-  /** Carries an order to its end, or says why it cannot yet. */
-  order(
-    target: Engine,
-    plan: Plan,
-    action: OrderAction,
-  ): Promise<Either<Failure, OrderProgress>>;
 }
 
-/** How far an order is. */
-export type OrderProgress =
-  | { readonly kind: 'running'; readonly waitingOn: string }
-  | { readonly kind: 'done' }
-  | { readonly kind: 'failed'; readonly reason: string };
+/** Starts a plan's order or says how far it is. */
+export type OrderStep = (plan: Plan, action: OrderAction) => OrderProgress;
 
 /** Takes the authority when it is free; `Nothing` while another has it. */
 export type AuthoritySource = () => Promise<Maybe<PlanAuthority>>;
@@ -46,6 +36,7 @@
   readonly closing: Closing;
   readonly directory: TargetDirectory;
   readonly authority: AuthoritySource;
+  readonly order: OrderStep;
   readonly log: Log;
   readonly random: () => number;
 }
@@ -94,7 +85,7 @@
   }
 
   async #advance(stored: StoredPlan, authority: PlanAuthority): Promise<void> {
-    const change = await this.#next(stored.plan, authority);
+    const change = await this.#next(stored.plan);
     if (change === undefined || isSame(stored.plan, change)) return;
     const guards = [authority.guard()];
     const moved = await this.#options.store.change(stored, change, guards);
@@ -108,16 +99,13 @@
     });
   }
 
-  async #next(
-    plan: Plan,
-    authority: PlanAuthority,
-  ): Promise<Change | undefined> {
+  async #next(plan: Plan): Promise<Change | undefined> {
     switch (plan.state) {
       case 'closing':
       case 'waiting':
         return this.#close(plan);
       case 'acting':
-        return this.#act(plan, authority);
+        return this.#act(plan);
       case 'closed':
         return this.#watch(plan);
       case 'cancelling':
@@ -155,21 +143,13 @@
     return load.map(({ running, queued }) => running + queued).orDefault(0);
   }
 
-  async #act(plan: Plan, authority: PlanAuthority): Promise<Change> {
+  #act(plan: Plan): Change {
     const action = toAction(plan.request);
     const target = this.#target(plan.request.target);
     if (action === undefined || !(target instanceof Engine)) {
-      return {
-        state: 'failed',
-        waitingOn: [],
-        note: 'the engine is not there',
-      };
+      return { state: 'failed', waitingOn: [], note: 'the engine is not there' };
     }
-    const outcome = await authority.order(target, plan, action);
-    return outcome.caseOf<Change>({
-      Left: failure => ({ waitingOn: [failure.message] }),
-      Right: progress => afterOrder(progress),
-    });
+    return afterOrder(this.#options.order(plan, action));
   }
 
   /** A replacement ends with a new incarnation; the others stay closed. */
