--- /dev/null
+++ b/packages/bench/src/explore/main.ts
@@ -0,0 +1,41 @@
+/** `npm run explore [-- --json]` */
+import meow from 'meow';
+
+import { explore, scenarios } from './explore.js';
+import type { Exploration } from './explorer.js';
+
+const cli = meow(
+  `
+  Usage: npm run explore [-- --json]
+
+  Runs every order of the steps of two or three actors, with lost answers,
+  crashes and pauses. Exits 1 when a promise is broken.
+`,
+  {
+    importMeta: import.meta,
+    flags: { json: { type: 'boolean', default: false } },
+  },
+);
+
+const print = (result: Exploration) => {
+  if (cli.flags.json) {
+    console.log(JSON.stringify(result));
+    return;
+  }
+  const { scenario, states, schedules, cutOff, violation, trace } = result;
+  const verdict = violation === undefined ? 'pass' : 'FAIL';
+  console.log(
+    `${verdict}  ${scenario}: ${states} states, ${schedules} schedules, ${cutOff} cut off`,
+  );
+  if (violation === undefined) return;
+  console.log(`  ${violation}, after`);
+  for (const step of trace) console.log(`    ${step}`);
+};
+
+let broken = 0;
+for (const scenario of scenarios) {
+  const result = await explore(scenario);
+  print(result);
+  if (result.violation !== undefined) broken += 1;
+}
+process.exit(broken === 0 ? 0 : 1);
