Carry planned changes out: plans, acknowledgements, orders

Cause: a role change or a drain must cut nothing although any instance may send to the target. Every instance that is not confirmed gone acknowledges the closing; running work ends; the order has the plan's id, so a successor finishes the same order. Found on the way: the service runner sent to a target that had been closed while quarantine was asked; it now looks again. Ruled out: deleting a plan's row (a late cancel of the earlier plan could hit the later one, whose row would start at version 1 again).

--- /dev/null
+++ b/packages/bench/src/plans/plan-fleet.ts
@@ -0,0 +1,251 @@
+/** In-process instances that carry planned changes on, and their faults. */
+import {
+  ClosedTargets,
+  Closing,
+  FleetDirectory,
+  FleetWatcher,
+  InstanceRegistry,
+  Kernel,
+  LeaseKeeper,
+  MemoryLog,
+  OrderBook,
+  OrderCarrier,
+  PeerMesh,
+  PlanLease,
+  PlanRunner,
+  PlanStore,
+  Planner,
+  TargetFactory,
+} from '@medlarlever/core';
+import type { FleetMember, InstanceRecord, Service ,
+  Engine} from '@medlarlever/core';
+import {
+  FakeEngine,
+  MemoryFleetList,
+  MemoryNetwork,
+  MemoryTable,
+} from '@medlarlever/stand-ins';
+import { Maybe } from 'purify-ts';
+
+import { seededRandom } from '../control/fixtures.js';
+import { InstanceTable } from '../operations/instance-table.js';
+
+const dataCenter = 'dc-1';
+
+/** Hands out the engines that the test made. */
+class GivenTargets extends TargetFactory {
+  constructor(readonly engines: ReadonlyMap<string, FakeEngine>) {
+    super();
+  }
+
+  override engine({ name }: FleetMember): Engine {
+    const engine = this.engines.get(name);
+    if (engine === undefined) throw new Error(`no engine "${name}"`);
+    return engine;
+  }
+
+  override service(): Service {
+    throw new Error('the fleet has no services');
+  }
+}
+
+const recordOf = (name: string): InstanceRecord => ({
+  name,
+  dataCenter,
+  incarnation: `${name}#1`,
+  address: `${name}:82`,
+  state: 'live',
+  revision: 0,
+  startedAtMs: 1,
+  version: 0,
+});
+
+/** One entry instance with what planned changes need. */
+export class PlanInstance {
+  readonly log = new MemoryLog();
+  /** Paused, the instance gets no answer from the platform. */
+  readonly table: InstanceTable;
+  readonly record: InstanceRecord;
+  readonly directory: FleetDirectory;
+  readonly planner: Planner;
+  readonly runner: PlanRunner;
+  readonly store: PlanStore;
+  /** Requests of this instance that run, by target. */
+  readonly running = new Map<string, number>();
+  readonly #closed: ClosedTargets;
+  readonly #mesh: PeerMesh;
+  readonly #watcher: FleetWatcher;
+  readonly #registry: InstanceRegistry;
+
+  constructor(name: string, fleet: PlanFleet, seed: number) {
+    const random = seededRandom(seed);
+    const { log } = this;
+    const { network, list } = fleet;
+    const table = new InstanceTable(fleet.table);
+    this.table = table;
+    this.record = recordOf(name);
+    this.#registry = new InstanceRegistry(this.record);
+    this.#mesh = new PeerMesh({
+      registry: this.#registry,
+      log,
+      random,
+      contacts: () => ['entry-1:82'],
+      connect: peer => network.connect(this.record, peer),
+    });
+    this.#watcher = new FleetWatcher({ list, log, random });
+    this.directory = new FleetDirectory({
+      dataCenter,
+      log,
+      factory: new GivenTargets(fleet.engines),
+      onLeaving: () => undefined,
+    });
+    this.store = new PlanStore({ table, random });
+    this.planner = new Planner({
+      store: this.store,
+      directory: this.directory,
+    });
+    this.#closed = new ClosedTargets({
+      store: this.store,
+      directory: this.directory,
+      peers: this.#mesh,
+      running: target => this.running.get(target) ?? 0,
+      log,
+      random,
+    });
+    const self = { name, incarnation: this.record.incarnation };
+    const leases = new LeaseKeeper({ table, self, random, log });
+    const orders = new OrderBook({
+      table,
+      fleet: list,
+      self,
+      engine: target => Maybe.fromNullable(fleet.engines.get(target)),
+      checksFencing: () => true,
+      random,
+      log,
+    });
+    const carrier = new OrderCarrier({ leases, orders });
+    const lease = new PlanLease({ leases, dataCenter });
+    this.runner = new PlanRunner({
+      dataCenter,
+      store: this.store,
+      closing: new Closing({
+        registry: this.#registry,
+        closed: this.#closed,
+        peerTo: peer => this.#mesh.peerTo(peer),
+      }),
+      directory: this.directory,
+      authority: () => lease.take(),
+      order: (plan, action) => carrier.advance(plan, action),
+      log,
+      random,
+    });
+    this.#attach(network);
+  }
+
+  /** Runs everything but the plan runner. */
+  follow(): void {
+    this.#watcher.onChange(members => {
+      this.directory.update(members);
+      for (const view of this.#registry.all()) {
+        const { name, incarnation } = view;
+        if (this.#watcher.isGone(incarnation)) {
+          this.#registry.remove(name, incarnation);
+        }
+      }
+    });
+    void this.#watcher.run();
+    void this.#mesh.run();
+    void this.#closed.run();
+  }
+
+  isClosed(target: string): boolean {
+    return this.directory
+      .find(target)
+      .map(({ leaving }) => leaving)
+      .orDefault(false);
+  }
+
+  stop(): void {
+    this.runner.stop();
+    this.#closed.stop();
+    this.#watcher.stop();
+    void this.#mesh.stop();
+  }
+
+  #attach(network: MemoryNetwork): void {
+    const kernel = new Kernel();
+    this.#mesh.register(kernel);
+    for (const [method, handler] of this.#closed.peerMethods()) {
+      kernel.method(method, handler);
+    }
+    network.attach(this.record.address, kernel.methods);
+  }
+}
+
+/** Two engines of one data centre behind some instances. */
+export class PlanFleet {
+  readonly table = new MemoryTable();
+  readonly network = new MemoryNetwork();
+  readonly engines = new Map(
+    ['engine-1', 'engine-2'].map(name => [
+      name,
+      new FakeEngine({ name, dataCenter, roleChangeMs: 3_000 }),
+    ]),
+  );
+  readonly list: MemoryFleetList;
+  readonly instances: readonly PlanInstance[];
+
+  constructor(names: readonly string[]) {
+    this.list = new MemoryFleetList([
+      ...[...this.engines.values()].map(engine => memberOf(engine)),
+      ...names.map(name => entryOf(name)),
+    ]);
+    this.instances = names.map(
+      (name, index) => new PlanInstance(name, this, index + 1),
+    );
+    for (const instance of this.instances) instance.follow();
+  }
+
+  at(index: number): PlanInstance {
+    const instance = this.instances[index];
+    if (instance === undefined) throw new Error(`no instance ${index}`);
+    return instance;
+  }
+
+  engine(name: string): FakeEngine {
+    const engine = this.engines.get(name);
+    if (engine === undefined) throw new Error(`no engine "${name}"`);
+    return engine;
+  }
+
+  /** Cuts an instance off from every other, both ways. */
+  isolate(index: number): void {
+    const { address } = this.at(index).record;
+    for (const { record } of this.instances) {
+      this.network.cut(address, record.address);
+      this.network.cut(record.address, address);
+    }
+  }
+
+  stop(): void {
+    for (const instance of this.instances) instance.stop();
+  }
+}
+
+const memberOf = (engine: FakeEngine): FleetMember => ({
+  name: engine.name,
+  kind: 'engine',
+  dataCenter,
+  incarnation: engine.incarnation,
+  address: engine.address,
+  state: 'live',
+});
+
+const entryOf = (name: string): FleetMember => ({
+  name,
+  kind: 'entry',
+  dataCenter,
+  incarnation: `${name}#1`,
+  address: `${name}:82`,
+  state: 'live',
+});
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -71,6 +71,8 @@
 export * from './plans/closing.js';
 export * from './plans/plan-runner.js';
 export * from './plans/planner.js';
+export * from './plans/order-carrier.js';
+export * from './plans/plan-lease.js';
 // Clients of the outside systems
 export * from './shared/http-errors.js';
 export * from './table/dynamo-items.js';
--- a/packages/core/src/plans/order-carrier.ts
+++ b/packages/core/src/plans/order-carrier.ts
@@ -81,7 +81,10 @@
   #retryLater(plan: string, failure: Failure): void {
     const waitingOn = failure.message;
     this.#progress.set(plan, { kind: 'running', waitingOn });
-    setTimeout(() => this.#progress.delete(plan), failure.retryAfterMs ?? 1_000);
+    setTimeout(
+      () => this.#progress.delete(plan),
+      failure.retryAfterMs ?? 1_000,
+    );
   }
 }
 
--- a/packages/core/src/plans/plan-runner.ts
+++ b/packages/core/src/plans/plan-runner.ts
@@ -147,7 +147,11 @@
     const action = toAction(plan.request);
     const target = this.#target(plan.request.target);
     if (action === undefined || !(target instanceof Engine)) {
-      return { state: 'failed', waitingOn: [], note: 'the engine is not there' };
+      return {
+        state: 'failed',
+        waitingOn: [],
+        note: 'the engine is not there',
+      };
     }
     return afterOrder(this.#options.order(plan, action));
   }
--- a/packages/core/src/retries/service-runner.ts
+++ b/packages/core/src/retries/service-runner.ts
@@ -117,6 +117,10 @@
       return Left(this.#noTarget(run, progress));
     }
     if (passage.isolated) await passage.reserve(target.service.name);
+    if (targets.closed(target.service.name)) {
+      passage.release();
+      return Left(this.#noTarget(run, progress));
+    }
     return this.#call(run, progress, target, passage, signal);
   }
 
@@ -140,7 +144,11 @@
       return targets.find(passage.target, choice).extract();
     }
     if (passage.isolated) return targets.chooseIdlest(choice).extract();
-    return candidate;
+    // The candidate may have been closed while admission was asked.
+    const { name } = candidate.service;
+    return (
+      targets.find(name, choice).extract() ?? targets.choose(choice).extract()
+    );
   }
 
   async #call(
--- a/packages/core/src/retries/service-targets.ts
+++ b/packages/core/src/retries/service-targets.ts
@@ -79,6 +79,21 @@
     return entry === undefined ? Nothing : Just(this.#targetOf(entry.target));
   }
 
+  /** True when the target takes no new work. */
+  closed(name: string): boolean {
+    return this.#options.directory
+      .find(name)
+      .map(({ leaving }) => leaving)
+      .orDefault(true);
+  }
+
+  /** Calls of this instance that run on the target. */
+  running(name: string): number {
+    return [...this.#targets.values()]
+      .filter(({ service }) => service.name === name)
+      .reduce((sum, { inFlight }) => sum + inFlight.size, 0);
+  }
+
   /** True when the directory holds another incarnation of the target. */
   replaced(service: Service): boolean {
     return this.#options.directory
--- a/packages/core/src/routing/load-book.ts
+++ b/packages/core/src/routing/load-book.ts
@@ -173,6 +173,12 @@
     return plausible ? report.atMs : oldest;
   }
 
+  /** Own dispatches that have not ended. */
+  running(engine: string): number {
+    const own = this.#engines.get(engine)?.own ?? [];
+    return [...own].filter(({ endedAtMs }) => endedAtMs === Infinity).length;
+  }
+
   #end(load: EngineLoad, dispatch: OwnDispatch): void {
     if (dispatch.endedAtMs !== Infinity) return;
     dispatch.endedAtMs = Date.now();
--- a/packages/daemon/src/apps.ts
+++ b/packages/daemon/src/apps.ts
@@ -8,6 +8,7 @@
 import './quarantine/app.js';
 import './generations/app.js';
 import './operations/app.js';
+import './plans/app.js';
 import './roles/app.js';
 import './operator/app.js';
 import './server/app.js';
--- a/packages/daemon/src/kernel/parts.ts
+++ b/packages/daemon/src/kernel/parts.ts
@@ -12,13 +12,18 @@
   FleetWatcher,
   GenerationDispatcher,
   InstanceRegistry,
+  LeaseKeeper,
   LoadBook,
   LoadPoller,
   Ledger,
   Log,
   ObjectStore,
+  OrderBook,
   PeerMesh,
   PeerServer,
+  PlanLease,
+  PlanRunner,
+  PlanStore,
   Planner,
   PrefixIndex,
   Quarantine,
@@ -90,3 +95,8 @@
 export const requestMetricsPart = new Token<RequestMetrics>('request-metrics');
 export const ledgerPart = new Token<Ledger>('ledger');
 export const serviceTargetsPart = new Token<ServiceTargets>('service-targets');
+export const leasesPart = new Token<LeaseKeeper>('leases');
+export const ordersPart = new Token<OrderBook>('orders');
+export const planLeasePart = new Token<PlanLease>('plan-lease');
+export const planRunnerPart = new Token<PlanRunner>('plan-runner');
+export const planStorePart = new Token<PlanStore>('plan-store');
--- a/packages/daemon/src/operator/app.ts
+++ b/packages/daemon/src/operator/app.ts
@@ -4,10 +4,14 @@
 import { RequestLog } from '../requests/request-log.js';
 
 import { ConfigurationController } from './configuration-controller.js';
+import { OrderController } from './order-controller.js';
+import { PlanController } from './plan-controller.js';
 import { StatusController } from './status-controller.js';
 
 registerApp('operator', kernel => {
   kernel.provide(requestLogPart, () => new RequestLog());
   kernel.controller('operator', ConfigurationController);
+  kernel.controller('operator', PlanController);
+  kernel.controller('operator', OrderController);
   kernel.controller('operator', StatusController);
 });
--- /dev/null
+++ b/packages/daemon/src/operator/order-controller.ts
@@ -0,0 +1,54 @@
+import { Failure } from '@medlarlever/core';
+import type { OrderBook, OrderRecord } from '@medlarlever/core';
+import {
+  Body,
+  Controller,
+  Get,
+  HttpCode,
+  Param,
+  Post,
+  Req,
+  UseGuards,
+} from '@nestjs/common';
+import { z } from 'zod';
+
+import { OperatorGuard } from '../auth/guards.js';
+import type { OperatorRequest } from '../auth/guards.js';
+import { InjectPart } from '../kernel/app.js';
+import { ordersPart } from '../kernel/parts.js';
+import type { JsonBody } from '../server/body-parser.js';
+import { orThrow } from '../server/failures.js';
+
+const releaseSchema = z.object({
+  orderId: z.string().min(1),
+  reason: z.string().min(1).max(1_000),
+});
+
+/** Orders to engines, and the release of one that is stuck. */
+@Controller('operator/orders')
+@UseGuards(OperatorGuard)
+export class OrderController {
+  constructor(@InjectPart(ordersPart) readonly orders: OrderBook) {}
+
+  @Get()
+  async list(): Promise<readonly OrderRecord[]> {
+    return orThrow(await this.orders.list());
+  }
+
+  /** The operator's word that no earlier holder will send the order again. */
+  @Post(':target/release')
+  @HttpCode(200)
+  async release(
+    @Param('target') target: string,
+    @Req() { operator }: OperatorRequest,
+    @Body() body: JsonBody,
+  ): Promise<OrderRecord> {
+    const parsed = releaseSchema.safeParse(body.value);
+    if (!parsed.success) {
+      throw new Failure('invalid_request', z.prettifyError(parsed.error));
+    }
+    const { orderId, reason } = parsed.data;
+    const release = { target, orderId, operator, reason };
+    return orThrow(await this.orders.release(release));
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/plans/app.ts
@@ -0,0 +1,150 @@
+/** Registers leases, orders and planned changes. */
+import {
+  ClosedTargets,
+  Closing,
+  Engine,
+  LeaseKeeper,
+  OrderBook,
+  OrderCarrier,
+  PlanLease,
+  PlanRunner,
+  PlanStore,
+  Planner,
+} from '@medlarlever/core';
+import { Maybe } from 'purify-ts';
+
+import { registerApp } from '../kernel/app.js';
+import type { DaemonKernel } from '../kernel/app.js';
+import {
+  closedTargetsPart,
+  directoryPart,
+  fleetListPart,
+  incarnationPart,
+  leasesPart,
+  loadBookPart,
+  logPart,
+  meshPart,
+  ordersPart,
+  planLeasePart,
+  planRunnerPart,
+  planStorePart,
+  plannerPart,
+  randomPart,
+  registryPart,
+  serviceTargetsPart,
+  settingsPart,
+  tablePart,
+} from '../kernel/parts.js';
+import { startRank } from '../kernel/ranks.js';
+
+const holderOf = (kernel: DaemonKernel) => ({
+  name: kernel.get(settingsPart).instance.name,
+  incarnation: kernel.get(incarnationPart),
+});
+
+const createLeases = (kernel: DaemonKernel): LeaseKeeper =>
+  new LeaseKeeper({
+    table: kernel.get(tablePart),
+    self: holderOf(kernel),
+    random: kernel.get(randomPart),
+    log: kernel.get(logPart),
+  });
+
+const createOrders = (kernel: DaemonKernel): OrderBook => {
+  const directory = kernel.get(directoryPart);
+  const { checks_fencing } = kernel.get(settingsPart).targets;
+  return new OrderBook({
+    table: kernel.get(tablePart),
+    fleet: kernel.get(fleetListPart),
+    self: holderOf(kernel),
+    engine: target =>
+      directory
+        .find(target)
+        .chain(entry =>
+          entry.target instanceof Engine
+            ? Maybe.of(entry.target)
+            : Maybe.empty(),
+        ),
+    checksFencing: target => checks_fencing.includes(target),
+    random: kernel.get(randomPart),
+    log: kernel.get(logPart),
+  });
+};
+
+const createClosedTargets = (kernel: DaemonKernel): ClosedTargets => {
+  const loads = kernel.get(loadBookPart);
+  const services = kernel.get(serviceTargetsPart);
+  return new ClosedTargets({
+    store: kernel.get(planStorePart),
+    directory: kernel.get(directoryPart),
+    peers: kernel.get(meshPart),
+    running: target => loads.running(target) + services.running(target),
+    log: kernel.get(logPart),
+    random: kernel.get(randomPart),
+  });
+};
+
+const createRunner = (kernel: DaemonKernel): PlanRunner => {
+  const carrier = new OrderCarrier({
+    leases: kernel.get(leasesPart),
+    orders: kernel.get(ordersPart),
+  });
+  const mesh = kernel.get(meshPart);
+  return new PlanRunner({
+    dataCenter: mesh.dataCenter,
+    store: kernel.get(planStorePart),
+    closing: new Closing({
+      registry: kernel.get(registryPart),
+      closed: kernel.get(closedTargetsPart),
+      peerTo: name => mesh.peerTo(name),
+    }),
+    directory: kernel.get(directoryPart),
+    authority: () => kernel.get(planLeasePart).take(),
+    order: (plan, action) => carrier.advance(plan, action),
+    log: kernel.get(logPart),
+    random: kernel.get(randomPart),
+  });
+};
+
+registerApp('plans', kernel => {
+  kernel.provide(leasesPart, () => createLeases(kernel));
+  kernel.provide(ordersPart, () => createOrders(kernel));
+  kernel.provide(
+    planLeasePart,
+    k =>
+      new PlanLease({
+        leases: k.get(leasesPart),
+        dataCenter: k.get(settingsPart).instance.data_center,
+      }),
+  );
+  kernel.provide(
+    planStorePart,
+    k => new PlanStore({ table: k.get(tablePart), random: k.get(randomPart) }),
+  );
+  kernel.provide(closedTargetsPart, () => createClosedTargets(kernel));
+  kernel.provide(planRunnerPart, () => createRunner(kernel));
+  kernel.provide(
+    plannerPart,
+    k =>
+      new Planner({
+        store: k.get(planStorePart),
+        directory: k.get(directoryPart),
+      }),
+  );
+  kernel.deferMethods(() => kernel.get(closedTargetsPart).peerMethods());
+  kernel.step({
+    name: 'plans',
+    rank: startRank.control,
+    start: async () => {
+      await kernel.get(closedTargetsPart).refresh();
+      void kernel.get(closedTargetsPart).run();
+      void kernel.get(planRunnerPart).run();
+    },
+    stop: async () => {
+      kernel.get(planRunnerPart).stop();
+      kernel.get(closedTargetsPart).stop();
+      kernel.get(ordersPart).stop();
+      await kernel.get(planLeasePart).release();
+    },
+  });
+});
