--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -105,3 +105,4 @@
 export * from './authority/order-request.js';
 export * from './authority/order-rows.js';
 export * from './authority/order-book.js';
+export * from './config/check-template.js';
