Add the quarantine agreed through the table

Cause: one request that crashes its targets must crash at most two of the fleet, also when it is resent through any instance or runs at several at once. Ruled out: a table write for each request (the budget), a target chosen by hash (prefix caches, local data centre), taking a run over by time, clearing a suspect whose run was cut short, deleting the row of a cleared suspect (a late report would count again). Passage.release takes an optional "answered": only then is a suspect cleared.

--- a/packages/bench/src/operations/operation-fleet.ts
+++ b/packages/bench/src/operations/operation-fleet.ts
@@ -5,10 +5,10 @@
   Ledger,
   LedgerDispatcher,
   MemoryLog,
-  OpenQuarantine,
   resolveCustomer,
   ServiceRunner,
   ServiceTargets,
+  TableQuarantine,
   templateSchema,
 } from '@medlarlever/core';
 import type {
@@ -16,7 +16,6 @@
   Failure,
   OperationAnswer,
   OperationRequest,
-  Quarantine,
   TemplateOperation,
 } from '@medlarlever/core';
 import { FakeService, MemoryTable } from '@medlarlever/stand-ins';
@@ -26,7 +25,7 @@
 import { InstanceTable } from './instance-table.js';
 import { MemoryDirectory } from './memory-directory.js';
 import type { ServicePool } from './memory-directory.js';
-import { newPeerNetwork } from './memory-peers.js';
+import { MemoryPeerGroup, newPeerNetwork } from './memory-peers.js';
 import type { PeerNetwork } from './memory-peers.js';
 
 export interface OperationFleetOptions {
@@ -44,7 +43,7 @@
   readonly table: InstanceTable;
   readonly ledger: Ledger;
   readonly dispatcher: LedgerDispatcher;
-  readonly quarantine: Quarantine;
+  readonly quarantine: TableQuarantine;
   readonly log: MemoryLog;
 }
 
@@ -125,8 +124,26 @@
     const log = new MemoryLog();
     const table = new InstanceTable(this.table);
     const directory = new MemoryDirectory(this.pool, 'dc-1');
+    const peers = new MemoryPeerGroup(this.network, name, 'dc-1');
     const { random } = this;
-    const quarantine = new OpenQuarantine();
+    const isGone = (instance: string, incarnation: string) =>
+      this.gone.has(`${instance}#${incarnation}`);
+    const quarantine = new TableQuarantine({
+      table,
+      peers,
+      log,
+      random,
+      instance: name,
+      incarnation: '1',
+      isGone,
+      incarnationOf: target =>
+        directory
+          .find(target)
+          .map(entry => entry.target.incarnation)
+          .extract(),
+    });
+    this.network.methods.set(name, quarantine.peerMethods());
+    void quarantine.start();
     const targets = new ServiceTargets({ directory, quarantine, log, random });
     const runner = new ServiceRunner({ targets, quarantine, log });
     const budget = new ClaimBudget({ instances: () => 1 });
@@ -137,8 +154,7 @@
       budget,
       instance: name,
       incarnation: '1',
-      isGone: (instance, incarnation) =>
-        this.gone.has(`${instance}#${incarnation}`),
+      isGone,
     });
     const dispatcher = new LedgerDispatcher({ ledger, runner });
     const parts = { name, table, ledger, dispatcher, quarantine, log };
@@ -184,6 +200,21 @@
     return counts.reduce((sum, count) => sum + count, 0);
   }
 
+  /** Incarnations that crashed so far. */
+  get crashes(): number {
+    return this.#all.filter(({ model }) => model.crashed).length;
+  }
+
+  /** Lets a body with this text crash every service that gets it. */
+  poison(text: string): void {
+    for (const { faults } of this.pool.services) faults.crashOn = text;
+  }
+
+  /** Slows every service down. */
+  slow(ms: number): void {
+    for (const { faults } of this.pool.services) faults.slowMs = ms;
+  }
+
   /** Executions of a request id by all services. */
   runsOfRequest(id: string): number {
     return this.#all
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -52,6 +52,8 @@
 export * from './retries/service-targets.js';
 export * from './retries/service-runner.js';
 export * from './table/settled-commit.js';
+export * from './quarantine/suspect.js';
+export * from './quarantine/table-quarantine.js';
 // Peers and membership
 export * from './peers/peer-link.js';
 export * from './peers/peer-server.js';
--- a/packages/core/src/quarantine/quarantine.ts
+++ b/packages/core/src/quarantine/quarantine.ts
@@ -14,8 +14,11 @@
   readonly avoid: readonly string[];
   /** Tells the fleet to send the target of an isolated run nothing else. */
   readonly reserve: (target: string) => Promise<void>;
-  /** Call when the run ended in any way but a crash of the target. */
-  readonly release: () => void;
+  /**
+   * Call when the run ended in any way but a crash of the target. A suspect
+   * is cleared only with `answered`: a run cut short proves nothing.
+   */
+  readonly release: (answered?: boolean) => void;
 }
 
 /** A target that broke off, with what it was running. */
--- a/packages/core/src/retries/service-runner.ts
+++ b/packages/core/src/retries/service-runner.ts
@@ -11,7 +11,11 @@
 import type { ServiceAnswer, ServiceCall } from '../target/target.js';
 
 import { RetryBudget } from './retry-budget.js';
-import type { ServiceTarget, ServiceTargets } from './service-targets.js';
+import type {
+  ServiceTarget,
+  ServiceTargets,
+  TargetChoice,
+} from './service-targets.js';
 
 /** A call with what decides on its repetition. */
 export interface ServiceRun {
@@ -108,10 +112,7 @@
     const admitted = await quarantine.admit(run.fingerprint, waiting, name);
     const passage = admitted.extract();
     if (passage instanceof Failure) return Left(passage);
-    const target = this.#targetFor(passage, candidate, {
-      ...choice,
-      exclude: new Set([...progress.tried, ...passage.avoid]),
-    });
+    const target = this.#targetFor(passage, candidate, choice);
     if (target === undefined || !this.#afford(run, progress, passage)) {
       passage.release();
       return Left(this.#noTarget(run, progress));
@@ -133,14 +134,18 @@
   #targetFor(
     passage: Passage,
     candidate: ServiceTarget,
-    choice: Parameters<ServiceTargets['choose']>[0],
+    choice: TargetChoice,
   ): ServiceTarget | undefined {
     const { targets } = this.#options;
+    const exclude = new Set([...choice.exclude, ...passage.avoid]);
     if (passage.target !== undefined) {
       return targets.find(passage.target, choice).extract();
     }
-    if (passage.isolated) return targets.chooseIdlest(choice).extract();
-    return candidate;
+    if (!passage.isolated) return candidate;
+    return targets
+      .chooseIdlest({ ...choice, exclude })
+      .alt(targets.chooseIdlest(choice))
+      .extract();
   }
 
   async #call(
@@ -161,7 +166,7 @@
     const crashed =
       failure !== null && (await this.#hasCrashed(target, failure, deadline));
     if (crashed) await this.#reportCrash(target);
-    else passage.release();
+    else passage.release(failure === null);
     inFlight.delete(call.id);
     return result;
   }
