--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -77,6 +77,12 @@
 export * from './table/http-table.js';
 export * from './object-store/http-object-store.js';
 export * from './fleet/http-fleet-list.js';
+export * from './target/http-connections.js';
+export * from './target/http-answers.js';
+export * from './target/completion-stream.js';
+export * from './target/http-engine.js';
+export * from './target/http-service.js';
+export * from './target/http-target-factory.js';
 // Table client, configuration and authority
 export * from './shared/run-steps.js';
 export * from './table/token.js';
