Let a new instance repeat one call before it has earned retries

Cause: with the runner strict about closed targets, the drill 'poison during a drain' failed: a fresh instance has an empty retry budget, so an innocent call that met a crashed target (connection refused, executed no) got target_failed although another target was open. Ruled out: too few attempts (three are allowed), the breaker (closed), no open target (booking-4 stood open). Before: 'target_failed'; after, with one initial retry: 'answered'; 36 tests of operations, retries and plans pass, the bound on load in an outage among them.

--- a/packages/core/src/retries/retry-budget.ts
+++ b/packages/core/src/retries/retry-budget.ts
@@ -10,10 +10,13 @@
 const defaultShare = 0.08;
 const defaultCapacity = 4;
 
+/** A new instance may repeat a call before it has earned it. */
+const initialRetries = 1;
+
 export class RetryBudget {
   readonly #share: number;
   readonly #capacity: number;
-  #tokens = 0;
+  #tokens = initialRetries;
 
   constructor(options: RetryBudgetOptions = {}) {
     this.#share = options.share ?? defaultShare;
