--- a/packages/daemon/src/generations/app.ts
+++ b/packages/daemon/src/generations/app.ts
@@ -1,25 +1,89 @@
-/** Registers the completion interfaces. */
+/** Registers the streams of generations and their interfaces. */
+import {
+  DispatchNews,
+  OutputEstimator,
+  RetryBudget,
+  StreamDispatcher,
+} from '@medlarlever/core';
+
 import { registerApp } from '../kernel/app.js';
+import type { DaemonKernel } from '../kernel/app.js';
 import {
   admissionPart,
+  directoryPart,
+  dispatchNewsPart,
   generationServicePart,
   generationsPart,
+  loadBookPart,
+  logPart,
+  meshPart,
+  prefixesPart,
+  quarantinePart,
+  randomPart,
+  requestLogPart,
+  requestMetricsPart,
   routerPart,
+  settingsPart,
 } from '../kernel/parts.js';
+import { startRank } from '../kernel/ranks.js';
 
-import { DirectDispatcher } from './direct-dispatcher.js';
 import { GenerationController } from './generation-controller.js';
 import { Generations } from './generations.js';
 
+const createDispatcher = (kernel: DaemonKernel): StreamDispatcher => {
+  const { secret, heartbeat_limit_ms } = kernel.get(settingsPart).streams;
+  return new StreamDispatcher({
+    directory: kernel.get(directoryPart),
+    router: kernel.get(routerPart),
+    book: kernel.get(loadBookPart),
+    prefixes: kernel.get(prefixesPart),
+    estimator: new OutputEstimator(),
+    quarantine: kernel.get(quarantinePart),
+    peers: kernel.get(meshPart),
+    retries: new RetryBudget(),
+    log: kernel.get(logPart),
+    secret,
+    news: kernel.get(dispatchNewsPart),
+    metrics: kernel.get(requestMetricsPart),
+    settings: { silence_ms: heartbeat_limit_ms },
+  });
+};
+
 registerApp('generations', kernel => {
-  kernel.provide(generationsPart, k => new DirectDispatcher(k.get(routerPart)));
+  kernel.provide(
+    dispatchNewsPart,
+    k =>
+      new DispatchNews({
+        book: k.get(loadBookPart),
+        peers: k.get(meshPart),
+        random: k.get(randomPart),
+      }),
+  );
+  kernel.provide(generationsPart, () => createDispatcher(kernel));
   kernel.provide(
     generationServicePart,
     k =>
       new Generations({
         admission: k.get(admissionPart),
         dispatcher: k.get(generationsPart),
+        log: k.get(requestLogPart),
+        metrics: k.get(requestMetricsPart),
       }),
   );
   kernel.controller('caller', GenerationController);
+  kernel.deferMethods(() => kernel.get(dispatchNewsPart).peerMethods());
+  kernel.deferMethods(() => kernel.get(generationsPart).peerMethods());
+  const stopping = new AbortController();
+  kernel.step({
+    name: 'dispatch news',
+    rank: startRank.targets,
+    start: () => {
+      void kernel.get(dispatchNewsPart).run(stopping.signal);
+      return Promise.resolve();
+    },
+    stop: () => {
+      stopping.abort();
+      return Promise.resolve();
+    },
+  });
 });
--- a/packages/daemon/src/generations/generations.ts
+++ b/packages/daemon/src/generations/generations.ts
@@ -4,15 +4,19 @@
 import { Deadline, Failure, estimateTokens } from '@medlarlever/core';
 import type {
   Admission,
+  AdmissionRequest,
   AnswerItem,
   EntitledModel,
   Entitlement,
   GenerationDispatcher,
   GenerationRequest,
+  RequestMetrics,
 } from '@medlarlever/core';
 import { Maybe } from 'purify-ts';
 import type { Either } from 'purify-ts';
 
+import type { RequestLog } from '../requests/request-log.js';
+
 import type { CompletionBody } from './bodies.js';
 
 /** Name of the queue that all models share. */
@@ -62,39 +66,79 @@
 export interface GenerationsOptions {
   readonly admission: Admission;
   readonly dispatcher: GenerationDispatcher;
+  readonly log: RequestLog;
+  readonly metrics: RequestMetrics;
 }
 
+const callerGone = () =>
+  new Failure('caller_gone', 'the caller went away', { executed: 'unknown' });
+
+const labelsOf = ({ entitlement }: GenerationRequest) => ({
+  customer: entitlement.customer,
+  class: entitlement.ranking.class,
+  service: modelService,
+});
+
+const admissionOf = (request: GenerationRequest): AdmissionRequest => ({
+  entitlement: request.entitlement,
+  service: modelService,
+  deadline: request.deadline,
+  promptTokens: request.promptTokens,
+  outputTokens: request.maxTokens,
+});
+
+const entryOf = ({ id, entitlement, model }: GenerationRequest) => ({
+  id,
+  customer: entitlement.customer,
+  service: modelService,
+  subject: model.name,
+  revision: entitlement.revision,
+  startedAtMs: Date.now(),
+});
+
 export class Generations {
-  readonly #admission: Admission;
-  readonly #dispatcher: GenerationDispatcher;
+  readonly #options: GenerationsOptions;
 
-  constructor({ admission, dispatcher }: GenerationsOptions) {
-    this.#admission = admission;
-    this.#dispatcher = dispatcher;
+  constructor(options: GenerationsOptions) {
+    this.#options = options;
   }
 
-  /** Runs an admitted request and gives its place back at the end. */
+  /** Runs a request, listed while it runs and for some time after. */
   async *run(
     request: GenerationRequest,
     signal: AbortSignal,
   ): AsyncIterable<AnswerItem> {
-    const ticket = await this.#admission.enter(
-      {
-        entitlement: request.entitlement,
-        service: modelService,
-        deadline: request.deadline,
-        promptTokens: request.promptTokens,
-        outputTokens: request.maxTokens,
-      },
-      signal,
-    );
+    const { log } = this.#options;
+    log.start(entryOf(request));
+    let failure: Failure | undefined = callerGone();
+    try {
+      for await (const item of this.#admitted(request, signal)) {
+        if (item.kind === 'failure') failure = item.failure;
+        if (item.kind === 'end') failure = undefined;
+        yield item;
+      }
+    } finally {
+      log.end(request.id, failure);
+    }
+  }
+
+  /** Waits for a place, runs the request and gives the place back. */
+  async *#admitted(
+    request: GenerationRequest,
+    signal: AbortSignal,
+  ): AsyncIterable<AnswerItem> {
+    const { admission, dispatcher, metrics } = this.#options;
+    const ticket = await admission.enter(admissionOf(request), signal);
     if (ticket.isLeft()) {
-      yield { kind: 'failure', failure: ticket.extract() };
+      const failure = ticket.extract();
+      metrics.countRefusal(modelService, failure);
+      yield { kind: 'failure', failure };
       return;
     }
-    const { release } = ticket.unsafeCoerce();
+    const { release, waitedMs } = ticket.unsafeCoerce();
+    metrics.observeQueueWait(labelsOf(request), waitedMs);
     try {
-      yield* this.#dispatcher.dispatch(request, signal);
+      yield* dispatcher.dispatch(request, signal);
     } finally {
       release();
     }
@@ -107,6 +151,6 @@
     after: number,
     signal: AbortSignal,
   ): AsyncIterable<AnswerItem> {
-    return this.#dispatcher.rejoin(id, customer, after, signal);
+    return this.#options.dispatcher.rejoin(id, customer, after, signal);
   }
 }
--- a/packages/daemon/src/kernel/parts.ts
+++ b/packages/daemon/src/kernel/parts.ts
@@ -6,11 +6,11 @@
   ConfigurationHolder,
   ConfigurationPoller,
   ConfigurationStore,
+  DispatchNews,
   FairAdmission,
   FleetDirectory,
   FleetList,
   FleetWatcher,
-  GenerationDispatcher,
   InstanceRegistry,
   LeaseKeeper,
   LoadBook,
@@ -26,12 +26,13 @@
   PlanStore,
   Planner,
   PrefixIndex,
-  Quarantine,
   RequestMetrics,
   Router,
   ServiceDispatcher,
   ServiceTargets,
+  StreamDispatcher,
   Table,
+  TableQuarantine,
   TargetFactory,
 } from '@medlarlever/core';
 import type { Registry } from 'prom-client';
@@ -75,8 +76,8 @@
 export const readinessPart = new Token<Readiness>('readiness');
 
 export const admissionPart = new Token<FairAdmission>('admission');
-export const quarantinePart = new Token<Quarantine>('quarantine');
-export const generationsPart = new Token<GenerationDispatcher>('generations');
+export const quarantinePart = new Token<TableQuarantine>('quarantine');
+export const generationsPart = new Token<StreamDispatcher>('generations');
 export const operationsPart = new Token<ServiceDispatcher>('operations');
 export const generationServicePart = new Token<Generations>(
   'generation-service',
@@ -100,3 +101,4 @@
 export const planLeasePart = new Token<PlanLease>('plan-lease');
 export const planRunnerPart = new Token<PlanRunner>('plan-runner');
 export const planStorePart = new Token<PlanStore>('plan-store');
+export const dispatchNewsPart = new Token<DispatchNews>('dispatch-news');
--- a/packages/daemon/src/operations/operation-controller.ts
+++ b/packages/daemon/src/operations/operation-controller.ts
@@ -26,7 +26,9 @@
   admissionPart,
   operationsPart,
   readinessPart,
+  requestLogPart,
 } from '../kernel/parts.js';
+import type { RequestLog } from '../requests/request-log.js';
 import type { JsonBody } from '../server/body-parser.js';
 import { orThrow, sendFailure } from '../server/failures.js';
 
@@ -40,6 +42,7 @@
     @InjectPart(admissionPart) readonly admission: Admission,
     @InjectPart(operationsPart) readonly operations: ServiceDispatcher,
     @InjectPart(readinessPart) readonly readiness: Readiness,
+    @InjectPart(requestLogPart) readonly requestLog: RequestLog,
   ) {}
 
   @Post(':service/:operation')
@@ -74,8 +77,10 @@
       signal,
     );
     const { release } = orThrow(ticket);
+    this.requestLog.start(entryOf(request));
     try {
       const outcome = await this.operations.dispatch(request, signal);
+      this.requestLog.end(request.id, outcome.swap().toMaybe().extract());
       outcome
         .ifLeft(failure => {
           sendFailure(reply, failure);
@@ -89,6 +94,15 @@
   }
 }
 
+const entryOf = ({ id, entitlement, operation }: OperationRequest) => ({
+  id,
+  customer: entitlement.customer,
+  service: operation.service,
+  subject: operation.operation,
+  revision: entitlement.revision,
+  startedAtMs: Date.now(),
+});
+
 const sendAnswer = (
   reply: FastifyReply,
   { id }: OperationRequest,
--- a/packages/daemon/src/quarantine/app.ts
+++ b/packages/daemon/src/quarantine/app.ts
@@ -1,9 +1,49 @@
 /** Registers the quarantine of requests that crash their targets. */
-import { OpenQuarantine } from '@medlarlever/core';
+import { TableQuarantine } from '@medlarlever/core';
 
 import { registerApp } from '../kernel/app.js';
-import { quarantinePart } from '../kernel/parts.js';
+import type { DaemonKernel } from '../kernel/app.js';
+import {
+  directoryPart,
+  fleetWatcherPart,
+  incarnationPart,
+  logPart,
+  meshPart,
+  quarantinePart,
+  randomPart,
+  settingsPart,
+  tablePart,
+} from '../kernel/parts.js';
+import { startRank } from '../kernel/ranks.js';
+
+const createQuarantine = (kernel: DaemonKernel): TableQuarantine => {
+  const watcher = kernel.get(fleetWatcherPart);
+  const directory = kernel.get(directoryPart);
+  return new TableQuarantine({
+    table: kernel.get(tablePart),
+    peers: kernel.get(meshPart),
+    log: kernel.get(logPart),
+    random: kernel.get(randomPart),
+    instance: kernel.get(settingsPart).instance.name,
+    incarnation: kernel.get(incarnationPart),
+    isGone: (_instance, incarnation) => watcher.isGone(incarnation),
+    incarnationOf: target =>
+      directory
+        .find(target)
+        .map(entry => entry.target.incarnation)
+        .extract(),
+  });
+};
 
 registerApp('quarantine', kernel => {
-  kernel.provide(quarantinePart, () => new OpenQuarantine());
+  kernel.provide(quarantinePart, () => createQuarantine(kernel));
+  kernel.deferMethods(() => kernel.get(quarantinePart).peerMethods());
+  kernel.step({
+    name: 'quarantine',
+    rank: startRank.control,
+    stop: () => {
+      kernel.get(quarantinePart).stop();
+      return Promise.resolve();
+    },
+  });
 });
