--- a/packages/daemon/src/operator/status-controller.ts
+++ b/packages/daemon/src/operator/status-controller.ts
@@ -1,5 +1,6 @@
 import type {
   FleetDirectory,
+  FleetWatcher,
   InstanceRegistry,
   LoadBook,
 } from '@medlarlever/core';
@@ -10,6 +11,7 @@
 import { InjectPart } from '../kernel/app.js';
 import {
   directoryPart,
+  fleetWatcherPart,
   loadBookPart,
   readinessPart,
   registryPart,
@@ -27,6 +29,7 @@
 export class StatusController {
   constructor(
     @InjectPart(registryPart) readonly registry: InstanceRegistry,
+    @InjectPart(fleetWatcherPart) readonly fleet: FleetWatcher,
     @InjectPart(directoryPart) readonly directory: FleetDirectory,
     @InjectPart(loadBookPart) readonly loads: LoadBook,
     @InjectPart(readinessPart) readonly readiness: Readiness,
@@ -36,9 +39,9 @@
 
   @Get('status')
   status() {
-    const { registry, directory, loads, readiness } = this;
+    const { registry, fleet, directory, loads, readiness } = this;
     const roles = this.roles.controller;
-    return statusOf({ registry, directory, loads, readiness, roles });
+    return statusOf({ registry, fleet, directory, loads, readiness, roles });
   }
 
   @Get('requests')
--- a/packages/daemon/src/operator/status.ts
+++ b/packages/daemon/src/operator/status.ts
@@ -1,6 +1,7 @@
 /** The state of the deployment as this instance sees it. */
 import type {
   FleetDirectory,
+  FleetWatcher,
   InstanceRegistry,
   LoadBook,
   RoleController,
@@ -13,13 +14,14 @@
 /** What the status is put together from. */
 export interface StatusSources {
   readonly registry: InstanceRegistry;
+  readonly fleet: FleetWatcher;
   readonly directory: FleetDirectory;
   readonly loads: LoadBook;
   readonly readiness: Readiness;
   readonly roles: RoleController | undefined;
 }
 
-const instancesOf = (registry: InstanceRegistry) =>
+const knownInstances = (registry: InstanceRegistry) =>
   registry
     .all()
     .map(({ name, dataCenter, incarnation, state, revision, lastSeenMs }) => ({
@@ -31,6 +33,20 @@
       lastSeenMs,
     }));
 
+/** Instances that the platform lists and of which nothing was heard yet. */
+const unheardInstances = ({ registry, fleet }: StatusSources) =>
+  fleet.members
+    .filter(({ kind, state }) => kind === 'entry' && state === 'live')
+    .filter(({ name }) => registry.find(name) === undefined)
+    .map(({ name, dataCenter, incarnation }) => ({
+      name,
+      dataCenter,
+      incarnation,
+      state: 'suspected' as const,
+      revision: 0,
+      lastSeenMs: 0,
+    }));
+
 const enginesOf = ({ directory, loads }: StatusSources) =>
   directory.engines().map(({ target, leaving }) => {
     const report = loads.report(target.name);
@@ -68,7 +84,7 @@
     revision: registry.self.revision,
     ready: readiness.ready,
     running: readiness.running,
-    instances: instancesOf(registry),
+    instances: [...knownInstances(registry), ...unheardInstances(sources)],
     targets: [...enginesOf(sources), ...servicesOf(sources)],
     roles: (roles?.records ?? [])
       .slice(-recentRoleRecords)
--- a/packages/daemon/src/server/failures.ts
+++ b/packages/daemon/src/server/failures.ts
@@ -12,6 +12,8 @@
     'unsupported_media',
     'the content type must be application/json',
   ],
+  FST_ERR_MAX_PARAM_LENGTH: ['not_found', 'a part of the path is too long'],
+  FST_ERR_BAD_URL: ['malformed_body', 'the URL is not valid'],
   FST_ERR_CTP_EMPTY_JSON_BODY: ['malformed_body', 'the body is empty'],
   FST_ERR_CTP_INVALID_CONTENT_LENGTH: [
     'malformed_body',
