--- /dev/null
+++ b/packages/bench/src/measure/control-capacity.ts
@@ -0,0 +1,210 @@
+/** Slopes of control state, decisions and peer traffic for docs/CAPACITY.md. */
+import { setFlagsFromString } from 'node:v8';
+import { runInNewContext } from 'node:vm';
+
+import {
+  HorizonPolicy,
+  LoadBook,
+  PrefixIndex,
+  configurationSchema,
+  resolveCustomer,
+  toTargetGroups,
+} from '@medlarlever/core';
+import type {
+  Configuration,
+  DemandView,
+  EngineView,
+  LoadReport,
+} from '@medlarlever/core';
+
+import { replaySpeed } from '../replay/plans.js';
+import { createRandom } from '../replay/seeded-random.js';
+
+import { row } from './capacity-row.js';
+import type { Measurement, MeasureOptions } from './measurement.js';
+import { measurePeers } from './peer-capacity.js';
+
+const dataCenters = ['r1-a', 'r1-b', 'r1-c', 'r2-a', 'r2-b'];
+const models = 14;
+const customers = 3_200;
+const engines = 600;
+const piecesPerEngine = 64;
+const decisionRuns = 200;
+
+/** Bytes of live heap after a full collection. */
+const liveHeap = (): number => {
+  setFlagsFromString('--expose-gc');
+  const collect = runInNewContext('gc') as () => void;
+  collect();
+  collect();
+  return process.memoryUsage().heapUsed;
+};
+
+const hexDigest = (number: number) => number.toString(16).padStart(64, '0');
+
+/** Templates for each model with the customers spread over them. */
+const createConfiguration = (count: number): unknown => {
+  const templates: Record<string, unknown> = {};
+  for (let model = 0; model < models; model += 1) {
+    const entries: [string, unknown][] = [];
+    for (let n = model; n < count; n += models) {
+      const parameters = { adapter: `adapter-${n}` };
+      entries.push([
+        `customer-${n}`,
+        { key_hashes: [hexDigest(n)], parameters },
+      ]);
+    }
+    templates[`template-${model}`] = {
+      name: `template-${model}`,
+      parameters: { adapter: { type: 'string', default: 'none' } },
+      models: [{ alias: 'default', name: `model-${model}`, version: '1' }],
+      customers: Object.fromEntries(entries),
+    };
+  }
+  return { revision: 1, operationId: 'operation', templates };
+};
+
+const measureConfiguration = (): Measurement[] => {
+  const text = JSON.stringify(createConfiguration(customers));
+  const half = JSON.stringify(createConfiguration(customers / 2));
+  const before = liveHeap();
+  const smaller = configurationSchema.parse(JSON.parse(half));
+  const between = liveHeap();
+  const started = performance.now();
+  const whole: Configuration = configurationSchema.parse(JSON.parse(text));
+  const parseMs = performance.now() - started;
+  const after = liveHeap();
+  const resolveStarted = performance.now();
+  for (let n = 0; n < customers; n += 1) {
+    resolveCustomer(whole, `customer-${n}`);
+  }
+  const resolveMs = performance.now() - resolveStarted;
+  const slope = (after - between - (between - before)) / (customers / 2);
+  return [
+    row('configuration: heap a customer', slope, 'bytes'),
+    row('configuration: heap of 3,200 customers', after - between, 'bytes'),
+    row('configuration: text of 3,200 customers', text.length, 'bytes'),
+    row('configuration: parse of 3,200 customers', parseMs, 'ms'),
+    row('configuration: resolve one customer', resolveMs / customers, 'ms', 4),
+    row('configuration: templates kept', keptTemplates(smaller), 'count'),
+  ];
+};
+
+const keptTemplates = (configuration: Configuration) =>
+  Object.keys(configuration.templates).length;
+
+const createReport = (): LoadReport => ({
+  atMs: Date.now(),
+  role: 'mixed',
+  models: [{ name: 'model', version: '1' }],
+  accepting: true,
+  leaving: false,
+  running: 20,
+  queued: 2,
+  prefillTokens: 4_000,
+  cacheUse: 0.5,
+  slots: 64,
+});
+
+const fillTargets = (count: number) => {
+  const book = new LoadBook();
+  const prefixes = new PrefixIndex();
+  for (let n = 0; n < count; n += 1) {
+    const name = `engine-${n}`;
+    book.reported(name, createReport());
+    const pieces = Array.from(
+      { length: piecesPerEngine },
+      (_, piece) => `digest-${n}-${piece}-padding`,
+    );
+    prefixes.learn(name, [{ sequence: 1, kind: 'stored', pieces }]);
+  }
+  return { book, prefixes };
+};
+
+const measureTargets = (): Measurement[] => {
+  const before = liveHeap();
+  const some = fillTargets(engines / 4);
+  const between = liveHeap();
+  const all = fillTargets(engines);
+  const after = liveHeap();
+  const slope =
+    (after - between - (between - before)) / (engines - engines / 4);
+  const known = some.book.report('engine-0') && all.book.report('engine-0');
+  return [
+    row('target: heap a target with 64 prefix pieces', slope, 'bytes'),
+    row('target: heap of 600 targets', after - between, 'bytes'),
+    row('target: reports kept', known === undefined ? 0 : 1, 'count'),
+  ];
+};
+
+const createEngineView = (n: number): EngineView => ({
+  name: `engine-${n}`,
+  dataCenter: dataCenters[n % dataCenters.length] ?? '',
+  role: n % 3 === 0 ? 'prefill' : 'mixed',
+  available: true,
+  ageMs: 1_000,
+  prefillTokens: 2_000,
+  running: 20,
+  slots: 64,
+  inRoleMs: 600_000,
+});
+
+const timeDecision = (count: number, random: () => number): number => {
+  const policy = new HorizonPolicy({ speed: replaySpeed, changeCost: 20 });
+  const views = Array.from({ length: count }, (_, n) => createEngineView(n));
+  const demandOf = (dataCenter: string): DemandView => ({
+    dataCenter,
+    prefillRate: (count / 5) * (3_000 + 1_000 * random()),
+    decodeRate: (count / 5) * 200,
+    requestRate: 220,
+    ageMs: 1_000,
+  });
+  const decide = (second: number) =>
+    policy.decide({
+      nowMs: second * 2_000,
+      engines: views,
+      demand: dataCenters.map(demandOf),
+    });
+  for (let second = 0; second < 40; second += 1) decide(second);
+  const started = performance.now();
+  for (let run = 0; run < decisionRuns; run += 1) decide(40 + run);
+  return (performance.now() - started) / decisionRuns;
+};
+
+const measureDecisions = (random: () => number): Measurement[] => {
+  const rows = [60, 150, 600].map(
+    count => [count, timeDecision(count, random)] as const,
+  );
+  return rows.map(([count, ms]) =>
+    row(`role decision: ${count} engines`, ms, 'ms', 3),
+  );
+};
+
+/** Text that each poll of the fleet list and of an engine brings. */
+const measurePolledText = (): Measurement[] => {
+  const members = Array.from({ length: engines }, (_, n) => ({
+    name: `engine-${n}`,
+    kind: 'engine' as const,
+    dataCenter: dataCenters[n % dataCenters.length] ?? '',
+    incarnation: `engine-${n}-4f1c2a9be07d`,
+    address: '10.0.0.1:8000',
+    state: 'live' as const,
+  }));
+  const list = JSON.stringify(toTargetGroups(members)).length;
+  const report = JSON.stringify(createReport()).length;
+  return [
+    row('fleet list: text a member', list / engines, 'bytes'),
+    row('engine: text of a load report', report, 'bytes'),
+  ];
+};
+
+/** Every slope of the control parts. */
+export const measureControlCapacity = async ({
+  seed,
+}: MeasureOptions): Promise<readonly Measurement[]> => [
+  ...measureConfiguration(),
+  ...measureTargets(),
+  ...measurePolledText(),
+  ...measureDecisions(createRandom(seed)),
+  ...(await measurePeers()),
+];
--- /dev/null
+++ b/packages/bench/src/measure/peer-capacity.ts
@@ -0,0 +1,98 @@
+/** Bytes and processor time of the peers' messages over real connections. */
+import { createServer } from 'node:http';
+import type { Server } from 'node:http';
+import type { AddressInfo, Socket } from 'node:net';
+
+import { PeerLink, beatMethod, dispatchNewsMethod } from '@medlarlever/core';
+import type { InstanceRecord } from '@medlarlever/core';
+
+import { row } from './capacity-row.js';
+import type { Measurement } from './measurement.js';
+
+const warmUpBeats = 500;
+const beats = 2_000;
+
+const createRecord = (n: number): InstanceRecord => ({
+  name: `entry-${n}`,
+  dataCenter: 'r1-a',
+  incarnation: `entry-${n}-4f1c2a9be07d`,
+  address: '10.0.0.1:7400',
+  state: 'live',
+  revision: 1_200,
+  startedAtMs: 1_790_000_000_000,
+  version: 12,
+});
+
+/** A peer that answers each call and counts the bytes of its sockets. */
+const startCountingPeer = async () => {
+  const sockets = new Set<Socket>();
+  const server: Server = createServer((request, response) => {
+    let body = '';
+    request.on('data', (part: Buffer) => (body += part.toString()));
+    request.on('end', () => {
+      const { id } = JSON.parse(body) as { readonly id?: number };
+      if (id === undefined) {
+        response.writeHead(204).end();
+        return;
+      }
+      const result = { self: createRecord(1), records: [], position: 400 };
+      response.setHeader('content-type', 'application/json');
+      response.end(JSON.stringify({ jsonrpc: '2.0', id, result }));
+    });
+  });
+  server.on('connection', socket => sockets.add(socket));
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  const bytes = () =>
+    [...sockets].reduce((sum, s) => sum + s.bytesRead + s.bytesWritten, 0);
+  return { server, bytes, port: (server.address() as AddressInfo).port };
+};
+
+/** Bytes and processor time of messages between instances. */
+export const measurePeers = async (): Promise<Measurement[]> => {
+  const peer = await startCountingPeer();
+  const link = new PeerLink({
+    name: 'entry-1',
+    dataCenter: 'r1-a',
+    incarnation: 'entry-1-4f1c2a9be07d',
+    address: `127.0.0.1:${peer.port}`,
+    secret: 'a-secret-of-a-customary-length-32',
+    self: 'entry-0',
+  });
+  const beat = {
+    self: createRecord(0),
+    records: [],
+    known: { incarnation: 'entry-1-4f1c2a9be07d', position: 400 },
+  };
+  const sendBeats = async (count: number) => {
+    for (let n = 0; n < count; n += 1) {
+      await link.call(beatMethod, beat, { timeoutMs: 2_000 });
+    }
+  };
+  await sendBeats(warmUpBeats);
+  const bytesBefore = peer.bytes();
+  const cpuBefore = process.cpuUsage();
+  await sendBeats(beats);
+  const cpu = process.cpuUsage(cpuBefore);
+  const beatBytes = (peer.bytes() - bytesBefore) / beats;
+  const newsBytes = [];
+  for (const count of [1, 8]) {
+    const news = Array.from({ length: count }, (_, n) => [
+      `r1-a-engine-${n}`,
+      2,
+      7_000,
+    ]);
+    const before = peer.bytes();
+    const params = { share: 0.1, engines: news };
+    await link.call(dispatchNewsMethod, params, { timeoutMs: 2_000 });
+    newsBytes.push(peer.bytes() - before);
+  }
+  await link.close();
+  await new Promise(resolve => peer.server.close(resolve));
+  const cpuMs = (cpu.user + cpu.system) / 1_000 / beats;
+  return [
+    row('peer: heartbeat and answer, headers included', beatBytes, 'bytes', 0),
+    row('peer: processor time of both ends of a heartbeat', cpuMs, 'ms', 3),
+    row('peer: call naming 1 engine', newsBytes[0] ?? 0, 'bytes', 0),
+    row('peer: call naming 8 engines', newsBytes[1] ?? 0, 'bytes', 0),
+  ];
+};
