--- a/packages/daemon/src/generations/app.ts
+++ b/packages/daemon/src/generations/app.ts
@@ -4,12 +4,15 @@
   admissionPart,
   generationServicePart,
   generationsPart,
+  routerPart,
 } from '../kernel/parts.js';
 
+import { DirectDispatcher } from './direct-dispatcher.js';
 import { GenerationController } from './generation-controller.js';
 import { Generations } from './generations.js';
 
 registerApp('generations', kernel => {
+  kernel.provide(generationsPart, k => new DirectDispatcher(k.get(routerPart)));
   kernel.provide(
     generationServicePart,
     k =>
--- a/packages/daemon/src/kernel/parts.ts
+++ b/packages/daemon/src/kernel/parts.ts
@@ -1,24 +1,31 @@
 /** Tokens of the parts that features share. */
 import { Token } from '@medlarlever/core';
 import type {
-  Admission,
   ClosedTargets,
   ConfigurationEditor,
   ConfigurationHolder,
   ConfigurationPoller,
   ConfigurationStore,
+  FairAdmission,
   FleetDirectory,
   FleetList,
   FleetWatcher,
   GenerationDispatcher,
   InstanceRegistry,
+  LoadBook,
+  LoadPoller,
+  Ledger,
   Log,
   ObjectStore,
   PeerMesh,
   PeerServer,
   Planner,
+  PrefixIndex,
   Quarantine,
+  RequestMetrics,
+  Router,
   ServiceDispatcher,
+  ServiceTargets,
   Table,
   TargetFactory,
 } from '@medlarlever/core';
@@ -27,6 +34,8 @@
 import type { Customers } from '../auth/customers.js';
 import type { Generations } from '../generations/generations.js';
 import type { Readiness } from '../health/readiness.js';
+import type { RequestLog } from '../requests/request-log.js';
+import type { Roles } from '../roles/roles.js';
 import type { Listeners } from '../server/listeners.js';
 import type { Settings } from '../settings/settings.js';
 
@@ -60,7 +69,7 @@
 export const listenersPart = new Token<Listeners>('listeners');
 export const readinessPart = new Token<Readiness>('readiness');
 
-export const admissionPart = new Token<Admission>('admission');
+export const admissionPart = new Token<FairAdmission>('admission');
 export const quarantinePart = new Token<Quarantine>('quarantine');
 export const generationsPart = new Token<GenerationDispatcher>('generations');
 export const operationsPart = new Token<ServiceDispatcher>('operations');
@@ -70,3 +79,14 @@
 
 export const plannerPart = new Token<Planner>('planner');
 export const closedTargetsPart = new Token<ClosedTargets>('closed-targets');
+
+export const loadBookPart = new Token<LoadBook>('load-book');
+export const loadPollerPart = new Token<LoadPoller>('load-poller');
+export const prefixesPart = new Token<PrefixIndex>('prefixes');
+export const routerPart = new Token<Router>('router');
+
+export const requestLogPart = new Token<RequestLog>('request-log');
+export const rolesPart = new Token<Roles>('roles');
+export const requestMetricsPart = new Token<RequestMetrics>('request-metrics');
+export const ledgerPart = new Token<Ledger>('ledger');
+export const serviceTargetsPart = new Token<ServiceTargets>('service-targets');
