--- /dev/null
+++ b/packages/bench/src/report/page.ts
@@ -0,0 +1,99 @@
+/** The report as an HTML page with plots and the table behind them. */
+import { View, parse } from 'vega';
+import { compile } from 'vega-lite';
+import type { TopLevelSpec } from 'vega-lite';
+
+import type { ReplayFigures } from '../replay/figures.js';
+
+import type { Point } from './series.js';
+
+/** What the page shows of one trace. */
+export interface ReportSection {
+  readonly title: string;
+  readonly points: readonly Point[];
+  readonly figures: readonly ReplayFigures[];
+}
+
+interface Plot {
+  readonly field: 'goodput' | 'firstTokenMs' | 'changes';
+  readonly title: string;
+}
+
+const plots: readonly Plot[] = [
+  { field: 'goodput', title: 'Goodput, share of offered requests' },
+  { field: 'firstTokenMs', title: 'First token, 95th percentile, ms' },
+  { field: 'changes', title: 'Role changes since the start' },
+];
+
+const createSpec = (points: readonly Point[], plot: Plot): TopLevelSpec => ({
+  $schema: 'https://vega.github.io/schema/vega-lite/v6.json',
+  width: 720,
+  height: 180,
+  title: plot.title,
+  data: { values: points.map(point => ({ ...point })) },
+  mark: { type: 'line', interpolate: 'step-after' },
+  encoding: {
+    x: { field: 'second', type: 'quantitative', title: 'seconds' },
+    y: { field: plot.field, type: 'quantitative', title: null },
+    color: { field: 'policy', type: 'nominal' },
+  },
+});
+
+const renderPlot = (points: readonly Point[], plot: Plot): Promise<string> => {
+  const { spec } = compile(createSpec(points, plot));
+  return new View(parse(spec), { renderer: 'none' }).toSVG();
+};
+
+const columns: readonly (keyof ReplayFigures)[] = [
+  'policy',
+  'offered',
+  'goodput',
+  'roleChanges',
+  'firstTokenShare',
+  'firstTokenP95Ms',
+  'tokenGapShare',
+  'tokenGapP95Ms',
+  'splitShare',
+];
+
+const escapeHtml = (text: string) =>
+  text.replaceAll('&', '&amp;').replaceAll('<', '&lt;');
+
+const cellOf = (value: unknown) =>
+  typeof value === 'number' && !Number.isInteger(value)
+    ? value.toFixed(4)
+    : String(value);
+
+const renderTable = (figures: readonly ReplayFigures[]): string => {
+  const head = columns.map(column => `<th>${column}</th>`).join('');
+  const rows = figures.map(each => {
+    const cells = columns.map(
+      column => `<td>${escapeHtml(cellOf(each[column]))}</td>`,
+    );
+    return `<tr>${cells.join('')}</tr>`;
+  });
+  return `<table><tr>${head}</tr>${rows.join('')}</table>`;
+};
+
+const renderSection = async (section: ReportSection): Promise<string> => {
+  const images: string[] = [];
+  for (const plot of plots) {
+    images.push(await renderPlot(section.points, plot));
+  }
+  const title = `<h2>${escapeHtml(section.title)}</h2>`;
+  return [title, renderTable(section.figures), ...images].join('\n');
+};
+
+/** The whole page. */
+export const renderPage = async (
+  sections: readonly ReportSection[],
+): Promise<string> => {
+  const bodies: string[] = [];
+  for (const section of sections) bodies.push(await renderSection(section));
+  return [
+    '<!doctype html><meta charset="utf-8"><title>medlarlever replay</title>',
+    '<style>body{font-family:sans-serif}td,th{padding:2px 8px}</style>',
+    ...bodies,
+    '',
+  ].join('\n');
+};
--- /dev/null
+++ b/packages/bench/src/report/series.ts
@@ -0,0 +1,44 @@
+/** Figures of a replay over time. */
+import type { Outcome } from '../replay/outcome.js';
+import type { ReplayRun } from '../replay/replay.js';
+
+/** One point of a plot. */
+export interface Point {
+  readonly policy: string;
+  readonly second: number;
+  /** Good answers as a share of those that arrived in the interval. */
+  readonly goodput: number;
+  /** 95th percentile of the time to the first token. */
+  readonly firstTokenMs: number;
+  /** Role changes since the start. */
+  readonly changes: number;
+}
+
+const intervalMs = 10_000;
+
+const percentile95 = (values: readonly number[]): number => {
+  const sorted = [...values].sort((a, b) => a - b);
+  return sorted[Math.floor(sorted.length * 0.95)] ?? 0;
+};
+
+const pointOf = (run: ReplayRun, fromMs: number): Point => {
+  const inside = ({ request }: Outcome) =>
+    request.atMs >= fromMs && request.atMs < fromMs + intervalMs;
+  const outcomes = run.outcomes.filter(inside);
+  const good = outcomes.filter(outcome => outcome.verdict === 'good').length;
+  const firsts = outcomes.flatMap(outcome => outcome.firstTokenMs ?? []);
+  const until = fromMs + intervalMs;
+  return {
+    policy: run.policy,
+    second: fromMs / 1_000,
+    goodput: outcomes.length === 0 ? 1 : good / outcomes.length,
+    firstTokenMs: percentile95(firsts),
+    changes: run.changes.filter(change => change.atMs < until).length,
+  };
+};
+
+/** The points of a run, one for each interval of arrivals. */
+export const pointsOf = (run: ReplayRun): readonly Point[] => {
+  const count = Math.floor(run.trace.fleet.durationMs / intervalMs);
+  return Array.from({ length: count }, (_, n) => pointOf(run, n * intervalMs));
+};
