--- a/packages/daemon/src/server/failures.ts
+++ b/packages/daemon/src/server/failures.ts
@@ -40,15 +40,21 @@
   return new Failure('internal', error.message, { executed: 'unknown' });
 };
 
+/** What is needed of a reply, whichever copy of Fastify it comes from. */
+export interface ErrorReply {
+  status(status: number): unknown;
+  header(name: string, value: string | number): unknown;
+  send(body: string): unknown;
+}
+
 /** Sends the body and, where known, when to come back. */
-export const sendFailure = (reply: FastifyReply, failure: Failure): void => {
+export const sendFailure = (reply: ErrorReply, failure: Failure): void => {
   if (failure.retryAfterMs !== undefined) {
     reply.header('retry-after', Math.ceil(failure.retryAfterMs / 1_000));
   }
-  void reply
-    .status(failure.status)
-    .header('content-type', 'application/json; charset=utf-8')
-    .send(JSON.stringify(failure.toBody()));
+  reply.status(failure.status);
+  reply.header('content-type', 'application/json; charset=utf-8');
+  reply.send(JSON.stringify(failure.toBody()));
 };
 
 /** The value, or the failure thrown for the filter to send. */
--- a/packages/daemon/src/server/listener.ts
+++ b/packages/daemon/src/server/listener.ts
@@ -11,13 +11,14 @@
 import { NestFactory } from '@nestjs/core';
 import { FastifyAdapter } from '@nestjs/platform-fastify';
 import type { NestFastifyApplication } from '@nestjs/platform-fastify';
-import type { FastifyInstance, FastifyReply } from 'fastify';
+import type { FastifyInstance } from 'fastify';
 
 import type { DaemonKernel, Interface } from '../kernel/app.js';
 import { logPart, settingsPart } from '../kernel/parts.js';
 
 import { installBodyParser } from './body-parser.js';
 import { FailureFilter, classifyError, sendFailure } from './failures.js';
+import type { ErrorReply } from './failures.js';
 
 /** Nest's own log stays off: numbered events are the only log. */
 // eslint-disable-next-line @typescript-eslint/no-unsafe-class-instance-assignment -- Nest declares its options as a class
@@ -69,8 +70,8 @@
     keepAliveTimeout: keepAliveMs,
     forceCloseConnections: 'idle',
     clientErrorHandler: answerBrokenRequest,
-    frameworkErrors: (error: Error, _: unknown, reply: FastifyReply) => {
-      sendFailure(reply, classifyError(error));
+    frameworkErrors: (error: Error, _: unknown, reply: unknown) => {
+      sendFailure(reply as ErrorReply, classifyError(error));
     },
     routerOptions: { maxParamLength },
     http: { connectionsCheckingInterval: 1_000 },
