Test the command line as a process against a fixed operators' interface

Cause: exit codes and the completion of an interrupted apply are what scripts rest on, and nothing ran the program.

--- /dev/null
+++ b/packages/cli/src/main.test.ts
@@ -0,0 +1,127 @@
+import { execFile } from 'node:child_process';
+import { mkdtemp, readFile, writeFile } from 'node:fs/promises';
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+
+import test from 'ava';
+import type { ExecutionContext } from 'ava';
+
+const program = fileURLToPath(
+  new URL('../bin/medlarlever.js', import.meta.url),
+);
+const example = fileURLToPath(
+  new URL(
+    '../../../examples/guia-editorial-andina/template.toml',
+    import.meta.url,
+  ),
+);
+
+interface Run {
+  readonly code: number;
+  readonly out: string;
+  readonly errors: string;
+}
+
+const run = (...args: string[]): Promise<Run> =>
+  new Promise(resolve => {
+    const child = execFile(
+      process.execPath,
+      [program, ...args],
+      (_error, out, errors) => {
+        resolve({ code: child.exitCode ?? -1, out, errors });
+      },
+    );
+  });
+
+type Answers = Record<string, { status: number; body: unknown }>;
+
+/** A server of the operators' interface with fixed answers. */
+const startServer = async (t: ExecutionContext, answers: Answers) => {
+  const asked: string[] = [];
+  const server = createServer((request, response) => {
+    const name = `${request.method ?? ''} ${request.url ?? ''}`;
+    asked.push(name);
+    const { status, body } = answers[name] ?? { status: 404, body: {} };
+    request.resume();
+    response.writeHead(status, { 'content-type': 'application/json' });
+    response.end(JSON.stringify(body));
+  });
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  t.teardown(() => server.close());
+  const { port } = server.address() as AddressInfo;
+  return { url: `http://127.0.0.1:${port}`, asked };
+};
+
+const ok = (body: unknown) => ({ status: 200, body });
+
+const configuration = ok({ revision: 4, operationId: 'o4', templates: {} });
+
+const statusAt = (revision: number) =>
+  ok({
+    instance: 'entry-1',
+    revision: 5,
+    ready: true,
+    instances: [{ name: 'entry-2', state: 'live', revision }],
+  });
+
+test('a broken template is named by line and exits with 1', async t => {
+  const folder = await mkdtemp(join(tmpdir(), 'medlarlever-'));
+  const file = join(folder, 'broken.toml');
+  const text = await readFile(example, 'utf8');
+  await writeFile(file, text.replace('priority = 5', 'priority = 50'));
+  const { code, errors } = await run('check', file);
+  t.is(code, 1);
+  t.regex(errors, /broken\.toml:\d+: ranking\.priority: .*9/);
+  t.is((await run('check')).code, 2);
+  t.is((await run('chek', file)).code, 2);
+});
+
+test('an apply waits for every instance and names who lacks it', async t => {
+  const answers: Answers = {
+    'GET /operator/configuration': configuration,
+    'POST /operator/configuration': ok({ revision: 5, operationId: 'x' }),
+    'GET /operator/status': statusAt(4),
+  };
+  const { url } = await startServer(t, answers);
+  const args = ['apply', example, '--json', '--server', url];
+  const late = await run(...args, '--wait-ms', '1');
+  t.is(late.code, 5, late.errors);
+  t.deepEqual(JSON.parse(late.out), {
+    revision: 5,
+    inForce: false,
+    lacking: ['entry-2'],
+  });
+  answers['GET /operator/status'] = statusAt(5);
+  t.is((await run(...args)).code, 0);
+});
+
+test('an interrupted apply is not submitted again', async t => {
+  const { url, asked } = await startServer(t, {
+    'GET /operator/operations/op-7': ok({ state: 'committed', revision: 5 }),
+    'GET /operator/status': statusAt(5),
+  });
+  const args = ['apply', example, '--operation-id', 'op-7', '--server', url];
+  t.is((await run(...args)).code, 0);
+  t.false(asked.some(name => name.startsWith('POST')));
+});
+
+test('conflicts and absent servers have codes of their own', async t => {
+  const error = {
+    number: 4001,
+    name: 'revision_conflict',
+    message: 'the configuration has moved on',
+    executed: 'no',
+    details: { head: 6 },
+  };
+  const { url } = await startServer(t, {
+    'GET /operator/configuration': configuration,
+    'POST /operator/configuration': { status: 409, body: { error } },
+  });
+  const conflict = await run('apply', example, '--json', '--server', url);
+  t.is(conflict.code, 3, conflict.errors);
+  t.like(JSON.parse(conflict.out), { error: { details: { head: 6 } } });
+  t.is((await run('get', '--server', 'http://127.0.0.1:1')).code, 4);
+});
