--- a/packages/bench/src/drill/control.ts
+++ b/packages/bench/src/drill/control.ts
@@ -1,4 +1,157 @@
 /** Faults of the platform, the instances and planned changes. */
-import type { Drill } from './drill.js';
+import { MemoryObjectStore, MemoryTable } from '@medlarlever/stand-ins';
 
-export const controlDrills: readonly Drill[] = [];
+import {
+  createChange,
+  createConfigNode,
+  LocalPeer,
+  LocalPeerGroup,
+  outcomeOf,
+  withPausedClock,
+} from '../control/fixtures.js';
+import { explore } from '../explore/explore.js';
+import { createOrderScenario } from '../explore/order-scenario.js';
+
+import type { Drill, DrillOutcome } from './drill.js';
+
+const minuteMs = 60_000;
+const inForceMs = 5_000;
+
+const createPlatform = () => ({
+  table: new MemoryTable(),
+  objects: new MemoryObjectStore(),
+});
+
+const lostAnswer: Drill = {
+  fault: 'the answer of an apply is lost after the write',
+  promise: 'the change is accepted once and its id says so',
+  run: ({ seed }) =>
+    withPausedClock(async clock => {
+      const platform = createPlatform();
+      const { editor } = createConfigNode({ ...platform, seed });
+      platform.table.faults.loseAnswers = 2;
+      const applying = editor.apply(createChange('op-1', 0));
+      await clock.tickAsync(minuteMs);
+      const outcome = outcomeOf(await applying);
+      const revisions = platform.table.rows('config-revisions').length;
+      return {
+        passed: outcome === 'ok' && revisions === 1,
+        seen: `${outcome}, ${revisions} revision`,
+      };
+    }),
+};
+
+const race: Drill = {
+  fault: 'operators race each other',
+  promise: 'one change is accepted, the others get a conflict',
+  run: ({ seed }) =>
+    withPausedClock(async () => {
+      const platform = createPlatform();
+      const applies = [1, 2, 3].map(n =>
+        createConfigNode({ ...platform, seed: seed + n }).editor.apply(
+          createChange(`op-${n}`, 0, n),
+        ),
+      );
+      const outcomes = (await Promise.all(applies)).map(outcomeOf).sort();
+      const seen = outcomes.join(', ');
+      return {
+        passed: seen === 'ok, revision_conflict, revision_conflict',
+        seen,
+      };
+    }),
+};
+
+const startWhileDown: Drill = {
+  fault: 'an instance starts while the platform is down',
+  promise: 'it takes the newest revision of its peers and none before',
+  run: ({ seed }) =>
+    withPausedClock(async clock => {
+      const platform = createPlatform();
+      const old = createConfigNode({ ...platform, seed });
+      await old.editor.apply(createChange('op-1', 0));
+      const newer = createConfigNode({ ...platform, seed: seed + 1 });
+      await newer.editor.apply(createChange('op-2', 1, 7));
+      platform.table.faults.down = true;
+      platform.objects.faults.down = true;
+      const peers = new LocalPeerGroup('dc-1');
+      for (const [name, node] of Object.entries({ old, newer })) {
+        const methods = () => node.poller.peerMethods();
+        peers.members.push(new LocalPeer(name, 'dc-1', methods));
+      }
+      const fresh = createConfigNode({ ...platform, peers, seed: seed + 2 });
+      const before = fresh.holder.revision;
+      fresh.poller.start();
+      await clock.tickAsync(inForceMs);
+      await fresh.poller.stop();
+      const { revision } = fresh.holder;
+      return {
+        passed: before === -1 && revision === 2,
+        seen: `revision ${revision} within ${inForceMs} ms`,
+      };
+    }),
+};
+
+const cutOff: Drill = {
+  fault: 'a data centre is cut off from platform and peers',
+  promise: 'it goes on with its last revision and catches up by itself',
+  run: ({ seed }) =>
+    withPausedClock(async clock => {
+      const platform = createPlatform();
+      const writer = createConfigNode({ ...platform, seed });
+      await writer.editor.apply(createChange('op-1', 0));
+      const node = createConfigNode({ ...platform, seed: seed + 1 });
+      node.poller.start();
+      await clock.tickAsync(inForceMs);
+      platform.table.faults.down = true;
+      await clock.tickAsync(30 * minuteMs);
+      const during = node.holder.revision;
+      platform.table.faults.down = false;
+      await writer.editor.apply(createChange('op-2', 1, 7));
+      await clock.tickAsync(inForceMs);
+      await node.poller.stop();
+      const after = node.holder.revision;
+      return {
+        passed: during === 1 && after === 2,
+        seen: `revision ${during} during the cut, ${after} within ${inForceMs} ms after`,
+      };
+    }),
+};
+
+const exploreOrders = async (
+  checksFencing: boolean,
+  faults: number,
+  pauses: number,
+): Promise<DrillOutcome> => {
+  const { violation, states, schedules } = await explore(
+    createOrderScenario({ checksFencing, faults, pauses }),
+  );
+  return {
+    passed: violation === undefined,
+    seen: violation ?? `${states} states, ${schedules} schedules`,
+  };
+};
+
+const orderDrills = [true, false].flatMap((checksFencing): Drill[] => {
+  const engine = checksFencing ? 'checks fencing' : 'ignores fencing';
+  const promise = 'no conflicting orders, no effect after authority is lost';
+  return [
+    {
+      fault: `a holder crashes or loses an answer at every step, engine ${engine}`,
+      promise,
+      run: () => exploreOrders(checksFencing, 1, 0),
+    },
+    {
+      fault: `a holder is paused at every step past its lease, engine ${engine}`,
+      promise,
+      run: () => exploreOrders(checksFencing, 0, 1),
+    },
+  ];
+});
+
+export const controlDrills: readonly Drill[] = [
+  lostAnswer,
+  race,
+  startWhileDown,
+  cutOff,
+  ...orderDrills,
+];
--- a/packages/core/src/config/configuration-poller.ts
+++ b/packages/core/src/config/configuration-poller.ts
@@ -20,7 +20,10 @@
 /** Instances told of a revision spread their reads over this time. */
 const hintSpreadMs = 500;
 const peerTimeoutMs = 1_000;
-const peersAskedAtStart = 8;
+
+/** Peers asked by an instance that lacks a revision which it knows of. */
+const peersAskedWhenBehind = 8;
+const pollWhenBehindMs = 400;
 
 const revisionHintSchema = z.object({ revision: z.number().int().min(0) });
 const getParamsSchema = z.object({
@@ -101,7 +104,8 @@
       } catch (error) {
         log.event('step_failed', { step: 'config.poll', error: String(error) });
       }
-      await sleep(jittered(pollMs, random), this.#wake.signal);
+      const waitMs = this.#behind ? pollWhenBehindMs : pollMs;
+      await sleep(jittered(waitMs, random), this.#wake.signal);
     }
   }
 
@@ -117,20 +121,27 @@
     });
   }
 
-  /** A starting instance asks several peers and takes the newest answer. */
+  /** Without a revision, or with an older one than it knows to be committed. */
+  get #behind(): boolean {
+    const { revision, highestSeen } = this.#options.holder;
+    return revision < 0 || revision < highestSeen;
+  }
+
+  /** An instance that is behind asks several peers and takes the newest. */
   async #askPeers(): Promise<void> {
-    const { holder } = this.#options;
-    const asked = this.#choosePeers(
-      holder.revision < 0 ? peersAskedAtStart : 1,
-    );
+    const { holder, store, peers } = this.#options;
+    const asked = this.#choosePeers(this.#behind ? peersAskedWhenBehind : 1);
     const answers = await Promise.all(asked.map(peer => this.#ask(peer)));
     const newest = answers
       .filter(snapshot => snapshot !== undefined)
       .sort((a, b) => b.head.revision - a.head.revision)
       .at(0);
     if (newest === undefined) return;
-    this.#options.store.take(newest);
+    store.take(newest);
+    const before = holder.revision;
     await this.#adopt(newest.head, 'peer');
+    const { revision } = holder;
+    if (revision > before) peers.broadcast('config.revision', { revision });
   }
 
   #choosePeers(count: number): readonly Peer[] {
