--- a/packages/bench/src/control/configuration.test.ts
+++ b/packages/bench/src/control/configuration.test.ts
@@ -179,3 +179,31 @@
     await reader.poller.stop();
   }),
 );
+
+test.serial('a revision accepted just before an outage reaches everyone', t =>
+  withPausedClock(async clock => {
+    const platform = createPlatform();
+    const groups = Array.from({ length: 24 }, () => new LocalPeerGroup('dc-1'));
+    const nodes = groups.map((peers, i) =>
+      createConfigNode({ ...platform, peers, seed: i }),
+    );
+    groups.forEach((group, i) => {
+      const others = nodes.filter((_, j) => j !== i);
+      for (const node of others) {
+        const methods = () => node.poller.peerMethods();
+        group.members.push(new LocalPeer('other', 'dc-1', methods));
+      }
+    });
+    for (const { poller } of nodes) poller.start();
+    await clock.tickAsync(3_000);
+    await nodes[0]?.editor.apply(createChange('op-1', 0));
+    platform.table.faults.down = true;
+    platform.objects.faults.down = true;
+    await clock.tickAsync(5_000);
+    t.deepEqual(
+      nodes.map(({ holder }) => holder.revision),
+      nodes.map(() => 1),
+    );
+    await Promise.all(nodes.map(({ poller }) => poller.stop()));
+  }),
+);
