Wire role decisions, load bounds, template checks and handover

Cause: the parts had landed but the daemon did not use them. Admission follows the engines' load and looks for places every 0.1 s, since another instance may free them. An apply is checked across templates. The router avoids engines reserved for a suspect. Streams still running after the grace period are handed over instead of being cancelled.

--- a/packages/bench/src/plans/plan-fleet.ts
+++ b/packages/bench/src/plans/plan-fleet.ts
@@ -17,8 +17,12 @@
   Planner,
   TargetFactory,
 } from '@medlarlever/core';
-import type { FleetMember, InstanceRecord, Service ,
-  Engine} from '@medlarlever/core';
+import type {
+  FleetMember,
+  InstanceRecord,
+  Service,
+  Engine,
+} from '@medlarlever/core';
 import {
   FakeEngine,
   MemoryFleetList,
--- /dev/null
+++ b/packages/core/src/config/check-templates.test.ts
@@ -0,0 +1,45 @@
+import test from 'ava';
+
+import { checkTemplates } from './check-templates.js';
+import { templateSchema } from './template.js';
+import type { Template } from './template.js';
+
+const hash = (digit: string) => digit.repeat(64);
+
+const templateOf = (
+  name: string,
+  customers: Readonly<Record<string, string>>,
+): Template =>
+  templateSchema.parse({
+    name,
+    customers: Object.fromEntries(
+      Object.entries(customers).map(([customer, digit]) => [
+        customer,
+        { key_hashes: [hash(digit)] },
+      ]),
+    ),
+  });
+
+const messageOf = (...templates: readonly Template[]) =>
+  checkTemplates(templates).swap().toMaybe().extract()?.message;
+
+test('templates with customers and keys of their own go together', t => {
+  const first = templateOf('a', { desk: '1' });
+  t.is(messageOf(first, templateOf('b', { other: '2' })), undefined);
+});
+
+test('a customer of two templates is refused by name', t => {
+  const first = templateOf('a', { desk: '1' });
+  t.is(
+    messageOf(first, templateOf('b', { desk: '2' })),
+    'customer "desk" belongs to template "a" and to template "b"',
+  );
+});
+
+test('a key of two customers is refused without showing it', t => {
+  const first = templateOf('a', { desk: '1' });
+  t.is(
+    messageOf(first, templateOf('b', { other: '1' })),
+    'key hash 11111111... belongs to customer "desk" and to customer "other"',
+  );
+});
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -78,6 +78,8 @@
 export * from './plans/planner.js';
 export * from './plans/order-carrier.js';
 export * from './plans/plan-lease.js';
+export * from './plans/planned-role-changer.js';
+export * from './config/check-templates.js';
 // Clients of the outside systems
 export * from './shared/http-errors.js';
 export * from './table/dynamo-items.js';
--- a/packages/core/src/limits/fair-admission.ts
+++ b/packages/core/src/limits/fair-admission.ts
@@ -76,6 +76,14 @@
     return this.#wait(request, state, signal);
   }
 
+  /** Looks again at the bounds, which may have grown without a release. */
+  refresh(): void {
+    for (const [service, state] of this.#services) {
+      this.#fill(service, state);
+      this.#shed(state);
+    }
+  }
+
   /** Lengths of all queues. */
   queues(): QueueLength[] {
     const lengths = new Map<string, QueueLength>();
--- a/packages/daemon/src/admission/app.ts
+++ b/packages/daemon/src/admission/app.ts
@@ -1,41 +1,96 @@
 /** Registers admission and the histograms of requests. */
-import { FairAdmission, RequestMetrics } from '@medlarlever/core';
+import {
+  FairAdmission,
+  LoadBounds,
+  RequestMetrics,
+  routingSpeedSchema,
+  sleep,
+} from '@medlarlever/core';
 import type { AdmissionRequest } from '@medlarlever/core';
 
+import { modelService } from '../generations/generations.js';
 import { registerApp } from '../kernel/app.js';
+import type { DaemonKernel } from '../kernel/app.js';
 import {
   admissionPart,
+  directoryPart,
+  loadBookPart,
   metricsPart,
   randomPart,
   registryPart,
   requestMetricsPart,
   settingsPart,
 } from '../kernel/parts.js';
+import { startRank } from '../kernel/ranks.js';
 
-/** Speeds behind the expected run time, for shedding by deadline. */
-const prefillTokensPerSecond = 20_000;
-const decodeTokensPerSecond = 40;
+/** How often places are looked for that no release announced. */
+const refreshMs = 100;
 const operationMs = 100;
+const msPerSecond = 1_000;
+
+const speed = routingSpeedSchema.parse({});
 
-const expectedRunMs = ({ promptTokens, outputTokens }: AdmissionRequest) =>
+/** Time until the first token, by which a late request is shed. */
+const expectedRunMs = ({ promptTokens }: AdmissionRequest) =>
   promptTokens === 0
     ? operationMs
-    : (1_000 * promptTokens) / prefillTokensPerSecond +
-      (1_000 * Math.min(outputTokens, 1)) / decodeTokensPerSecond;
+    : (msPerSecond * promptTokens) / speed.prefill_tokens_per_second;
+
+/** Generations that run, plus one while some engine has room. */
+const modelBound = (kernel: DaemonKernel): (() => number) => {
+  const directory = kernel.get(directoryPart);
+  const book = kernel.get(loadBookPart);
+  const bounds = new LoadBounds({ directory, book, speed });
+  return () => {
+    const running = directory
+      .engines()
+      .reduce((sum, { target }) => sum + book.running(target.name), 0);
+    return Math.max(1, bounds.running(running));
+  };
+};
+
+const createAdmission = (kernel: DaemonKernel): FairAdmission => {
+  const { concurrency, queue } = kernel.get(settingsPart).requests;
+  const registry = kernel.get(registryPart);
+  const modelsRunning = modelBound(kernel);
+  return new FairAdmission({
+    boundsOf: service => ({
+      running:
+        service === modelService
+          ? Math.min(concurrency, modelsRunning())
+          : concurrency,
+      queued: queue,
+    }),
+    expectedRunMs,
+    random: kernel.get(randomPart),
+    share: () => 1 / Math.max(1, registry.all().length),
+  });
+};
+
+const refreshPlaces = async (
+  admission: FairAdmission,
+  signal: AbortSignal,
+): Promise<void> => {
+  while (await sleep(refreshMs, signal)) admission.refresh();
+};
 
 registerApp('admission', kernel => {
   kernel.provide(
     requestMetricsPart,
     k => new RequestMetrics({ registry: k.get(metricsPart) }),
   );
-  kernel.provide(admissionPart, k => {
-    const { concurrency, queue } = k.get(settingsPart).requests;
-    const registry = k.get(registryPart);
-    return new FairAdmission({
-      boundsOf: () => ({ running: concurrency, queued: queue }),
-      expectedRunMs,
-      random: k.get(randomPart),
-      share: () => 1 / Math.max(1, registry.all().length),
-    });
+  kernel.provide(admissionPart, () => createAdmission(kernel));
+  const stopping = new AbortController();
+  kernel.step({
+    name: 'admission',
+    rank: startRank.targets,
+    start: () => {
+      void refreshPlaces(kernel.get(admissionPart), stopping.signal);
+      return Promise.resolve();
+    },
+    stop: () => {
+      stopping.abort();
+      return Promise.resolve();
+    },
   });
 });
--- a/packages/daemon/src/config/app.ts
+++ b/packages/daemon/src/config/app.ts
@@ -4,6 +4,7 @@
   ConfigurationHolder,
   ConfigurationPoller,
   ConfigurationStore,
+  checkTemplates,
 } from '@medlarlever/core';
 
 import { Customers } from '../auth/customers.js';
@@ -30,6 +31,7 @@
     store: kernel.get(configurationStorePart),
     log: kernel.get(logPart),
     random: kernel.get(randomPart),
+    check: checkTemplates,
     onCommitted: head => poller.publish(head),
   });
 };
--- a/packages/daemon/src/generations/app.ts
+++ b/packages/daemon/src/generations/app.ts
@@ -10,6 +10,7 @@
 import type { DaemonKernel } from '../kernel/app.js';
 import {
   admissionPart,
+  demandPart,
   directoryPart,
   dispatchNewsPart,
   generationServicePart,
@@ -68,6 +69,7 @@
         dispatcher: k.get(generationsPart),
         log: k.get(requestLogPart),
         metrics: k.get(requestMetricsPart),
+        demand: k.get(demandPart),
       }),
   );
   kernel.controller('caller', GenerationController);
--- a/packages/daemon/src/generations/generation-controller.ts
+++ b/packages/daemon/src/generations/generation-controller.ts
@@ -33,12 +33,15 @@
 const indexPattern = /^\d{1,9}$/;
 
 /** Aborts when the caller closes the connection before the answer ended. */
-const callerSignal = (response: ServerResponse): AbortSignal => {
+const callerSignal = (
+  response: ServerResponse,
+  handover: AbortSignal,
+): AbortSignal => {
   const controller = new AbortController();
   response.on('close', () => {
     if (!response.writableFinished) controller.abort();
   });
-  return controller.signal;
+  return AbortSignal.any([controller.signal, handover]);
 };
 
 const seconds = () => Math.floor(Date.now() / 1_000);
@@ -101,7 +104,7 @@
       model: '',
       created: seconds(),
     };
-    const signal = callerSignal(reply.raw);
+    const signal = callerSignal(reply.raw, this.readiness.handover);
     const from = after === undefined ? -1 : Number(after);
     const { customer } = request.entitlement;
     const items = this.generations.rejoin(id, customer, from, signal);
@@ -128,7 +131,10 @@
     const { model, stream } = parsed.unsafeCoerce();
     const generation = request.unsafeCoerce();
     const head = { id: generation.id, kind, model, created: seconds() };
-    const items = this.generations.run(generation, callerSignal(reply.raw));
+    const items = this.generations.run(
+      generation,
+      callerSignal(reply.raw, this.readiness.handover),
+    );
     await this.#answer(head, items, stream, reply);
   }
 
--- a/packages/daemon/src/generations/generations.ts
+++ b/packages/daemon/src/generations/generations.ts
@@ -16,6 +16,7 @@
 import type { Either } from 'purify-ts';
 
 import type { RequestLog } from '../requests/request-log.js';
+import type { Demand } from '../roles/demand.js';
 
 import type { CompletionBody } from './bodies.js';
 
@@ -68,6 +69,7 @@
   readonly dispatcher: GenerationDispatcher;
   readonly log: RequestLog;
   readonly metrics: RequestMetrics;
+  readonly demand: Demand;
 }
 
 const callerGone = () =>
@@ -108,7 +110,8 @@
     request: GenerationRequest,
     signal: AbortSignal,
   ): AsyncIterable<AnswerItem> {
-    const { log } = this.#options;
+    const { log, demand } = this.#options;
+    demand.arrived(request);
     log.start(entryOf(request));
     let failure: Failure | undefined = callerGone();
     try {
--- a/packages/daemon/src/health/readiness.ts
+++ b/packages/daemon/src/health/readiness.ts
@@ -12,6 +12,7 @@
   #refusing = false;
   #running = 0;
   #onIdle: (() => void) | undefined;
+  readonly #handover = new AbortController();
 
   constructor(configuration: ConfigurationSource) {
     this.#configuration = configuration;
@@ -58,6 +59,25 @@
     this.#refusing = true;
   }
 
+  /**
+   * Aborts with `shutting_down` when running streams are given up here, to be
+   * rejoined through another instance.
+   */
+  get handover(): AbortSignal {
+    return this.#handover.signal;
+  }
+
+  /** Ends the running streams here without cancelling them. */
+  handOver(): void {
+    const reason = 'the instance stops; rejoin the stream through another';
+    this.#handover.abort(
+      new Failure('shutting_down', reason, {
+        executed: 'unknown',
+        retryAfterMs: retryElsewhereMs,
+      }),
+    );
+  }
+
   /** Resolves when nothing runs. */
   async idle(): Promise<void> {
     if (this.#running === 0) return;
--- a/packages/daemon/src/kernel/parts.ts
+++ b/packages/daemon/src/kernel/parts.ts
@@ -27,6 +27,7 @@
   Planner,
   PrefixIndex,
   RequestMetrics,
+  RoleController,
   Router,
   ServiceDispatcher,
   ServiceTargets,
@@ -41,7 +42,7 @@
 import type { Generations } from '../generations/generations.js';
 import type { Readiness } from '../health/readiness.js';
 import type { RequestLog } from '../requests/request-log.js';
-import type { Roles } from '../roles/roles.js';
+import type { Demand } from '../roles/demand.js';
 import type { Listeners } from '../server/listeners.js';
 import type { Settings } from '../settings/settings.js';
 
@@ -92,7 +93,8 @@
 export const routerPart = new Token<Router>('router');
 
 export const requestLogPart = new Token<RequestLog>('request-log');
-export const rolesPart = new Token<Roles>('roles');
+export const rolesPart = new Token<RoleController>('roles');
+export const demandPart = new Token<Demand>('demand');
 export const requestMetricsPart = new Token<RequestMetrics>('request-metrics');
 export const ledgerPart = new Token<Ledger>('ledger');
 export const serviceTargetsPart = new Token<ServiceTargets>('service-targets');
--- a/packages/daemon/src/operator/status-controller.ts
+++ b/packages/daemon/src/operator/status-controller.ts
@@ -1,8 +1,10 @@
 import type {
+  FairAdmission,
   FleetDirectory,
   FleetWatcher,
   InstanceRegistry,
   LoadBook,
+  RoleController,
 } from '@medlarlever/core';
 import { Controller, Get, Query, UseGuards } from '@nestjs/common';
 
@@ -10,6 +12,7 @@
 import type { Readiness } from '../health/readiness.js';
 import { InjectPart } from '../kernel/app.js';
 import {
+  admissionPart,
   directoryPart,
   fleetWatcherPart,
   loadBookPart,
@@ -19,7 +22,6 @@
   rolesPart,
 } from '../kernel/parts.js';
 import type { RequestLog } from '../requests/request-log.js';
-import type { Roles } from '../roles/roles.js';
 
 import { statusOf } from './status.js';
 
@@ -34,14 +36,13 @@
     @InjectPart(loadBookPart) readonly loads: LoadBook,
     @InjectPart(readinessPart) readonly readiness: Readiness,
     @InjectPart(requestLogPart) readonly requestLog: RequestLog,
-    @InjectPart(rolesPart) readonly roles: Roles,
+    @InjectPart(admissionPart) readonly admission: FairAdmission,
+    @InjectPart(rolesPart) readonly roles: RoleController,
   ) {}
 
   @Get('status')
   status() {
-    const { registry, fleet, directory, loads, readiness } = this;
-    const roles = this.roles.controller;
-    return statusOf({ registry, fleet, directory, loads, readiness, roles });
+    return statusOf(this);
   }
 
   @Get('requests')
--- a/packages/daemon/src/operator/status.ts
+++ b/packages/daemon/src/operator/status.ts
@@ -1,5 +1,6 @@
 /** The state of the deployment as this instance sees it. */
 import type {
+  FairAdmission,
   FleetDirectory,
   FleetWatcher,
   InstanceRegistry,
@@ -18,7 +19,8 @@
   readonly directory: FleetDirectory;
   readonly loads: LoadBook;
   readonly readiness: Readiness;
-  readonly roles: RoleController | undefined;
+  readonly roles: RoleController;
+  readonly admission: FairAdmission;
 }
 
 const knownInstances = (registry: InstanceRegistry) =>
@@ -77,7 +79,7 @@
 
 /** The status as operators get it. */
 export const statusOf = (sources: StatusSources) => {
-  const { registry, readiness, roles } = sources;
+  const { registry, readiness, roles, admission } = sources;
   return {
     instance: registry.self.name,
     dataCenter: registry.self.dataCenter,
@@ -85,8 +87,9 @@
     ready: readiness.ready,
     running: readiness.running,
     instances: [...knownInstances(registry), ...unheardInstances(sources)],
+    queues: admission.queues(),
     targets: [...enginesOf(sources), ...servicesOf(sources)],
-    roles: (roles?.records ?? [])
+    roles: roles.records
       .slice(-recentRoleRecords)
       .map(({ atMs, decision, failures }) => ({
         atMs,
--- a/packages/daemon/src/roles/app.ts
+++ b/packages/daemon/src/roles/app.ts
@@ -1,9 +1,74 @@
 /** Registers the role policy of this instance's data centre. */
+import {
+  PlannedRoleChanger,
+  RoleController,
+  createRolePolicy,
+  routingSpeedSchema,
+} from '@medlarlever/core';
+
 import { registerApp } from '../kernel/app.js';
-import { rolesPart } from '../kernel/parts.js';
+import type { DaemonKernel } from '../kernel/app.js';
+import {
+  demandPart,
+  directoryPart,
+  loadBookPart,
+  logPart,
+  meshPart,
+  planLeasePart,
+  plannerPart,
+  prefixesPart,
+  randomPart,
+  rolesPart,
+  settingsPart,
+} from '../kernel/parts.js';
+import { startRank } from '../kernel/ranks.js';
+
+import { Demand } from './demand.js';
+import { LeasedViewSource } from './view-source.js';
 
-import { Roles } from './roles.js';
+const createController = (kernel: DaemonKernel): RoleController => {
+  const { policy, change_cost, period_ms } = kernel.get(settingsPart).roles;
+  return new RoleController({
+    policy: createRolePolicy(
+      { policy, change_cost },
+      routingSpeedSchema.parse({}),
+    ),
+    source: new LeasedViewSource({
+      lease: kernel.get(planLeasePart),
+      directory: kernel.get(directoryPart),
+      loads: kernel.get(loadBookPart),
+      demand: kernel.get(demandPart),
+    }),
+    changer: new PlannedRoleChanger(kernel.get(plannerPart)),
+    log: kernel.get(logPart),
+    random: kernel.get(randomPart),
+    periodMs: period_ms,
+  });
+};
 
 registerApp('roles', kernel => {
-  kernel.provide(rolesPart, () => new Roles(undefined));
+  kernel.provide(
+    demandPart,
+    k =>
+      new Demand({
+        peers: k.get(meshPart),
+        prefixes: k.get(prefixesPart),
+        directory: k.get(directoryPart),
+      }),
+  );
+  kernel.provide(rolesPart, () => createController(kernel));
+  kernel.deferMethods(() => kernel.get(demandPart).peerMethods());
+  const stopping = new AbortController();
+  kernel.step({
+    name: 'roles',
+    rank: startRank.control,
+    start: () => {
+      void kernel.get(rolesPart).run(stopping.signal);
+      return Promise.resolve();
+    },
+    stop: () => {
+      stopping.abort();
+      return Promise.resolve();
+    },
+  });
 });
--- a/packages/daemon/src/server/app.ts
+++ b/packages/daemon/src/server/app.ts
@@ -1,6 +1,7 @@
 /** Registers the three interfaces and the graceful shutdown. */
 import { sleep } from '@medlarlever/core';
 
+import type { Readiness } from '../health/readiness.js';
 import { registerApp } from '../kernel/app.js';
 import type { DaemonKernel, Interface } from '../kernel/app.js';
 import {
@@ -32,6 +33,9 @@
   });
 };
 
+/** Time for streams that are handed over to say so to their callers. */
+const handoverMs = 1_000;
+
 /** Lets the balancer notice, then the running requests end. */
 const drain = async (kernel: DaemonKernel): Promise<void> => {
   const { shutdown } = kernel.get(settingsPart);
@@ -41,9 +45,15 @@
   readiness.announceStop();
   await sleep(shutdown.notice_ms);
   readiness.refuse();
-  const cut = new AbortController();
-  await Promise.race([readiness.idle(), sleep(shutdown.grace_ms, cut.signal)]);
-  cut.abort();
+  await idleWithin(readiness, shutdown.grace_ms);
+  readiness.handOver();
+  await idleWithin(readiness, handoverMs);
+};
+
+const idleWithin = async (readiness: Readiness, ms: number): Promise<void> => {
+  const done = new AbortController();
+  await Promise.race([readiness.idle(), sleep(ms, done.signal)]);
+  done.abort();
 };
 
 registerApp('server', kernel => {
--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -1,4 +1,5 @@
 /** Settings of one daemon process, read from a TOML file. */
+import { roleSettingsSchema } from '@medlarlever/core';
 import { z } from 'zod';
 
 const addressSchema = z
@@ -70,11 +71,7 @@
   checks_fencing: z.array(z.string()).default([]),
 });
 
-const rolesSchema = z.strictObject({
-  /** `mixed` never changes a role. */
-  policy: z.enum(['mixed', 'adaptive']).default('mixed'),
-  /** What one role change is worth, in requests answered in time. */
-  change_cost: z.number().min(0).default(20),
+const rolesSchema = roleSettingsSchema.extend({
   period_ms: z.number().int().min(100).default(2_000),
 });
 
--- a/packages/daemon/src/targets/app.ts
+++ b/packages/daemon/src/targets/app.ts
@@ -13,6 +13,7 @@
   loadBookPart,
   loadPollerPart,
   prefixesPart,
+  quarantinePart,
   randomPart,
   routerPart,
   settingsPart,
@@ -37,6 +38,7 @@
         book: k.get(loadBookPart),
         prefixes: k.get(prefixesPart),
         random: k.get(randomPart),
+        blocked: engine => k.get(quarantinePart).reserved(engine),
       }),
   );
   kernel.provide(
