--- a/packages/core/src/retries/service-runner.ts
+++ b/packages/core/src/retries/service-runner.ts
@@ -118,9 +118,10 @@
       return Left(this.#noTarget(run, progress));
     }
     if (passage.isolated) await passage.reserve(target.service.name);
+    // It may have been closed while quarantine was asked.
     if (targets.closed(target.service.name)) {
       passage.release();
-      return Left(this.#noTarget(run, progress));
+      return this.#attempt(run, progress, signal);
     }
     return this.#call(run, progress, target, passage, signal);
   }
