--- a/packages/core/src/retries/retry-budget.ts
+++ b/packages/core/src/retries/retry-budget.ts
@@ -3,24 +3,22 @@
 export interface RetryBudgetOptions {
   /** Retries earned by each request. */
   readonly share?: number;
-  /** Retries that may be saved up. */
+  /** Retries that may be saved up, and with which it begins. */
   readonly capacity?: number;
 }
 
 const defaultShare = 0.08;
 const defaultCapacity = 4;
 
-/** A new instance may repeat a call before it has earned it. */
-const initialRetries = 1;
-
 export class RetryBudget {
   readonly #share: number;
   readonly #capacity: number;
-  #tokens = initialRetries;
+  #tokens: number;
 
   constructor(options: RetryBudgetOptions = {}) {
     this.#share = options.share ?? defaultShare;
     this.#capacity = options.capacity ?? defaultCapacity;
+    this.#tokens = this.#capacity;
   }
 
   /** Counts a request, whatever becomes of it. */
--- a/packages/core/src/retries/service-runner.ts
+++ b/packages/core/src/retries/service-runner.ts
@@ -146,11 +146,15 @@
     if (passage.target !== undefined) {
       return targets.find(passage.target, choice).extract();
     }
-    if (!passage.isolated) return candidate;
-    return targets
-      .chooseIdlest({ ...choice, exclude })
-      .alt(targets.chooseIdlest(choice))
-      .extract();
+    if (passage.isolated) {
+      return targets
+        .chooseIdlest({ ...choice, exclude })
+        .alt(targets.chooseIdlest(choice))
+        .extract();
+    }
+    // The candidate may have been closed while admission was asked.
+    const { name } = candidate.service;
+    return targets.find(name, choice).alt(targets.choose(choice)).extract();
   }
 
   async #call(
