--- a/packages/daemon/src/quarantine/app.ts
+++ b/packages/daemon/src/quarantine/app.ts
@@ -41,6 +41,9 @@
   kernel.step({
     name: 'quarantine',
     rank: startRank.control,
+    start: async () => {
+      await kernel.get(quarantinePart).start();
+    },
     stop: () => {
       kernel.get(quarantinePart).stop();
       return Promise.resolve();
