--- /dev/null
+++ b/packages/bench/src/daemon/deployment.ts
@@ -0,0 +1,148 @@
+/** A platform, an engine and a service over HTTP, and daemons before them. */
+import { createHash } from 'node:crypto';
+
+import { SilentLog } from '@medlarlever/core';
+import type { FleetMember } from '@medlarlever/core';
+import {
+  EngineModel,
+  ServiceModel,
+  createEngineServer,
+  createPlatform,
+  createPlatformServer,
+  createServiceServer,
+  listen,
+} from '@medlarlever/stand-ins';
+import type { EngineOptions } from '@medlarlever/stand-ins';
+import type { ExecutionContext } from 'ava';
+import { Daemon, listenersPart, settingsSchema } from 'medlarleverd';
+import { request } from 'undici';
+
+export const callerKey = 'caller-key';
+export const otherKey = 'other-key';
+export const operatorKey = 'operator-key';
+
+const hashOf = (key: string) => createHash('sha256').update(key).digest('hex');
+
+const anyPort = '127.0.0.1:0';
+
+/** A daemon with the addresses on which it listens. */
+export interface RunningDaemon {
+  readonly daemon: Daemon;
+  readonly caller: string;
+  readonly operator: string;
+}
+
+export interface Deployment {
+  readonly engine: EngineModel;
+  readonly service: ServiceModel;
+  readonly start: (name: string, graceMs?: number) => Promise<RunningDaemon>;
+}
+
+const settingsOf = (name: string, platform: string, graceMs: number) =>
+  settingsSchema.parse({
+    instance: { name, data_center: 'dc-1', deployment: 'test' },
+    listen: { caller: anyPort, operator: anyPort, peer: anyPort },
+    platform: {
+      table_url: platform,
+      object_url: platform,
+      fleet_url: `${platform}/fleet`,
+    },
+    peers: { secret: 'a secret of the test' },
+    operators: [{ name: 'ops', key_hash: hashOf(operatorKey) }],
+    streams: { secret: 'a secret of the test' },
+    requests: { max_body_bytes: 65_536 },
+    roles: { policy: 'mixed' },
+    shutdown: { notice_ms: 0, grace_ms: graceMs },
+  });
+
+const memberOf = (
+  name: string,
+  kind: 'engine' | 'service',
+  address: string,
+): FleetMember => ({
+  name,
+  kind,
+  dataCenter: 'dc-1',
+  incarnation: `${name}#1`,
+  address,
+  state: 'live',
+  ...(kind === 'service' ? { service: 'guide' } : {}),
+});
+
+const template = {
+  name: 'desk',
+  models: [{ alias: 'style', name: 'style-base', version: '1' }],
+  operations: [
+    { service: 'guide', operation: 'publish', idempotent: false },
+    { service: 'guide', operation: 'lookup', idempotent: true },
+  ],
+  customers: {
+    desk: { key_hashes: [hashOf(callerKey)] },
+    other: { key_hashes: [hashOf(otherKey)] },
+  },
+};
+
+const applyTemplate = async (operator: string): Promise<void> => {
+  const { statusCode, body } = await request(
+    `http://${operator}/operator/configuration`,
+    {
+      method: 'POST',
+      headers: {
+        authorization: `Bearer ${operatorKey}`,
+        'content-type': 'application/json',
+      },
+      body: JSON.stringify({
+        operationId: 'first',
+        baseRevision: 0,
+        templates: { desk: template },
+      }),
+    },
+  );
+  const text = await body.text();
+  if (statusCode !== 200) throw new Error(text);
+};
+
+/** Starts everything; all ends with the test. */
+export const deploy = async (
+  t: ExecutionContext,
+  options: EngineOptions = {},
+): Promise<Deployment> => {
+  const platform = createPlatform({
+    fleetLagMs: 0,
+    weightBytes: 1,
+    weightBytesPerSecond: 1,
+  });
+  const platformServer = createPlatformServer(platform);
+  const engine = new EngineModel({ decodeMs: 1, heartbeatMs: 100, ...options });
+  const engineServer = createEngineServer(engine);
+  const service = new ServiceModel('guide');
+  const serviceServer = createServiceServer(service);
+  const [platformAt, engineAt, serviceAt] = await Promise.all(
+    [platformServer, engineServer, serviceServer].map(server =>
+      listen(server, '127.0.0.1', 0),
+    ),
+  );
+  platform.fleet.set([
+    memberOf('engine-1', 'engine', engineAt ?? ''),
+    memberOf('guide-1', 'service', serviceAt ?? ''),
+  ]);
+  t.teardown(async () => {
+    engine.crash();
+    await Promise.all(
+      [platformServer, engineServer, serviceServer].map(s => s.close()),
+    );
+  });
+  let first = true;
+  const start = async (name: string, graceMs = 30_000) => {
+    const settings = settingsOf(name, `http://${platformAt ?? ''}`, graceMs);
+    const daemon = new Daemon(settings, new SilentLog());
+    await daemon.start();
+    t.teardown(() => daemon.stop());
+    const addresses = daemon.kernel.get(listenersPart).addresses();
+    const { caller = '', operator = '' } = addresses;
+    if (first) await applyTemplate(operator);
+    first = false;
+    return { daemon, caller, operator };
+  };
+  return { engine, service, start };
+};
