--- a/eslint.config.js
+++ b/eslint.config.js
@@ -43,7 +43,12 @@
   {
     files: ['**/*.js', '**/*.mjs'],
     languageOptions: {
-      globals: { process: 'readonly', console: 'readonly', URL: 'readonly' },
+      globals: {
+        process: 'readonly',
+        console: 'readonly',
+        URL: 'readonly',
+        AbortController: 'readonly',
+      },
     },
   },
 );
