--- a/packages/bench/src/replay/main.ts
+++ b/packages/bench/src/replay/main.ts
@@ -8,6 +8,7 @@
 import type { ReplayFigures } from './figures.js';
 import { createContender, policyNames, replaySpeed } from './plans.js';
 import type { ReplayPolicy } from './plans.js';
+import { compareInThreads } from './parallel.js';
 import { replay } from './replay.js';
 import { cutTrace, generateTrace } from './scenario.js';
 import { scenarios } from './scenarios.js';
@@ -34,6 +35,7 @@
   --staged-change-ms N  time of a change back to the role held before
   --write FILE          only write the trace, with --from-ms and --to-ms
   --json                one JSON object a line
+  --no-header           leave out the line that names the columns
 
   Exits 1 when a target is missed, 2 when the usage is wrong.
 `,
@@ -50,6 +52,7 @@
       fromMs: { type: 'number', default: 0 },
       toMs: { type: 'number', default: Infinity },
       json: { type: 'boolean', default: false },
+      header: { type: 'boolean', default: true },
     },
   },
 );
@@ -102,19 +105,33 @@
     : Promise.resolve(generateTrace(scenario, seed));
 };
 
-const compareAll = async (): Promise<number> => {
-  let missed = 0;
-  for (const scenario of Object.values(scenarios)) {
-    for (const seed of heldOutSeeds) {
-      missed += await compare(generateTrace(scenario, seed));
-    }
-  }
-  return missed;
+/** Flags that hold for every comparison of `--all`. */
+const sharedArguments = (): string[] => [
+  '--no-header',
+  ...(flags.json ? ['--json'] : []),
+  ...(flags.hold ? ['--hold'] : []),
+  ...numberArgument('--change-cost', flags.changeCost),
+  ...numberArgument('--staged-change-ms', flags.stagedChangeMs),
+];
+
+const numberArgument = (name: string, value: number | undefined): string[] =>
+  value === undefined ? [] : [name, String(value)];
+
+const compareAll = (): Promise<number> => {
+  const jobs = Object.keys(scenarios).flatMap(name =>
+    heldOutSeeds.map(seed => [
+      name,
+      ...numberArgument('--seed', seed),
+      ...sharedArguments(),
+    ]),
+  );
+  return compareInThreads(new URL(import.meta.url), jobs);
 };
 
 const run = async (): Promise<number> => {
   const [name] = cli.input;
-  if (!flags.json && flags.write === undefined) console.log(formatHeader());
+  const plain = !flags.json && flags.write === undefined;
+  if (plain && flags.header) console.log(formatHeader());
   if (flags.all) return compareAll();
   if (name === undefined) return cli.showHelp(2);
   const trace = await loadTrace(name, flags.seed);
