--- a/packages/bench/src/measure/control.ts
+++ b/packages/bench/src/measure/control.ts
@@ -13,7 +13,9 @@
 } from '../control/fixtures.js';
 import type { ConfigNode } from '../control/fixtures.js';
 
+import { measureIdleDaemons } from './daemon-idle.js';
 import type { Measurement, MeasureSuite } from './measurement.js';
+import { measureMembership } from './membership.js';
 
 const applies = 40;
 const instances = 32;
@@ -127,5 +129,7 @@
       value: rates.commits,
       unit: 'transactions of 3 rows',
     },
+    ...(await measureMembership(seed)),
+    ...(await measureIdleDaemons()),
   ];
 };
