--- a/packages/core/src/plans/plan-runner.ts
+++ b/packages/core/src/plans/plan-runner.ts
@@ -14,7 +14,9 @@
 import type { Plan, PlanRequest } from './plan.js';
 import type { PlanStore, StoredPlan } from './plan-store.js';
 
-const periodMs = 500;
+/** Between looks while plans are open, and while none is. */
+const busyPeriodMs = 500;
+const idlePeriodMs = 2_000;
 
 /** Authority over the plans of a data centre. */
 export interface PlanAuthority {
@@ -55,12 +57,12 @@
   async run(): Promise<void> {
     const { signal } = this.#stopping;
     while (!signal.aborted) {
-      await this.round().catch((error: unknown) => {
-        this.#options.log.event('step_failed', {
-          step: 'plans',
-          reason: String(error),
-        });
+      const open = await this.round().catch((error: unknown) => {
+        const reason = String(error);
+        this.#options.log.event('step_failed', { step: 'plans', reason });
+        return 0;
       });
+      const periodMs = open > 0 ? busyPeriodMs : idlePeriodMs;
       await sleep(jittered(periodMs, this.#options.random), signal);
     }
   }
@@ -69,19 +71,23 @@
     this.#stopping.abort();
   }
 
-  /** Moves each open plan of the data centre on by at most one state. */
-  async round(): Promise<void> {
+  /**
+   * Moves each open plan of the data centre on by at most one state and says
+   * how many there are.
+   */
+  async round(): Promise<number> {
     const open = (await this.#options.store.open()).orDefault([]);
     const mine = open.filter(
       ({ plan }) => plan.dataCenter === this.#options.dataCenter,
     );
-    if (mine.length === 0) return;
+    if (mine.length === 0) return 0;
     const authority = (await this.#options.authority()).extract();
-    if (authority === undefined) return;
+    if (authority === undefined) return mine.length;
     for (const stored of mine) {
-      if (!authority.held) return;
+      if (!authority.held) break;
       await this.#advance(stored, authority);
     }
+    return mine.length;
   }
 
   async #advance(stored: StoredPlan, authority: PlanAuthority): Promise<void> {
