Keep connections to unlinked instances; drop what nothing uses

Cause: each round of a closing opened a connection pool to every instance that is not linked (beyond 16 instances) and never closed it. Seen failing first: the new test got two connections for two questions. Removed: InstanceRevisions, which the registry's records replace, and a second seeded generator.

--- a/packages/bench/src/membership/instances.ts
+++ b/packages/bench/src/membership/instances.ts
@@ -7,7 +7,8 @@
 } from '@medlarlever/core';
 import type { InstanceRecord } from '@medlarlever/core';
 import type { MemoryNetwork } from '@medlarlever/stand-ins';
-import { xoroshiro128plus } from 'pure-rand';
+
+import { createRandom } from '../replay/seeded-random.js';
 
 export interface Instance {
   readonly record: InstanceRecord;
@@ -17,12 +18,6 @@
   readonly log: MemoryLog;
 }
 
-/** Deterministic numbers in [0, 1). */
-export const seededRandom = (seed: number): (() => number) => {
-  const generator = xoroshiro128plus(seed);
-  return () => (generator.unsafeNext() >>> 0) / 2 ** 32;
-};
-
 const recordOf = (index: number, dataCenters: number): InstanceRecord => ({
   name: `entry-${String(index).padStart(3, '0')}`,
   dataCenter: `dc-${index % dataCenters}`,
@@ -49,7 +44,7 @@
   );
   const contacts = records.slice(0, 3).map(({ address }) => address);
   return records.map((record, index) =>
-    createInstance(record, contacts, network, seededRandom(seed + index)),
+    createInstance(record, contacts, network, createRandom(seed + index)),
   );
 };
 
--- a/packages/bench/src/membership/membership.test.ts
+++ b/packages/bench/src/membership/membership.test.ts
@@ -115,3 +115,22 @@
   t.false(registry.remove('other', old.incarnation));
   t.true(registry.remove('other', 'next'));
 });
+
+test.serial('an instance without a link is reached over one connection', t => {
+  const network = new MemoryNetwork();
+  const [first, second] = createInstances({
+    count: 2,
+    dataCenters: 1,
+    network,
+    seed: 5,
+  });
+  if (first === undefined || second === undefined) throw new Error('none');
+  const { name } = second.record;
+  first.registry.merge([second.record]);
+  const reached = first.mesh.peerTo(name).extract();
+  t.is(first.mesh.peerTo(name).extract(), reached);
+  const startedAtMs = second.record.startedAtMs + 1;
+  const next = { ...second.record, incarnation: 'next', startedAtMs };
+  first.registry.merge([next]);
+  t.is(first.mesh.peerTo(name).extract()?.incarnation, 'next');
+});
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -106,7 +106,6 @@
 export * from './config/configuration-editor.js';
 export * from './config/check-change.js';
 export * from './config/difference.js';
-export * from './config/instance-revisions.js';
 export * from './config/check-template.js';
 export * from './authority/lease.js';
 export * from './authority/lease-keeper.js';
--- a/packages/core/src/membership/peer-mesh.ts
+++ b/packages/core/src/membership/peer-mesh.ts
@@ -67,6 +67,8 @@
 export class PeerMesh extends PeerGroup {
   readonly #options: PeerMeshOptions;
   readonly #links = new Map<string, Link>();
+  /** Connections to instances that are not linked, by name. */
+  readonly #reached = new Map<string, ReturnType<PeerConnect>>();
   readonly #stopping = new AbortController();
 
   constructor(options: PeerMeshOptions) {
@@ -82,13 +84,18 @@
     return [...this.#links.values()].map(link => link.peer);
   }
 
-  /** A link to the named instance, opened when there is none. */
+  /** A connection to the named instance, kept when there is no link. */
   peerTo(name: string): Maybe<Peer> {
     const link = this.#links.get(name);
     if (link !== undefined) return Maybe.of(link.peer);
-    return Maybe.fromNullable(this.#options.registry.find(name)).map(record =>
-      this.#options.connect(record),
-    );
+    const record = this.#options.registry.find(name);
+    if (record === undefined) return Maybe.empty();
+    const reached = this.#reached.get(name);
+    if (reached?.incarnation === record.incarnation) return Maybe.of(reached);
+    void reached?.close();
+    const peer = this.#options.connect(record);
+    this.#reached.set(name, peer);
+    return Maybe.of(peer);
   }
 
   /** Registers the heartbeat method. */
@@ -118,8 +125,11 @@
     const links = [...this.#links.values()];
     await Promise.all(links.map(link => this.#beat(link)));
     for (const link of links) link.closing.abort();
-    await Promise.all(links.map(link => link.peer.close()));
+    const reached = [...this.#reached.values()];
+    const peers = [...links.map(link => link.peer), ...reached];
+    await Promise.all(peers.map(peer => peer.close()));
     this.#links.clear();
+    this.#reached.clear();
   }
 
   #answer(beat: Beat) {
