Refuse a trickling body after its configured time

Node swaps requestTimeout and headersTimeout when the latter (60 s by default) is the longer, so every setting below a minute had no effect.

--- a/packages/bench/src/daemon/daemon.test.ts
+++ b/packages/bench/src/daemon/daemon.test.ts
@@ -1,3 +1,5 @@
+import { connect } from 'node:net';
+import { text as streamText } from 'node:stream/consumers';
 import { setImmediate } from 'node:timers/promises';
 
 import { errorBodySchema } from '@medlarlever/core';
@@ -66,6 +68,22 @@
   t.deepEqual(service.executions, []);
 });
 
+test('a body that trickles in gets a numbered answer and is closed', async t => {
+  const { start, engine } = await deploy(t);
+  const { caller } = await start('entry-1');
+  const { hostname, port } = new URL(`http://${caller}`);
+  const socket = connect(Number(port), hostname);
+  socket.write(
+    'POST /v1/completions HTTP/1.1\r\nhost: entry\r\n' +
+      `authorization: Bearer ${callerKey}\r\n` +
+      'content-type: application/json\r\ncontent-length: 100\r\n\r\n{"model"',
+  );
+  const answer = await streamText(socket);
+  t.true(answer.startsWith('HTTP/1.1 408 '));
+  t.is(numberOf(answer.slice(answer.indexOf('{'))), 1004);
+  t.deepEqual(engine.executions, []);
+});
+
 test('no JSON body gets an unnumbered answer or a defect', async t => {
   const { start } = await deploy(t);
   const { caller } = await start('entry-1');
--- a/packages/bench/src/daemon/deployment.ts
+++ b/packages/bench/src/daemon/deployment.ts
@@ -50,7 +50,7 @@
     peers: { secret: 'a secret of the test' },
     operators: [{ name: 'ops', key_hash: hashOf(operatorKey) }],
     streams: { secret: 'a secret of the test' },
-    requests: { max_body_bytes: 65_536 },
+    requests: { max_body_bytes: 65_536, body_timeout_ms: 2_000 },
     roles: { policy: 'mixed' },
     shutdown: { notice_ms: 0, grace_ms: graceMs },
   });
--- a/packages/daemon/src/server/listener.ts
+++ b/packages/daemon/src/server/listener.ts
@@ -31,6 +31,7 @@
 /** Stream ids are longer than Fastify's default of 100 characters. */
 const maxParamLength = 1_024;
 
+const checkingIntervalMs = 1_000;
 const keepAliveMs = 65_000;
 
 @Module({})
@@ -74,7 +75,11 @@
       sendFailure(reply as ErrorReply, classifyError(error));
     },
     routerOptions: { maxParamLength },
-    http: { connectionsCheckingInterval: 1_000 },
+    // Node swaps the two limits when that of the headers is the longer one.
+    http: {
+      headersTimeout: requests.body_timeout_ms,
+      connectionsCheckingInterval: checkingIntervalMs,
+    },
   });
 };
 
