--- a/packages/bench/src/drill/control.ts
+++ b/packages/bench/src/drill/control.ts
@@ -13,6 +13,7 @@
 import { createOrderScenario } from '../explore/order-scenario.js';
 
 import type { Drill, DrillOutcome } from './drill.js';
+import { planDrills } from './plans.js';
 
 const minuteMs = 60_000;
 const inForceMs = 5_000;
@@ -154,4 +155,5 @@
   startWhileDown,
   cutOff,
   ...orderDrills,
+  ...planDrills,
 ];
