Settle every write by one function; break the daemon's import circle

Cause: claims and suspects had their own loop (settleCommit) beside settle, with its own pauses and its own reading of conflicts; kernel/parts of the daemon imported server/listeners, which imported the listener, which imported the parts; the bench had peers in memory beside those of the stand-ins.

settle now takes patience without end and may return at once what the table did not take. A definite refusal that follows a lost answer no longer counts as 'not written': it leaves the end unknown (test added; the claims' own loop kept that rule, settle did not). LocalPeer and LocalPeerGroup are gone; tests, drills and measurements use MemoryNetwork, with a group of peers that tests fill.

--- a/packages/bench/src/control/configuration.test.ts
+++ b/packages/bench/src/control/configuration.test.ts
@@ -1,13 +1,16 @@
 import type { AcceptedChange, Failure } from '@medlarlever/core';
-import { MemoryObjectStore, MemoryTable } from '@medlarlever/stand-ins';
+import {
+  MemoryNetwork,
+  MemoryObjectStore,
+  MemoryPeerGroup,
+  MemoryTable,
+} from '@medlarlever/stand-ins';
 import test from 'ava';
 import type { Either } from 'purify-ts';
 
 import {
   createChange,
   createConfigNode,
-  LocalPeer,
-  LocalPeerGroup,
   outcomeOf,
   withPausedClock,
 } from './fixtures.js';
@@ -112,16 +115,17 @@
     platform.table.faults.down = true;
     platform.objects.faults.down = true;
 
-    const peers = new LocalPeerGroup('dc-1');
-    const peerOf = (name: string, node: typeof old) =>
-      new LocalPeer(name, 'dc-1', () => node.poller.peerMethods());
-    peers.members.push(peerOf('old', old));
+    const network = new MemoryNetwork();
+    network.attach('old', old.poller.peerMethods());
+    network.attach('newer', newer.poller.peerMethods());
+    const peers = new MemoryPeerGroup(network, 'fresh');
+    peers.add('old');
     const fresh = createConfigNode({ ...platform, peers, seed: 3 });
     fresh.holder.saw(2);
     await fresh.poller.poll();
     t.true(fresh.holder.current().isNothing(), 'revision 1 is older than seen');
 
-    peers.members.push(peerOf('newer', newer));
+    peers.add('newer');
     fresh.poller.start();
     await clock.tickAsync(5_000);
     t.is(fresh.holder.revision, 2);
@@ -165,12 +169,12 @@
 test.serial('a hint brings a revision in force within a second', t =>
   withPausedClock(async clock => {
     const platform = createPlatform();
-    const peers = new LocalPeerGroup('dc-1');
+    const network = new MemoryNetwork();
+    const peers = new MemoryPeerGroup(network, 'writer');
     const writer = createConfigNode({ ...platform, peers, seed: 1 });
     const reader = createConfigNode({ ...platform, seed: 2 });
-    peers.members.push(
-      new LocalPeer('reader', 'dc-1', () => reader.poller.peerMethods()),
-    );
+    network.attach('reader', reader.poller.peerMethods());
+    peers.add('reader');
     reader.poller.start();
     await clock.tickAsync(10);
     await writer.editor.apply(createChange('op-1', 0));
@@ -183,15 +187,19 @@
 test.serial('a revision accepted just before an outage reaches everyone', t =>
   withPausedClock(async clock => {
     const platform = createPlatform();
-    const groups = Array.from({ length: 24 }, () => new LocalPeerGroup('dc-1'));
+    const network = new MemoryNetwork();
+    const nameOf = (index: number) => `instance-${index}`;
+    const groups = Array.from(
+      { length: 24 },
+      (_, i) => new MemoryPeerGroup(network, nameOf(i)),
+    );
     const nodes = groups.map((peers, i) =>
       createConfigNode({ ...platform, peers, seed: i }),
     );
-    groups.forEach((group, i) => {
-      const others = nodes.filter((_, j) => j !== i);
-      for (const node of others) {
-        const methods = () => node.poller.peerMethods();
-        group.members.push(new LocalPeer('other', 'dc-1', methods));
+    nodes.forEach(({ poller }, i) => {
+      network.attach(nameOf(i), poller.peerMethods());
+      for (const group of groups) {
+        if (group !== groups[i]) group.add(nameOf(i));
       }
     });
     for (const { poller } of nodes) poller.start();
--- a/packages/bench/src/control/fixtures.ts
+++ b/packages/bench/src/control/fixtures.ts
@@ -7,12 +7,8 @@
   ConfigurationStore,
   LonePeerGroup,
   MemoryLog,
-  Peer,
-  PeerGroup,
-  Failure,
 } from '@medlarlever/core';
-import type { ObjectStore, PeerHandler, Table } from '@medlarlever/core';
-import { Left } from 'purify-ts';
+import type { Failure, ObjectStore, PeerGroup, Table } from '@medlarlever/core';
 import type { Either } from 'purify-ts';
 
 import { seededRandom } from '../shared/seeded-random.js';
@@ -31,52 +27,6 @@
   }
 };
 
-/** Calls handlers of another node in this process; can be cut off. */
-export class LocalPeer extends Peer {
-  cut = false;
-
-  constructor(
-    readonly name: string,
-    readonly dataCenter: string,
-    private readonly handlers: () => ReadonlyMap<string, PeerHandler>,
-  ) {
-    super();
-  }
-
-  get incarnation(): string {
-    return `${this.name}#1`;
-  }
-
-  override async call(
-    method: string,
-    params: unknown,
-  ): Promise<Either<Failure, unknown>> {
-    const handler = this.handlers().get(method);
-    await Promise.resolve();
-    if (this.cut || handler === undefined) {
-      return Left(new Failure('target_failed', 'the peer is unreachable'));
-    }
-    return handler(params, 'peer');
-  }
-
-  override notify(method: string, params: unknown): void {
-    void this.call(method, params);
-  }
-}
-
-/** Peers that a test adds and cuts off. */
-export class LocalPeerGroup extends PeerGroup {
-  readonly members: LocalPeer[] = [];
-
-  constructor(readonly dataCenter: string) {
-    super();
-  }
-
-  override peers(): readonly LocalPeer[] {
-    return this.members.filter(peer => !peer.cut);
-  }
-}
-
 export interface ConfigNodeOptions {
   readonly table: Table;
   readonly objects: ObjectStore;
--- a/packages/bench/src/control/table-client.test.ts
+++ b/packages/bench/src/control/table-client.test.ts
@@ -1,4 +1,10 @@
-import { MemoryLog, settle, sleep, TableClient } from '@medlarlever/core';
+import {
+  MemoryLog,
+  settle,
+  settledKind,
+  sleep,
+  TableClient,
+} from '@medlarlever/core';
 import type { RowKey, Transaction } from '@medlarlever/core';
 import { MemoryTable } from '@medlarlever/stand-ins';
 import test from 'ava';
@@ -90,6 +96,39 @@
   }),
 );
 
+test.serial('a transaction that was not taken is given up at once', t =>
+  withPausedClock(async () => {
+    const table = new MemoryTable();
+    table.faults.down = true;
+    const ended = await settle({
+      table,
+      random: seededRandom(7),
+      transaction: createPut('t-1', 'a'),
+      repeatsRefused: false,
+    });
+    t.is(settledKind(ended), 'unsent');
+  }),
+);
+
+test.serial('a refusal after a lost answer leaves the end unknown', t =>
+  withPausedClock(async clock => {
+    const table = new MemoryTable();
+    table.faults.loseAnswers = 1;
+    const settling = settle({
+      table,
+      random: seededRandom(7),
+      transaction: createPut('t-1', 'a'),
+      repeatsRefused: false,
+      patienceMs: 5_000,
+    });
+    await clock.tickAsync(10);
+    table.faults.down = true;
+    await clock.tickAsync(20_000);
+    t.is(settledKind(await settling), 'unsettled');
+    t.is(table.rows('p').length, 1);
+  }),
+);
+
 /** Answers reads some time after it looked at the rows. */
 class LateTable extends MemoryTable {
   override async read(keys: readonly RowKey[]) {
--- a/packages/bench/src/drill/control.ts
+++ b/packages/bench/src/drill/control.ts
@@ -1,11 +1,14 @@
 /** Faults of the platform, the instances and planned changes. */
-import { MemoryObjectStore, MemoryTable } from '@medlarlever/stand-ins';
+import {
+  MemoryNetwork,
+  MemoryObjectStore,
+  MemoryPeerGroup,
+  MemoryTable,
+} from '@medlarlever/stand-ins';
 
 import {
   createChange,
   createConfigNode,
-  LocalPeer,
-  LocalPeerGroup,
   outcomeOf,
   withPausedClock,
 } from '../control/fixtures.js';
@@ -74,10 +77,11 @@
       await newer.editor.apply(createChange('op-2', 1, 7));
       platform.table.faults.down = true;
       platform.objects.faults.down = true;
-      const peers = new LocalPeerGroup('dc-1');
-      for (const [name, node] of Object.entries({ old, newer })) {
-        const methods = () => node.poller.peerMethods();
-        peers.members.push(new LocalPeer(name, 'dc-1', methods));
+      const network = new MemoryNetwork();
+      const peers = new MemoryPeerGroup(network, 'fresh');
+      for (const [name, { poller }] of Object.entries({ old, newer })) {
+        network.attach(name, poller.peerMethods());
+        peers.add(name);
       }
       const fresh = createConfigNode({ ...platform, peers, seed: seed + 2 });
       const before = fresh.holder.revision;
--- a/packages/bench/src/measure/control.ts
+++ b/packages/bench/src/measure/control.ts
@@ -2,13 +2,16 @@
  * Measurements of `npm run measure -- control`: instances in one process under
  * a paused clock, so times are simulated and calls take no time.
  */
-import { MemoryObjectStore, MemoryTable } from '@medlarlever/stand-ins';
+import {
+  MemoryNetwork,
+  MemoryObjectStore,
+  MemoryPeerGroup,
+  MemoryTable,
+} from '@medlarlever/stand-ins';
 
 import {
   createChange,
   createConfigNode,
-  LocalPeer,
-  LocalPeerGroup,
   withPausedClock,
 } from '../control/fixtures.js';
 import type { ConfigNode } from '../control/fixtures.js';
@@ -27,23 +30,25 @@
 
 type Clock = Parameters<Parameters<typeof withPausedClock>[0]>[0];
 
+const nameOf = (index: number) => `instance-${index}`;
+
 /** Instances that are all connected to each other. */
 const createDeployment = (seed: number) => {
   const table = new MemoryTable();
   const objects = new MemoryObjectStore();
+  const network = new MemoryNetwork();
   const groups = Array.from(
     { length: instances },
-    () => new LocalPeerGroup('dc-1'),
+    (_, i) => new MemoryPeerGroup(network, nameOf(i)),
   );
   const nodes = groups.map((peers, i) =>
     createConfigNode({ table, objects, peers, seed: seed * 1_000 + i }),
   );
-  groups.forEach((group, i) => {
-    nodes.forEach((node, j) => {
-      if (i === j) return;
-      const methods = () => node.poller.peerMethods();
-      group.members.push(new LocalPeer(`instance-${j}`, 'dc-1', methods));
-    });
+  nodes.forEach(({ poller }, i) => {
+    network.attach(nameOf(i), poller.peerMethods());
+    for (const group of groups) {
+      if (group !== groups[i]) group.add(nameOf(i));
+    }
   });
   for (const node of nodes) node.poller.start();
   return { table, objects, nodes };
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -57,7 +57,6 @@
 export * from './retries/target-breaker.js';
 export * from './retries/service-targets.js';
 export * from './retries/service-runner.js';
-export * from './table/settled-commit.js';
 export * from './quarantine/suspect.js';
 export * from './quarantine/table-quarantine.js';
 // Peers and membership
--- a/packages/core/src/ledger/claim-store.ts
+++ b/packages/core/src/ledger/claim-store.ts
@@ -5,8 +5,8 @@
 
 import type { Failure } from '../shared/failure.js';
 import type { Log } from '../shared/log.js';
-import { settleCommit } from '../table/settled-commit.js';
-import type { Row, Table, Write } from '../table/table.js';
+import { settle, settledKind } from '../table/settle.js';
+import type { Commit, Row, Table, Write } from '../table/table.js';
 
 import { claimRowKey, storedClaimOf } from './claim.js';
 import type { Claim, ClaimName, StoredClaim } from './claim.js';
@@ -45,11 +45,11 @@
   ): Promise<ClaimAttempt> {
     const version = released?.version ?? 0;
     const held = { name, stored: { claim, version: version + 1 } };
-    const outcome = await this.#settle(claim.token, this.#put(held), signal);
-    if (outcome.kind === 'committed') return { kind: 'claimed', held };
-    if (outcome.kind === 'unsettled') return { kind: 'unsettled', held };
-    if (outcome.kind === 'unsent') return { kind: 'unsent' };
-    const row = outcome.rows[0];
+    const ended = await this.#settle(claim.token, this.#put(held), signal);
+    const kind = settledKind(ended);
+    if (kind === 'committed') return { kind: 'claimed', held };
+    if (kind === 'unsettled') return { kind: 'unsettled', held };
+    const row = ended.map(standingRow).orDefault(undefined);
     if (row !== undefined) return { kind: 'taken', stored: storedClaimOf(row) };
     return { kind: 'unsent' };
   }
@@ -60,8 +60,8 @@
    */
   async confirm(held: HeldClaim, signal: AbortSignal): Promise<boolean> {
     const { token } = held.stored.claim;
-    const outcome = await this.#settle(token, this.#put(held), signal, true);
-    return outcome.kind === 'committed';
+    const ended = await this.#settle(token, this.#put(held), signal, true);
+    return settledKind(ended) === 'committed';
   }
 
   /** Replaces a claim by what became of it; false when it has moved on. */
@@ -73,8 +73,8 @@
     const { claim, version } = held.stored;
     const next = { claim: { ...claim, ...change }, version: version + 1 };
     const write = this.#put({ name: held.name, stored: next });
-    const outcome = await this.#settle(randomUUID(), write, signal, true);
-    return outcome.kind === 'committed';
+    const ended = await this.#settle(randomUUID(), write, signal, true);
+    return settledKind(ended) === 'committed';
   }
 
   async read(
@@ -102,14 +102,19 @@
     token: string,
     write: Write,
     signal: AbortSignal,
-    persistent = false,
-  ) {
-    const { table, random, log } = this.options;
-    const onUnknown = () => {
-      log.event('write_unknown', { part: 'ledger', token });
-    };
+    repeatsRefused = false,
+  ): Promise<Either<Failure, Commit>> {
     const transaction = { token, writes: [write] };
-    const options = { random, signal, persistent, onUnknown };
-    return settleCommit(table, transaction, options);
+    return settle({
+      ...this.options,
+      transaction,
+      signal,
+      repeatsRefused,
+      patienceMs: Infinity,
+    });
   }
 }
+
+/** The row in the way of the write, if one was. */
+const standingRow = (commit: Commit): Row | undefined =>
+  commit.kind === 'conflict' ? commit.rows[0] : undefined;
--- a/packages/core/src/quarantine/suspect-store.ts
+++ b/packages/core/src/quarantine/suspect-store.ts
@@ -5,7 +5,8 @@
 import type { Either } from 'purify-ts';
 
 import { Failure } from '../shared/failure.js';
-import { settleCommit } from '../table/settled-commit.js';
+import { settle, settledKind } from '../table/settle.js';
+import type { SettledKind } from '../table/settle.js';
 import type { Condition, Row, RowKey, Table, Write } from '../table/table.js';
 
 import {
@@ -194,11 +195,21 @@
     }
   }
 
-  async #settle(token: string, writes: Write[], signal: AbortSignal) {
+  async #settle(
+    token: string,
+    writes: Write[],
+    signal: AbortSignal,
+  ): Promise<SettledKind> {
     const { table, random } = this.options;
-    const options = { random, signal };
-    const outcome = await settleCommit(table, { token, writes }, options);
-    return outcome.kind;
+    const ended = await settle({
+      table,
+      random,
+      signal,
+      transaction: { token, writes },
+      repeatsRefused: false,
+      patienceMs: Infinity,
+    });
+    return settledKind(ended);
   }
 
   #isMine(run: SuspectRun | undefined): boolean {
--- a/packages/core/src/table/settle.ts
+++ b/packages/core/src/table/settle.ts
@@ -27,12 +27,20 @@
   /** Each put must be guarded by a version or an absent row, never deleted. */
   readonly transaction: Transaction;
   readonly random: () => number;
-  /** How long to go on re-sending the token. */
+  /** How long to go on re-sending the token; endless with `Infinity`. */
   readonly patienceMs?: number;
+  /** Repeats also what the platform certainly did not take; so by default. */
+  readonly repeatsRefused?: boolean;
   readonly signal?: AbortSignal;
   readonly log?: Log;
 }
 
+/**
+ * `unsent` certainly had no effect; `unsettled` may have had one, or may still
+ * have one, when patience or signal ended the attempts.
+ */
+export type SettledKind = Commit['kind'] | 'unsent' | 'unsettled';
+
 const wroteRow = (
   transaction: Transaction,
   rows: readonly (Row | undefined)[],
@@ -63,6 +71,7 @@
   options: SettleOptions,
 ): Promise<Either<Failure, Commit>> => {
   const { table, transaction, random, signal, log } = options;
+  const { repeatsRefused = true } = options;
   const startMs = performance.now();
   const elapsedMs = () => performance.now() - startMs;
   const patienceMs = options.patienceMs ?? defaultPatienceMs;
@@ -80,11 +89,12 @@
     const answer = await table.commit(transaction);
     if (answer.isRight()) return judge(answer.extract());
     const failure = answer.extract() as Failure;
-    if (!repeatable.has(failure.code)) return answer;
+    const isRepeated = repeatsRefused && repeatable.has(failure.code);
     if (failure.code === 'platform_unknown' && !uncertain) {
       uncertain = true;
       log?.event('write_unknown', { token: transaction.token });
     }
+    if (!uncertain && !isRepeated) return answer;
     const pauseMs = pauseAfter(attempt, random);
     const spent = elapsedMs() + pauseMs > patienceMs;
     if (spent || !(await sleep(pauseMs, signal))) {
@@ -92,3 +102,10 @@
     }
   }
 };
+
+/** What is known of the transaction when its attempts have ended. */
+export const settledKind = (ended: Either<Failure, Commit>): SettledKind =>
+  ended.caseOf<SettledKind>({
+    Left: ({ executed }) => (executed === 'unknown' ? 'unsettled' : 'unsent'),
+    Right: ({ kind }) => kind,
+  });
--- a/packages/daemon/src/server/listener.ts
+++ b/packages/daemon/src/server/listener.ts
@@ -19,6 +19,7 @@
 import { installBodyParser } from './body-parser.js';
 import { FailureFilter, classifyError, sendFailure } from './failures.js';
 import type { ErrorReply } from './failures.js';
+import type { OpenInterface } from './listeners.js';
 
 /** Nest's own log stays off: numbered events are the only log. */
 // eslint-disable-next-line @typescript-eslint/no-unsafe-class-instance-assignment -- Nest declares its options as a class
@@ -91,7 +92,7 @@
   };
 };
 
-export class Listener {
+export class Listener implements OpenInterface {
   readonly #app: NestFastifyApplication;
 
   private constructor(app: NestFastifyApplication) {
--- a/packages/daemon/src/server/listeners.ts
+++ b/packages/daemon/src/server/listeners.ts
@@ -1,12 +1,17 @@
 /** The open interfaces of this process. */
 import type { Interface } from '../kernel/app.js';
 
-import type { Listener } from './listener.js';
+/** An interface that listens. */
+export interface OpenInterface {
+  /** `ip:port` on which it listens. */
+  readonly address: string;
+  close(): Promise<void>;
+}
 
 export class Listeners {
-  readonly #open = new Map<Interface, Listener>();
+  readonly #open = new Map<Interface, OpenInterface>();
 
-  add(name: Interface, listener: Listener): void {
+  add(name: Interface, listener: OpenInterface): void {
     this.#open.set(name, listener);
   }
 
--- a/packages/stand-ins/src/peers/memory-network.ts
+++ b/packages/stand-ins/src/peers/memory-network.ts
@@ -1,5 +1,5 @@
 /** Peers that call each other in memory, with links that tests cut. */
-import { Failure, Peer } from '@medlarlever/core';
+import { Failure, Peer, PeerGroup } from '@medlarlever/core';
 import type { CallOptions, PeerHandler } from '@medlarlever/core';
 import { Left, Right } from 'purify-ts';
 import type { Either } from 'purify-ts';
@@ -111,3 +111,36 @@
     return Promise.resolve();
   }
 }
+
+/** The peers of one node, each of them to be added by a test. */
+export class MemoryPeerGroup extends PeerGroup {
+  readonly #peers: MemoryPeer[] = [];
+  readonly #self: PeerIdentity;
+
+  constructor(
+    private readonly network: MemoryNetwork,
+    address: string,
+    readonly dataCenter = 'dc-1',
+  ) {
+    super();
+    this.#self = identityOf(address, dataCenter);
+  }
+
+  /** Adds the peer attached to the network at this address. */
+  add(address: string): void {
+    const peer = identityOf(address, this.dataCenter);
+    this.#peers.push(this.network.connect(this.#self, peer));
+  }
+
+  override peers(): readonly MemoryPeer[] {
+    return this.#peers;
+  }
+}
+
+/** A peer that is named by its address. */
+const identityOf = (address: string, dataCenter: string): PeerIdentity => ({
+  name: address,
+  dataCenter,
+  incarnation: `${address}#1`,
+  address,
+});
