--- a/packages/bench/src/control/configuration.test.ts
+++ b/packages/bench/src/control/configuration.test.ts
@@ -117,15 +117,13 @@
 
     const network = new MemoryNetwork();
     network.attach('old', old.poller.peerMethods());
-    network.attach('newer', newer.poller.peerMethods());
     const peers = new MemoryPeerGroup(network, 'fresh');
-    peers.add('old');
     const fresh = createConfigNode({ ...platform, peers, seed: 3 });
     fresh.holder.saw(2);
     await fresh.poller.poll();
     t.true(fresh.holder.current().isNothing(), 'revision 1 is older than seen');
 
-    peers.add('newer');
+    network.attach('newer', newer.poller.peerMethods());
     fresh.poller.start();
     await clock.tickAsync(5_000);
     t.is(fresh.holder.revision, 2);
@@ -174,7 +172,6 @@
     const writer = createConfigNode({ ...platform, peers, seed: 1 });
     const reader = createConfigNode({ ...platform, seed: 2 });
     network.attach('reader', reader.poller.peerMethods());
-    peers.add('reader');
     reader.poller.start();
     await clock.tickAsync(10);
     await writer.editor.apply(createChange('op-1', 0));
@@ -198,9 +195,6 @@
     );
     nodes.forEach(({ poller }, i) => {
       network.attach(nameOf(i), poller.peerMethods());
-      for (const group of groups) {
-        if (group !== groups[i]) group.add(nameOf(i));
-      }
     });
     for (const { poller } of nodes) poller.start();
     await clock.tickAsync(3_000);
--- a/packages/bench/src/drill/control.ts
+++ b/packages/bench/src/drill/control.ts
@@ -81,7 +81,6 @@
       const peers = new MemoryPeerGroup(network, 'fresh');
       for (const [name, { poller }] of Object.entries({ old, newer })) {
         network.attach(name, poller.peerMethods());
-        peers.add(name);
       }
       const fresh = createConfigNode({ ...platform, peers, seed: seed + 2 });
       const before = fresh.holder.revision;
--- a/packages/bench/src/generations/generation-fleet.ts
+++ b/packages/bench/src/generations/generation-fleet.ts
@@ -23,12 +23,14 @@
   Passage,
   StreamSettings,
 } from '@medlarlever/core';
-import { FakeEngine } from '@medlarlever/stand-ins';
+import {
+  FakeEngine,
+  MemoryNetwork,
+  MemoryPeerGroup,
+} from '@medlarlever/stand-ins';
 import type { EngineOptions } from '@medlarlever/stand-ins';
 import type { Either } from 'purify-ts';
 
-import { MemoryPeerGroup, newPeerNetwork } from '../operations/memory-peers.js';
-import type { PeerNetwork } from '../operations/memory-peers.js';
 import { seededRandom } from '../shared/seeded-random.js';
 
 import { EngineDirectory } from './engine-directory.js';
@@ -95,7 +97,7 @@
 }
 
 export class GenerationFleet {
-  readonly network: PeerNetwork = newPeerNetwork();
+  readonly network = new MemoryNetwork();
   readonly pool: EnginePool = { engines: [], leaving: new Set() };
   readonly instances: GenerationInstance[] = [];
   readonly random: () => number;
@@ -206,7 +208,7 @@
       news,
       settings: this.options.settings,
     });
-    this.network.methods.set(
+    this.network.attach(
       name,
       new Map([...dispatcher.peerMethods(), ...news.peerMethods()]),
     );
--- a/packages/bench/src/measure/control.ts
+++ b/packages/bench/src/measure/control.ts
@@ -46,9 +46,6 @@
   );
   nodes.forEach(({ poller }, i) => {
     network.attach(nameOf(i), poller.peerMethods());
-    for (const group of groups) {
-      if (group !== groups[i]) group.add(nameOf(i));
-    }
   });
   for (const node of nodes) node.poller.start();
   return { table, objects, nodes };
--- a/packages/bench/src/operations/operation-fleet.ts
+++ b/packages/bench/src/operations/operation-fleet.ts
@@ -18,14 +18,17 @@
   OperationRequest,
   TemplateOperation,
 } from '@medlarlever/core';
-import { FakeService, MemoryTable } from '@medlarlever/stand-ins';
+import {
+  FakeService,
+  MemoryNetwork,
+  MemoryPeerGroup,
+  MemoryTable,
+} from '@medlarlever/stand-ins';
 import type { Either } from 'purify-ts';
 
 import { InstanceTable } from './instance-table.js';
 import { MemoryDirectory } from './memory-directory.js';
 import type { ServicePool } from './memory-directory.js';
-import { MemoryPeerGroup, newPeerNetwork } from './memory-peers.js';
-import type { PeerNetwork } from './memory-peers.js';
 import { seededRandom } from '../shared/seeded-random.js';
 
 export interface OperationFleetOptions {
@@ -61,7 +64,7 @@
 
 export class OperationFleet {
   readonly table = new MemoryTable();
-  readonly network: PeerNetwork = newPeerNetwork();
+  readonly network = new MemoryNetwork();
   readonly pool: ServicePool;
   /** `instance#incarnation` of every confirmed-gone instance. */
   readonly gone = new Set<string>();
@@ -136,7 +139,7 @@
           .map(entry => entry.target.incarnation)
           .extract(),
     });
-    this.network.methods.set(name, quarantine.peerMethods());
+    this.network.attach(name, quarantine.peerMethods());
     void quarantine.start();
     const targets = new ServiceTargets({ directory, quarantine, log, random });
     const runner = new ServiceRunner({ targets, quarantine, log });
--- a/packages/bench/src/operations/quarantine.test.ts
+++ b/packages/bench/src/operations/quarantine.test.ts
@@ -112,7 +112,7 @@
   );
   await passage.unsafeCoerce().reserve('booking-1');
   lost.table.cutOff = true;
-  fleet.network.cutOff.add('e1');
+  fleet.network.cutOff('e1');
   await clock.tickAsync(61_000);
   t.deepEqual(await namesOf(rig, [[2, poisonous]]), ['suspect_waiting']);
   t.is(fleet.crashes, 0);
--- a/packages/bench/src/operations/random-schedule.ts
+++ b/packages/bench/src/operations/random-schedule.ts
@@ -127,7 +127,7 @@
   fleet => {
     if (fleet.gone.size > 0) return;
     fleet.at(0).table.cutOff = true;
-    fleet.network.cutOff.add('e1');
+    fleet.network.cutOff('e1');
     fleet.confirmGone('e1');
     fleet.start('e4');
   },
--- a/packages/stand-ins/src/peers/memory-network.ts
+++ b/packages/stand-ins/src/peers/memory-network.ts
@@ -23,6 +23,8 @@
   readonly #nodes = new Map<string, Methods>();
   /** `from>to` addresses over which nothing gets through. */
   readonly #cuts = new Set<string>();
+  /** Addresses that nothing reaches and that reach nothing. */
+  readonly #cutOff = new Set<string>();
   /** Bytes of message bodies by the sender's address, answers included. */
   readonly sentBytes = new Map<string, number>();
 
@@ -39,8 +41,21 @@
     this.#cuts.add(`${from}>${to}`);
   }
 
+  /** Loses everything to and from the address. */
+  cutOff(address: string): void {
+    this.#cutOff.add(address);
+  }
+
   heal(): void {
     this.#cuts.clear();
+    this.#cutOff.clear();
+  }
+
+  /** Attached addresses that one at `from` gets through to, without itself. */
+  reachableFrom(from: string): string[] {
+    return [...this.#nodes.keys()].filter(
+      address => address !== from && !this.#isCut(from, address),
+    );
   }
 
   /** A connection from `from` to the peer. */
@@ -58,17 +73,22 @@
     const request = JSON.stringify({ method, params });
     this.#count(from.address, request);
     const handler = this.#nodes.get(to)?.get(method);
-    const lost = this.#cuts.has(`${from.address}>${to}`);
+    const lost = this.#isCut(from.address, to);
     if (lost || handler === undefined) return Left(unreachable());
     const { params: received } = JSON.parse(request) as { params?: unknown };
     const outcome = await handler(received, from.name);
-    if (this.#cuts.has(`${to}>${from.address}`)) return Left(unreachable());
+    if (this.#isCut(to, from.address)) return Left(unreachable());
     if (outcome.isLeft()) return outcome;
     const answer = JSON.stringify(outcome.extract() ?? null);
     this.#count(to, answer);
     return Right(JSON.parse(answer) as unknown);
   }
 
+  #isCut(from: string, to: string): boolean {
+    if (this.#cutOff.has(from) || this.#cutOff.has(to)) return true;
+    return this.#cuts.has(`${from}>${to}`);
+  }
+
   #count(address: string, message: string): void {
     const sent = this.sentBytes.get(address) ?? 0;
     this.sentBytes.set(address, sent + message.length);
@@ -112,28 +132,22 @@
   }
 }
 
-/** The peers of one node, each of them to be added by a test. */
+/** Everyone attached to the network whom one node gets through to. */
 export class MemoryPeerGroup extends PeerGroup {
-  readonly #peers: MemoryPeer[] = [];
-  readonly #self: PeerIdentity;
-
   constructor(
     private readonly network: MemoryNetwork,
-    address: string,
+    private readonly address: string,
     readonly dataCenter = 'dc-1',
   ) {
     super();
-    this.#self = identityOf(address, dataCenter);
-  }
-
-  /** Adds the peer attached to the network at this address. */
-  add(address: string): void {
-    const peer = identityOf(address, this.dataCenter);
-    this.#peers.push(this.network.connect(this.#self, peer));
   }
 
   override peers(): readonly MemoryPeer[] {
-    return this.#peers;
+    const { network, dataCenter } = this;
+    const self = identityOf(this.address, dataCenter);
+    return network
+      .reachableFrom(this.address)
+      .map(address => network.connect(self, identityOf(address, dataCenter)));
   }
 }
 
