Gather the news of a large deployment at one instance of each data centre

Beyond 16 instances the mesh links each one to a few, and loads and kept parts were told over links only, so nearly every instance chose engines blindly: the busiest engine had 4.1 times the mean, 6,510 of 11,378 arrivals were turned away or only read, and 17.1 of 34.2 million prompt tokens were shared parts read again. Ruled out: telling everyone directly (82 x 81 messages several times a second, 0.2 of a core and 8 Mbit/s each); forwarding every report (48 Mbit/s at the forwarder).

Now members report to a hub, the first instance of their data centre by name that answers; hubs sum loads, tell their members and each other. Small deployments go on as before. Closing an engine for a change of its role reaches every instance. Where many choose from the same late picture, each weighs a few drawn engines and those that keep part of the prompt; a shared part that nobody keeps has a home by rendezvous hashing, which holds in small deployments too.

Not measured yet: the home's effect on the small sites.

--- a/packages/relay/src/news/app.ts
+++ b/packages/relay/src/news/app.ts
@@ -4,6 +4,7 @@
 
 import { closeSoon } from '../kernel/closing.js';
 import {
+  circlePart,
   crashesPart,
   demandPart,
   incarnationPart,
@@ -28,6 +29,7 @@
 
 import { InstanceRows } from './instance-rows.js';
 import { LoadNews } from './load-news.js';
+import { MeshCircle } from './news-circle.js';
 import { Snapshots } from './snapshots.js';
 
 /**
@@ -74,7 +76,7 @@
 const createNews = (kernel: Kernel): LoadNews =>
   new LoadNews({
     self: kernel.get(settingsPart).current.instance,
-    peers: () => kernel.get(meshPart),
+    circle: kernel.get(circlePart),
     targets: kernel.get(targetsPart),
     crashes: kernel.get(crashesPart),
     services: kernel.get(servicesPart),
@@ -142,6 +144,10 @@
     kernel.provide(registryPart, createRegistry);
     kernel.provide(instanceRowsPart, createRows);
     kernel.provide(meshPart, createMesh);
+    kernel.provide(
+      circlePart,
+      k => new MeshCircle(k.get(registryPart), () => k.get(meshPart)),
+    );
     kernel.provide(newsPart, createNews);
     kernel.provide(instanceCountPart, k => () => instanceCount(k));
     kernel.provide(
--- a/packages/relay/src/news/load-news.test.ts
+++ b/packages/relay/src/news/load-news.test.ts
@@ -1,54 +1,48 @@
 import FakeTimers from '@sinonjs/fake-timers';
-import { Kernel, LonePeerGroup } from '@medlarlever/core';
+import { Kernel } from '@medlarlever/core';
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
 
+import { FakeCircle, FakeCircles } from '../fixtures/fake-circle.js';
 import { aLog, aTarget } from '../fixtures/relay-fixtures.js';
 import { ServiceStates } from '../relay/service-state.js';
 import { CrashCounts } from '../retries/crash-counts.js';
 import { ReadingDemand } from '../roles/reading-demand.js';
 import { TargetBook } from '../targets/target-book.js';
 
-import { LoadNews, newsMethod } from './load-news.js';
+import { LoadNews } from './load-news.js';
+import { newsMethod } from './news-schema.js';
 
-/** Delivers broadcasts to the other instances of the test. */
-class TestPeers extends LonePeerGroup {
-  readonly kernels: Kernel[] = [];
-  cut = false;
-
-  override broadcast(method: string, params: unknown): void {
-    if (this.cut) return;
-    const copy: unknown = JSON.parse(JSON.stringify(params));
-    for (const kernel of this.kernels) {
-      void kernel.methods.get(method)?.(copy, 'peer');
-    }
-  }
-}
-
-const anInstance = (name: string, signal: AbortSignal) => {
-  const peers = new TestPeers('a');
+const anInstance = (
+  name: string,
+  signal: AbortSignal,
+  circles = new FakeCircles(),
+) => {
+  const circle = new FakeCircle(circles, name);
   const targets = new TargetBook({ log: aLog(), kvTokens: () => 1_000 });
   targets.register(aTarget('t1'));
   const crashes = new CrashCounts();
+  const demand = new ReadingDemand();
   const newer: number[] = [];
   const held = { revision: 1 };
   const news = new LoadNews({
     self: name,
-    peers: () => peers,
+    circle,
     targets,
     crashes,
     services: new ServiceStates({
       windowMs: 10_000,
       allowed: () => ({ ratio: 0.2, allowance: 10, instances: 1 }),
     }),
-    demand: new ReadingDemand(),
+    demand,
     revision: () => held.revision,
     onNewer: (_from, revision) => newer.push(revision),
   });
   const kernel = new Kernel();
   news.register(kernel);
+  circles.kernels.set(name, kernel);
   void news.run(signal);
-  return { peers, targets, crashes, news, kernel, newer, held };
+  return { circle, demand, targets, crashes, news, kernel, newer, held };
 };
 
 const setUp = (t: ExecutionContext) => {
@@ -58,17 +52,15 @@
     stop.abort();
     clock.uninstall();
   });
-  const one = anInstance('one', stop.signal);
-  const two = anInstance('two', stop.signal);
-  one.peers.kernels.push(two.kernel);
-  two.peers.kernels.push(one.kernel);
-  return { clock, one, two };
+  const circles = new FakeCircles();
+  const join = (name: string) => anInstance(name, stop.signal, circles);
+  return { clock, circles, join, one: join('one'), two: join('two') };
 };
 
 test.serial(
   'an instance sees the load of the other and lets it lapse',
   async t => {
-    const { clock, one, two } = setUp(t);
+    const { clock, circles, one, two } = setUp(t);
     const mine = one.targets.find('t1');
     const theirs = two.targets.find('t1');
     mine?.enter();
@@ -78,7 +70,7 @@
     t.is(theirs?.unreadTokens, 500);
     await clock.tickAsync(5_000);
     t.is(theirs?.running, 1);
-    one.peers.cut = true;
+    circles.cutOff.add('one');
     await clock.tickAsync(3_000);
     t.is(theirs?.running, 0);
   },
@@ -102,6 +94,63 @@
   t.true(two.crashes.poisoned('f'));
 });
 
+test.serial(
+  'in a large deployment a hub sums what its members tell',
+  async t => {
+    const { clock, join, one, two } = setUp(t);
+    const three = join('three');
+    for (const { circle } of [one, two, three]) circle.gatherAt('one');
+    const target = ({ targets }: typeof one) => targets.find('t1');
+    target(one)?.enter();
+    target(two)?.startReading([], 500);
+    target(two)?.enter();
+    const part = { id: 'p', tokens: 100 };
+    three.news.reading('t1', [part], 0);
+    await clock.tickAsync(1_500);
+    t.is(target(one)?.running, 2);
+    t.is(target(two)?.running, 2, 'its own work is not counted twice');
+    t.is(target(three)?.running, 2);
+    t.is(target(three)?.unreadTokens, 500);
+    t.is(target(two)?.cache.cachedTokens([part]), 100);
+  },
+);
+
+test.serial('hubs tell each other, and their members hear of it', async t => {
+  const { clock, join, one, two } = setUp(t);
+  const far = join('far');
+  const farMember = join('far member');
+  one.circle.gatherAt('one');
+  two.circle.gatherAt('one');
+  one.circle.hubs = ['far'];
+  far.circle.gatherAt('far');
+  farMember.circle.gatherAt('far');
+  far.circle.hubs = ['one'];
+  two.targets.find('t1')?.enter();
+  await clock.tickAsync(1_500);
+  t.is(farMember.targets.find('t1')?.running, 1);
+  farMember.targets.find('t1')?.enter();
+  await clock.tickAsync(1_500);
+  t.is(two.targets.find('t1')?.running, 2);
+});
+
+test.serial(
+  'what a member tells in a second does not grow with their number',
+  async t => {
+    const { clock, circles, join, one, two } = setUp(t);
+    const members = Array.from({ length: 40 }, (_, i) => join(`m${i}`));
+    for (const { circle } of [one, two, ...members]) circle.gatherAt('one');
+    for (const { targets } of members) targets.find('t1')?.enter();
+    await clock.tickAsync(1_000);
+    circles.told.clear();
+    await clock.tickAsync(1_000);
+    t.true(
+      (circles.told.get('m7') ?? 0) <= 7,
+      `${circles.told.get('m7') ?? 0}`,
+    );
+    t.is(members[3]?.targets.find('t1')?.running, 40);
+  },
+);
+
 test('news that cannot be read is refused, not taken', async t => {
   const stop = new AbortController();
   stop.abort();
--- a/packages/relay/src/news/load-news.ts
+++ b/packages/relay/src/news/load-news.ts
@@ -1,9 +1,8 @@
 /** Tells the other instances of own work at the targets, and learns of theirs. */
 import { Right } from 'purify-ts';
-import { z } from 'zod';
 
 import { sleep } from '@medlarlever/core';
-import type { Kernel, PeerGroup } from '@medlarlever/core';
+import type { Kernel } from '@medlarlever/core';
 
 import type { PromptPart } from '../requests/request.js';
 import type { ServiceStates } from '../relay/service-state.js';
@@ -11,48 +10,37 @@
 import type { ReadingDemand } from '../roles/reading-demand.js';
 import type { TargetBook } from '../targets/target-book.js';
 import { noLoad } from '../targets/target-state.js';
-import type { TargetLoad } from '../targets/target-state.js';
 
-export const newsMethod = 'relay.news';
+import { GatheredNews } from './gathered-news.js';
+import { HeardLoads } from './heard-loads.js';
+import type { NewsCircle } from './news-circle.js';
+import {
+  dataCenterNewsMethod,
+  newsMethod,
+  newsSchema,
+  reportMethod,
+} from './news-schema.js';
+import type { News } from './news-schema.js';
 
 /** How often changed loads are told; engines change within such times. */
 const newsPeriodMs = 150;
 
+/** How often a hub tells its members, and each how many times the other hubs. */
+const hubPeriodMs = 200;
+const otherHubsPeriods = 2;
+
 /**
  * New work is told sooner, so that instances do not all choose the engine that
  * was idle a moment ago. What is placed within this time is told together.
  */
 const newWorkMs = 8;
 
-/** Loads of an instance that has gone quiet are not believed longer. */
-const believedMs = 1_200;
-
 /** Unchanged loads are told again before they are no longer believed. */
 const repeatAfterMs = 600;
 
-const partSchema = z.tuple([z.string(), z.number()]);
-
-const newsSchema = z.object({
-  from: z.string(),
-  /** Configuration version in force at the sender. */
-  revision: z.number(),
-  /**
-   * Target, its unread prompt tokens, running requests, and the milliseconds
-   * since the sender heard of it.
-   */
-  loads: z.array(z.tuple([z.string(), z.number(), z.number(), z.number()])),
-  /** Service and the prompt tokens that the sender ever gave out to read. */
-  placed: z.array(z.tuple([z.string(), z.number()])),
-  /** Target, the prompt parts that it began to read, and the time it needs. */
-  read: z.array(z.tuple([z.string(), z.array(partSchema), z.number()])),
-  /** Request fingerprint and the target that crashed with it. */
-  crashes: z.array(z.tuple([z.string(), z.string()])),
-});
-export type News = z.infer<typeof newsSchema>;
-
 export interface LoadNewsOptions {
   readonly self: string;
-  readonly peers: () => PeerGroup;
+  readonly circle: NewsCircle;
   readonly targets: TargetBook;
   readonly crashes: CrashCounts;
   readonly services: ServiceStates;
@@ -62,18 +50,17 @@
   readonly onNewer: (from: string, revision: number) => void;
 }
 
-interface HeardLoad {
-  readonly atMs: number;
-  readonly loads: News['loads'];
-}
-
 export class LoadNews {
   readonly #options: LoadNewsOptions;
-  readonly #heard = new Map<string, HeardLoad>();
+  readonly #heard = new HeardLoads();
+  readonly #gathered = new GatheredNews();
   #read: News['read'] = [];
   #toldText = '[]';
   #toldAtMs = 0;
   #tellingSoon = false;
+  #hubPeriods = 0;
+  /** News of this data centre that the other hubs have not been told. */
+  #unsaid: Pick<News, 'read' | 'crashes'> = { read: [], crashes: [] };
 
   constructor(options: LoadNewsOptions) {
     this.#options = options;
@@ -91,7 +78,7 @@
       parts.map(({ id, tokens }) => [id, tokens]),
       Math.round(expectedMs),
     ]);
-    if (this.#tellingSoon) return;
+    if (this.#tellingSoon || this.#options.circle.large) return;
     this.#tellingSoon = true;
     setTimeout(() => {
       this.#tellingSoon = false;
@@ -101,46 +88,111 @@
 
   register(kernel: Kernel): void {
     kernel.method(newsMethod, params => {
+      this.#hear(newsSchema.parse(params));
+      return Promise.resolve(Right(null));
+    });
+    kernel.method(reportMethod, params => {
       const news = newsSchema.parse(params);
+      this.#gathered.report(news);
       this.#hear(news);
       return Promise.resolve(Right(null));
     });
+    kernel.method(dataCenterNewsMethod, params => {
+      const news = newsSchema.parse(params);
+      this.#hear(news);
+      this.#tellMembers(news);
+      return Promise.resolve(Right(null));
+    });
   }
 
   /** Tells until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
+    void this.#runHub(signal);
     while (await sleep(newsPeriodMs, signal)) {
       this.#tell();
       this.#apply();
     }
   }
 
+  async #runHub(signal: AbortSignal): Promise<void> {
+    while (await sleep(hubPeriodMs, signal)) this.#publish();
+  }
+
   #tell(): void {
-    const { self, peers, crashes, revision, services, demand } = this.#options;
-    const placed = services.tokensPlaced();
-    demand.heard(self, placed);
+    const { circle, self } = this.#options;
+    const hub = circle.large ? circle.hub() : undefined;
+    // What a hub has to tell goes out with what it gathers.
+    if (hub === self && this.#gathered.members().length > 0) return;
     const loads = this.#ownLoads();
+    if (!this.#isDue(loads, hub !== undefined)) return;
+    const news = this.#ownNews(loads);
+    if (hub === undefined || hub === self) {
+      circle.broadcast(newsMethod, news);
+      return;
+    }
+    this.#heard.reported(hub, loads);
+    circle.toldHub(hub);
+    circle.tell(hub, reportMethod, news);
+  }
+
+  /** A hub tells its members and the other hubs what it gathered. */
+  #publish(): void {
+    const { circle } = this.#options;
+    if (!circle.large || this.#gathered.members().length === 0) return;
+    const news = this.#gathered.take(this.#ownNews(this.#ownLoads()));
+    this.#tellMembers(news);
+    this.#unsaid.read.push(...news.read);
+    this.#unsaid.crashes.push(...news.crashes);
+    this.#hubPeriods += 1;
+    if (this.#hubPeriods % otherHubsPeriods !== 0) return;
+    for (const hub of circle.otherHubs()) {
+      circle.tell(hub, dataCenterNewsMethod, { ...news, ...this.#unsaid });
+    }
+    this.#unsaid = { read: [], crashes: [] };
+  }
+
+  /** True when the sums of a hub contain what this instance tells. */
+  get #isMember(): boolean {
+    const { circle, self } = this.#options;
+    return circle.large && circle.hub() !== self;
+  }
+
+  #tellMembers(news: News): void {
+    for (const member of this.#gathered.members()) {
+      this.#options.circle.tell(member, newsMethod, news);
+    }
+  }
+
+  /** Changes are due at once; members of a hub report when idle as well. */
+  #isDue(loads: News['loads'], toHub: boolean): boolean {
     const text = JSON.stringify(loads.map(load => load.slice(0, 3)));
-    const newCrashes = crashes.takeNew();
-    const quiet =
-      text === this.#toldText &&
-      this.#read.length === 0 &&
-      newCrashes.length === 0;
+    const changed =
+      text !== this.#toldText ||
+      this.#read.length > 0 ||
+      this.#options.crashes.hasNew;
     const nowMs = performance.now();
-    if (quiet && (loads.length === 0 || nowMs - this.#toldAtMs < repeatAfterMs))
-      return;
+    const repeats = loads.length > 0 || toHub;
+    const late = nowMs - this.#toldAtMs >= repeatAfterMs;
+    if (!changed && !(repeats && late)) return false;
     this.#toldText = text;
     this.#toldAtMs = nowMs;
-    const news: News = {
+    return true;
+  }
+
+  #ownNews(loads: News['loads']): News {
+    const { self, crashes, revision, services, demand } = this.#options;
+    const placed = services.tokensPlaced();
+    if (!this.#isMember) demand.heard(self, placed);
+    const read = this.#read;
+    this.#read = [];
+    return {
       from: self,
       revision: revision(),
       loads,
       placed,
-      read: this.#read,
-      crashes: newCrashes,
+      read,
+      crashes: crashes.takeNew(),
     };
-    this.#read = [];
-    peers().broadcast(newsMethod, news);
   }
 
   #ownLoads(): News['loads'] {
@@ -156,9 +208,10 @@
   }
 
   #hear(news: News): void {
-    const { targets, crashes, revision, onNewer, demand } = this.#options;
+    const { targets, crashes, circle, demand } = this.#options;
+    circle.heardFrom(news.from);
     demand.heard(news.from, news.placed);
-    this.#heard.set(news.from, { atMs: performance.now(), loads: news.loads });
+    this.#heard.heard(news.from, news.loads);
     for (const [id, , , silentMs] of news.loads) {
       targets.find(id)?.heard(silentMs);
     }
@@ -169,27 +222,14 @@
     for (const [fingerprint, target] of news.crashes) {
       crashes.learn(fingerprint, target);
     }
+    const { revision, onNewer } = this.#options;
     if (news.revision > revision()) onNewer(news.from, news.revision);
     this.#apply();
   }
 
-  /** Sums what the others told and sets it at each target. */
+  /** Sets at each target what the others told. */
   #apply(): void {
-    const sums = new Map<string, TargetLoad>();
-    const nowMs = performance.now();
-    for (const [from, { atMs, loads }] of this.#heard) {
-      if (nowMs - atMs > believedMs) {
-        this.#heard.delete(from);
-        continue;
-      }
-      for (const [id, unreadTokens, running] of loads) {
-        const sum = sums.get(id) ?? noLoad;
-        sums.set(id, {
-          unreadTokens: sum.unreadTokens + unreadTokens,
-          running: sum.running + running,
-        });
-      }
-    }
+    const sums = this.#heard.sums();
     for (const state of this.#options.targets.all()) {
       state.othersLoad(sums.get(state.record.id) ?? noLoad);
     }
--- /dev/null
+++ b/packages/relay/src/news/news-schema.ts
@@ -0,0 +1,34 @@
+/** What instances tell each other of their work at the targets. */
+import { z } from 'zod';
+
+/** One instance to another: its own news, or the sum of several. */
+export const newsMethod = 'relay.news';
+
+/** A member of a data centre to the one that gathers the news there. */
+export const reportMethod = 'relay.report';
+
+/** The gathered news of a data centre to the others' gathering instances. */
+export const dataCenterNewsMethod = 'relay.data-center-news';
+
+/** Loads of an instance that has gone quiet are not believed longer. */
+export const believedMs = 1_200;
+
+const partSchema = z.tuple([z.string(), z.number()]);
+
+export const newsSchema = z.object({
+  from: z.string(),
+  /** Configuration version in force at the sender. */
+  revision: z.number(),
+  /**
+   * Target, its unread prompt tokens, running requests, and the milliseconds
+   * since the sender heard of it.
+   */
+  loads: z.array(z.tuple([z.string(), z.number(), z.number(), z.number()])),
+  /** Service and the prompt tokens that were ever given out to read. */
+  placed: z.array(z.tuple([z.string(), z.number()])),
+  /** Target, the prompt parts that it began to read, and the time it needs. */
+  read: z.array(z.tuple([z.string(), z.array(partSchema), z.number()])),
+  /** Request fingerprint and the target that crashed with it. */
+  crashes: z.array(z.tuple([z.string(), z.string()])),
+});
+export type News = z.infer<typeof newsSchema>;
--- /dev/null
+++ b/packages/relay/src/placing/candidates.ts
@@ -0,0 +1,93 @@
+/** Which targets are weighed for a request, before their costs are. */
+import { createHash } from 'node:crypto';
+
+import type { Prompt } from '../requests/request.js';
+import type { TargetState } from '../targets/target-state.js';
+
+/** Targets drawn at random in the own data centre and in the others. */
+const drawnNear = 2;
+const drawnFar = 1;
+
+/** Fewer kept tokens do not make a target worth weighing. */
+const fewestKeptTokens = 512;
+
+/** A number that is the same at every instance. */
+const weightOf = (part: string, target: string): string =>
+  createHash('sha1').update(`${part} ${target}`).digest('hex');
+
+/** The part that other requests share most of the prompt with. */
+const sharedPart = ({ parts }: Prompt): string | undefined =>
+  (parts.at(-2) ?? parts.at(-1))?.id;
+
+/**
+ * The engine at which the shared part is read when none keeps it: instances
+ * that have not heard of each other's choice choose the same one (rendezvous
+ * hashing).
+ */
+export const homeOf = (
+  targets: readonly TargetState[],
+  prompt: Prompt,
+): TargetState | undefined => {
+  const part = sharedPart(prompt);
+  if (part === undefined) return undefined;
+  let home: TargetState | undefined;
+  let most = '';
+  for (const target of targets) {
+    const weight = weightOf(part, target.record.id);
+    if (weight <= most) continue;
+    most = weight;
+    home = target;
+  }
+  return home;
+};
+
+export interface DrawOptions {
+  /** Data centre of this instance. */
+  readonly dataCenter: string;
+  /**
+   * Uniform numbers. Given when many instances choose from the same late
+   * picture: the best of a few drawn targets spares them one common choice.
+   */
+  readonly draw: (() => number) | undefined;
+}
+
+const sample = (
+  targets: readonly TargetState[],
+  count: number,
+  draw: () => number,
+): TargetState[] => {
+  const left = [...targets];
+  const taken: TargetState[] = [];
+  while (taken.length < count && left.length > 0) {
+    taken.push(...left.splice(Math.floor(draw() * left.length), 1));
+  }
+  return taken;
+};
+
+/** A few of the targets, most of them near; all when nothing is drawn. */
+export const drawn = (
+  targets: readonly TargetState[],
+  { dataCenter, draw }: DrawOptions,
+): readonly TargetState[] => {
+  if (draw === undefined) return targets;
+  const isNear = ({ record }: TargetState) => record.dataCenter === dataCenter;
+  const near = targets.filter(isNear);
+  const far = targets.filter(target => !isNear(target));
+  return [...sample(near, drawnNear, draw), ...sample(far, drawnFar, draw)];
+};
+
+/** A few drawn targets, the home, and all that keep part of the prompt. */
+export const drawnReaders = (
+  targets: readonly TargetState[],
+  prompt: Prompt,
+  options: DrawOptions,
+): readonly TargetState[] => {
+  if (options.draw === undefined) return targets;
+  const home = homeOf(targets, prompt);
+  const kept = targets.filter(
+    target =>
+      target === home ||
+      target.cache.cachedTokens(prompt.parts) >= fewestKeptTokens,
+  );
+  return [...new Set([...kept, ...drawn(targets, options)])];
+};
--- a/packages/relay/src/placing/placement.test.ts
+++ b/packages/relay/src/placing/placement.test.ts
@@ -17,6 +17,7 @@
   dataCenter: 'a',
   excluded: new Set(),
   unreached: new Set(),
+  draw: undefined,
   ...change,
 });
 
--- a/packages/relay/src/placing/placement.ts
+++ b/packages/relay/src/placing/placement.ts
@@ -2,6 +2,8 @@
 import type { Prompt } from '../requests/request.js';
 import type { TargetState } from '../targets/target-state.js';
 
+import { drawn, drawnReaders, homeOf } from './candidates.js';
+import type { DrawOptions } from './candidates.js';
 import { readingOverheadMs } from './reading-speed.js';
 import type { ReadingSpeed } from './reading-speed.js';
 
@@ -35,6 +37,9 @@
  */
 const copyPrice = 0.5;
 
+/** Part of the reading time by which a prompt's home may be the dearer one. */
+const homeShare = 0.25;
+
 /** Where a generation's prompt is read and its answer made. */
 export interface Placement {
   /** Absent when the prompt is read where the answer is made. */
@@ -48,15 +53,13 @@
   readonly firstEventMs: number;
 }
 
-export interface PlacementOptions {
+export interface PlacementOptions extends DrawOptions {
   readonly targets: readonly TargetState[];
   readonly prompt: Prompt;
   readonly speed: ReadingSpeed;
   readonly slots: number;
   /** Time to copy the memory of a token from another engine. */
   readonly transferMsPerToken: number;
-  /** Data centre of this instance. */
-  readonly dataCenter: string;
   /** Targets that are not to be tried again. */
   readonly excluded: ReadonlySet<TargetState>;
   /** Data centres that seem to be out of reach. */
@@ -212,18 +215,33 @@
 export const placeDecoding = (
   options: PlacementOptions,
 ): TargetState | undefined =>
-  leastLoaded(decodersOf(usable(options), options), options);
+  leastLoaded(drawn(decodersOf(usable(options), options), options), options);
+
+/** The engine at which the prompt is read soonest, apart from any answer. */
+const readApart = (
+  targets: readonly TargetState[],
+  options: PlacementOptions,
+): Candidate | undefined => {
+  const readers = targets.filter(({ record }) => record.role === 'prefill');
+  const home = homeOf(readers, options.prompt);
+  const candidates = drawnReaders(readers, options.prompt, options)
+    .map(target => reader(target, options, 1))
+    .map(candidate => {
+      const { target, tokens, cost } = candidate;
+      if (target !== home) return candidate;
+      const ownMs = tokens / options.speed.tokensPerMs;
+      return { ...candidate, cost: cost - homeShare * ownMs };
+    });
+  return best(candidates);
+};
 
 /** The placement with the earliest first event; none when nothing is left. */
 export const placeGeneration = (
   options: PlacementOptions,
 ): Placement | undefined => {
   const targets = usable(options);
-  const decoders = decodersOf(targets, options);
-  const readers = targets
-    .filter(({ record }) => record.role === 'prefill')
-    .map(target => reader(target, options, 1));
-  const apart = best(readers);
+  const decoders = drawn(decodersOf(targets, options), options);
+  const apart = readApart(targets, options);
   const inPlace = readInPlace(decoders, options);
   const decode = leastLoaded(decoders, options);
   if (decode === undefined) return undefined;
--- a/packages/relay/src/relay/app.ts
+++ b/packages/relay/src/relay/app.ts
@@ -2,6 +2,7 @@
 import type { Plugin } from '@medlarlever/core';
 
 import {
+  circlePart,
   crashesPart,
   drainPart,
   instanceCountPart,
@@ -52,6 +53,7 @@
         metrics: new RelayMetrics(k.get(metricsPart)),
         log: k.get(logPart),
         random: k.get(randomPart),
+        crowded: () => k.get(circlePart).large,
         dataCenter: k.get(settingsPart).current.dataCenter,
         timeLeftMs: () => k.get(drainPart).leftMs,
         onReading: (target, parts, expectedMs) => {
--- a/packages/relay/src/relay/generation-run.ts
+++ b/packages/relay/src/relay/generation-run.ts
@@ -122,7 +122,7 @@
   }
 
   #options(): PlacementOptions {
-    const { targets, dataCenter, reach } = this.parts;
+    const { targets, dataCenter, reach, crowded, random } = this.parts;
     return {
       targets: targets.open(this.journey.service),
       prompt: this.prompt,
@@ -132,6 +132,7 @@
       dataCenter,
       excluded: this.excluded,
       unreached: reach.avoided(),
+      draw: crowded() ? random : undefined,
     };
   }
 
--- a/packages/relay/src/relay/relay.test.ts
+++ b/packages/relay/src/relay/relay.test.ts
@@ -62,6 +62,7 @@
     log,
     random: () => 0.5,
     dataCenter: 'a',
+    crowded: () => false,
     timeLeftMs: () => Infinity,
     onReading: () => undefined,
   };
--- a/packages/relay/src/relay/relay.ts
+++ b/packages/relay/src/relay/relay.ts
@@ -35,6 +35,8 @@
   readonly metrics: RelayMetrics;
   readonly log: Log;
   readonly random: () => number;
+  /** True when many instances choose targets from the same late picture. */
+  readonly crowded: () => boolean;
   /** Data centre of this instance. */
   readonly dataCenter: string;
   /** Time that this process can still give to a request. */
--- a/packages/relay/src/retries/crash-counts.ts
+++ b/packages/relay/src/retries/crash-counts.ts
@@ -53,6 +53,11 @@
     this.#targets.set(fingerprint, targets);
   }
 
+  /** True while there is something to tell the neighbours. */
+  get hasNew(): boolean {
+    return this.#new.length > 0;
+  }
+
   /** Findings that the neighbours have not been told. */
   takeNew(): [string, string][] {
     const found = this.#new;
--- a/packages/relay/src/roles/role-leader.test.ts
+++ b/packages/relay/src/roles/role-leader.test.ts
@@ -1,9 +1,5 @@
 import FakeTimers from '@sinonjs/fake-timers';
-import {
-  InstanceRegistry,
-  LeaseKeeper,
-  LonePeerGroup,
-} from '@medlarlever/core';
+import { InstanceRegistry, LeaseKeeper } from '@medlarlever/core';
 import type { Commit, Failure, Transaction } from '@medlarlever/core';
 import { MemoryTable } from '@medlarlever/stand-ins';
 import test from 'ava';
@@ -11,6 +7,7 @@
 import { Right } from 'purify-ts';
 import type { Either } from 'purify-ts';
 
+import { FakeCircle, FakeCircles } from '../fixtures/fake-circle.js';
 import { aConfiguration, aLog, aTarget } from '../fixtures/relay-fixtures.js';
 import { ServiceStates } from '../relay/service-state.js';
 import { RouteHolder } from '../routes/route-holder.js';
@@ -119,7 +116,7 @@
       }),
       demand: new ReadingDemand(),
       orders,
-      news: new RoleNews(() => new LonePeerGroup('a'), targets),
+      news: new RoleNews(new FakeCircle(new FakeCircles(), 'self'), targets),
       log,
       random,
       turnMs,
--- a/packages/relay/src/roles/role-news.ts
+++ b/packages/relay/src/roles/role-news.ts
@@ -1,8 +1,9 @@
 /** Tells all instances which engines change their role and take no work. */
-import type { Kernel, PeerGroup } from '@medlarlever/core';
+import type { Kernel } from '@medlarlever/core';
 import { Right } from 'purify-ts';
 import { z } from 'zod';
 
+import type { NewsCircle } from '../news/news-circle.js';
 import type { TargetBook } from '../targets/target-book.js';
 
 const closeMethod = 'relay.close';
@@ -15,7 +16,7 @@
 
 export class RoleNews {
   constructor(
-    private readonly peers: () => PeerGroup,
+    private readonly circle: NewsCircle,
     private readonly targets: TargetBook,
   ) {}
 
@@ -30,7 +31,7 @@
   /** No instance that hears of it sends new work there for the time. */
   close(target: string, forMs: number): void {
     this.targets.find(target)?.closeFor(forMs);
-    this.peers().broadcast(closeMethod, { target, forMs });
+    this.circle.spread(closeMethod, { target, forMs });
   }
 
   reopen(target: string): void {
