See that a caller has left before its request was read; refuse when far behind

Seven of eight instances were dead; the last one was 1.2 s behind with its sockets (the request was sent at 27.667 s and handled at 28.914 s). The caller's close lay unread behind the request: the event loop reads it one turn later, and only the end of the response told of it. Ruled out: a lost or late abort (attempt and end are logged 21 ms after the start), the deadline's timer.

An instance now measures the delay of its event loop. It counts the delay against the request's time, reads on for a turn before it serves when it is behind, takes the end of the caller's side for leaving, and refuses unrun when it is more than 0.5 s behind, with the delay as Retry-After. Tests: a request and its close that arrived together (fails without the turn), the delay of a blocked process, the refusal.

--- a/packages/relay/src/relay/app.ts
+++ b/packages/relay/src/relay/app.ts
@@ -7,6 +7,7 @@
   drainPart,
   instanceCountPart,
   logPart,
+  loopDelayPart,
   metricsPart,
   newsPart,
   randomPart,
@@ -55,6 +56,7 @@
         random: k.get(randomPart),
         crowded: () => k.get(circlePart).large,
         dataCenter: k.get(settingsPart).current.dataCenter,
+        behindMs: () => k.get(loopDelayPart).currentMs,
         timeLeftMs: () => k.get(drainPart).leftMs,
         onReading: (target, parts, expectedMs) => {
           k.get(newsPart).reading(target, parts, expectedMs);
--- a/packages/relay/src/relay/relay.test.ts
+++ b/packages/relay/src/relay/relay.test.ts
@@ -63,6 +63,7 @@
     random: () => 0.5,
     dataCenter: 'a',
     crowded: () => false,
+    behindMs: () => 0,
     timeLeftMs: () => Infinity,
     onReading: () => undefined,
   };
@@ -414,3 +415,14 @@
   await relay.serve(aRequest({ patienceMs: 1_000 }), short);
   t.is(short.text, 'ok');
 });
+
+test('a process that is far behind turns requests away unrun', async t => {
+  const { parts, client } = setUp();
+  const relay = new Relay({ ...parts, behindMs: () => 1_300 });
+  const caller = new FakeCaller();
+  await relay.serve(aRequest({}), caller);
+  t.is(caller.failure?.code, 'overloaded');
+  t.is(caller.failure?.executed, 'no');
+  t.is(caller.failure?.retryAfterMs, 1_300);
+  t.is(client.sends.length, 0);
+});
--- a/packages/relay/src/relay/relay.ts
+++ b/packages/relay/src/relay/relay.ts
@@ -23,6 +23,12 @@
 /** Another instance can take the request at once. */
 const stoppingRetryMs = 50;
 
+/**
+ * A process that is further behind takes no more: its answers would come late,
+ * and other instances may be idle.
+ */
+const mostBehindMs = 500;
+
 /** What the relay works with. */
 export interface RelayParts {
   readonly routes: RouteHolder;
@@ -39,6 +45,8 @@
   readonly crowded: () => boolean;
   /** Data centre of this instance. */
   readonly dataCenter: string;
+  /** How far this process is behind with what has arrived. */
+  readonly behindMs: () => number;
   /** Time that this process can still give to a request. */
   readonly timeLeftMs: () => number;
   /** Told when an engine begins to read prompt parts. */
@@ -109,6 +117,13 @@
       journey.fail(new Failure('shutting_down', reason, { retryAfterMs }));
       return;
     }
+    const behindMs = this.parts.behindMs();
+    if (behindMs > mostBehindMs) {
+      const reason = `the instance is ${Math.round(behindMs)} ms behind`;
+      const retryAfterMs = behindMs;
+      journey.fail(new Failure('overloaded', reason, { retryAfterMs }));
+      return;
+    }
     services.get(service).retries.request();
     const engine = routes.current?.service(service)?.engine;
     if (engine !== undefined && request.prompt !== undefined) {
--- a/packages/relay/src/server/app.ts
+++ b/packages/relay/src/server/app.ts
@@ -8,6 +8,7 @@
   droppedLinesPart,
   leavingPart,
   logPart,
+  loopDelayPart,
   metricsPart,
   registryPart,
   relayPart,
@@ -24,6 +25,7 @@
 
 import { CallerServer } from './caller-server.js';
 import { Drain } from './drain.js';
+import { LoopDelay } from './loop-delay.js';
 import { PageServer } from './page-server.js';
 
 /** Something that listens until it is closed. */
@@ -56,6 +58,7 @@
     routes: kernel.get(routesPart),
     decoder: kernel.get(requestDecoderPart),
     drain: kernel.get(drainPart),
+    loopDelay: kernel.get(loopDelayPart),
     ...kernel.get(settingsPart).current.callers,
   });
 
@@ -118,11 +121,13 @@
   register: kernel => {
     kernel.provide(metricsPart, () => new Registry());
     kernel.provide(drainPart, () => new Drain());
+    kernel.provide(loopDelayPart, () => new LoopDelay());
     let callers: Listener | undefined;
     kernel.step({
       name: 'callers',
       rank: startRank.callers,
       start: async () => {
+        kernel.get(loopDelayPart).start();
         callers = await openCallers(kernel);
       },
     });
--- /dev/null
+++ b/packages/relay/src/server/caller-server.test.ts
@@ -0,0 +1,63 @@
+import { execFileSync } from 'node:child_process';
+
+import test from 'ava';
+import { Right } from 'purify-ts';
+
+import { aLog, aRequest } from '../fixtures/relay-fixtures.js';
+import type { Relay } from '../relay/relay.js';
+import type { Caller } from '../requests/request.js';
+import { RouteHolder } from '../routes/route-holder.js';
+
+import { CallerServer } from './caller-server.js';
+import { Drain } from './drain.js';
+import { LoopDelay } from './loop-delay.js';
+import { RequestDecoder } from './request-decoder.js';
+
+class FixedDecoder extends RequestDecoder {
+  override decode() {
+    return Right(aRequest({}));
+  }
+}
+
+/**
+ * Sends a request and leaves, in a process that this one waits for: all of it
+ * has arrived before the server reads anything.
+ */
+const sendAndLeave = (port: number): void => {
+  const request = 'GET /rules/ HTTP/1.1\\r\\nhost: desk.example\\r\\n\\r\\n';
+  const script = `
+    const socket = require('node:net').connect(${port}, '127.0.0.1');
+    socket.end('${request}');
+    socket.on('finish', () => setTimeout(() => process.exit(0), 200));
+  `;
+  execFileSync(process.execPath, ['-e', script]);
+};
+
+test('a caller that left before its request was read is seen to have left', async t => {
+  const callers: Caller[] = [];
+  const relay = {
+    serve: (_request: unknown, caller: Caller) => {
+      callers.push(caller);
+      t.true(caller.left.aborted);
+      return Promise.resolve();
+    },
+  };
+  const loopDelay = new LoopDelay();
+  loopDelay.start();
+  const server = await CallerServer.open({
+    relay: relay as unknown as Relay,
+    routes: new RouteHolder(aLog()),
+    decoder: new FixedDecoder(),
+    drain: new Drain(),
+    loopDelay,
+    host: '127.0.0.1',
+    port: 0,
+  });
+  t.teardown(() => server.close());
+  sendAndLeave(server.port);
+  t.true(loopDelay.currentMs > 100, 'the server was kept from reading');
+  while (callers.length === 0) {
+    await new Promise(resolve => setImmediate(resolve));
+  }
+  t.is(callers.length, 1);
+});
--- a/packages/relay/src/server/caller-server.ts
+++ b/packages/relay/src/server/caller-server.ts
@@ -16,11 +16,13 @@
 
 import { BodyReader } from './body-reader.js';
 import type { Drain } from './drain.js';
+import type { LoopDelay } from './loop-delay.js';
 import { RelayController } from './relay-controller.js';
 import type { RequestDecoder } from './request-decoder.js';
 import {
   bodyReaderToken,
   drainToken,
+  loopDelayToken,
   relayToken,
   requestDecoderToken,
   routesToken,
@@ -52,6 +54,7 @@
   readonly routes: RouteHolder;
   readonly decoder: RequestDecoder;
   readonly drain: Drain;
+  readonly loopDelay: LoopDelay;
   readonly host: string;
   readonly port: number;
 }
@@ -65,6 +68,7 @@
     { provide: requestDecoderToken, useValue: options.decoder },
     { provide: bodyReaderToken, useValue: new BodyReader() },
     { provide: drainToken, useValue: options.drain },
+    { provide: loopDelayToken, useValue: options.loopDelay },
   ],
 });
 
--- a/packages/relay/src/server/http-caller.ts
+++ b/packages/relay/src/server/http-caller.ts
@@ -21,7 +21,14 @@
   ) {
     super();
     this.#response = response;
+    const { socket } = response;
+    const onEnd = () => {
+      this.#leaving.abort();
+    };
+    // Node closes its side then, too: no answer would arrive any more.
+    socket?.once('end', onEnd);
     response.once('close', () => {
+      socket?.off('end', onEnd);
       if (!response.writableFinished) this.#leaving.abort();
     });
   }
--- a/packages/relay/src/server/relay-controller.ts
+++ b/packages/relay/src/server/relay-controller.ts
@@ -1,5 +1,6 @@
 /** Every request of callers, whatever its path and method. */
 import type { IncomingMessage } from 'node:http';
+import { setImmediate as nextTurn } from 'node:timers/promises';
 
 import { Failure } from '@medlarlever/core';
 import { All, Controller, Inject, Req, Res } from '@nestjs/common';
@@ -12,15 +13,20 @@
 import type { BodyReader } from './body-reader.js';
 import type { Drain } from './drain.js';
 import { HttpCaller } from './http-caller.js';
+import type { LoopDelay } from './loop-delay.js';
 import type { RequestDecoder } from './request-decoder.js';
 import {
   bodyReaderToken,
   drainToken,
+  loopDelayToken,
   relayToken,
   requestDecoderToken,
   routesToken,
 } from './tokens.js';
 
+/** A smaller delay of the event loop is not told from its usual turns. */
+const noticeableDelayMs = 40;
+
 /** Limits while no configuration is known. */
 const firstLimits: CallerLimits = {
   headerBytes: 16_384,
@@ -40,6 +46,7 @@
     @Inject(requestDecoderToken) readonly decoder: RequestDecoder,
     @Inject(bodyReaderToken) readonly bodies: BodyReader,
     @Inject(drainToken) readonly drain: Drain,
+    @Inject(loopDelayToken) readonly loopDelay: LoopDelay,
   ) {}
 
   @All()
@@ -47,7 +54,7 @@
     @Req() request: FastifyRequest,
     @Res() reply: FastifyReply,
   ): Promise<void> {
-    const arrivedMs = performance.now();
+    const arrivedMs = performance.now() - this.loopDelay.currentMs;
     reply.hijack();
     const message = request.raw;
     const caller = new HttpCaller(reply.raw, () => this.drain.closing);
@@ -84,10 +91,21 @@
     const bytes = body.extract() as Buffer;
     try {
       const decoded = this.decoder.decode(message, url, bytes, arrivedMs);
+      await this.#seeLeaving();
       if (decoded.isLeft()) caller.refuse(decoded.extract());
       else await this.relay.serve(decoded.unsafeCoerce(), caller);
     } finally {
       this.bodies.release(bytes.length);
     }
   }
+
+  /**
+   * A process that is behind may have the caller's close unread in the same
+   * connection: the event loop reads it one turn after the request.
+   */
+  async #seeLeaving(): Promise<void> {
+    if (this.loopDelay.currentMs < noticeableDelayMs) return;
+    await nextTurn();
+    await nextTurn();
+  }
 }
--- a/packages/relay/src/server/tokens.ts
+++ b/packages/relay/src/server/tokens.ts
@@ -4,3 +4,4 @@
 export const requestDecoderToken = 'request-decoder';
 export const bodyReaderToken = 'body-reader';
 export const drainToken = 'drain';
+export const loopDelayToken = 'loop-delay';
