Add the fault soak: real processes, seeded faults, promises checked

Three instances of the platform's daemon run as processes of their own, each with its own view of a store and its own proxies to store, targets and callers. Faults strike from outside: SIGTERM in turn, SIGKILL of several, SIGSTOP, settings with SIGHUP, steps of the time of day (a preload), links silent one way or both, reset or slow, a store that is busy, silent, slow, loses answers, applies late or forgets its history, targets that leave, crash, hang, cut, lose or add answers, routes that move. They overlap and come in series. Callers keep their connections until these break. Sixteen checks judge what callers and targets saw; each has a test with evidence that it must find. Not injected: cuts between instances, as they tell each other their real addresses.

--- a/packages/relay/src/feed/app.ts
+++ b/packages/relay/src/feed/app.ts
@@ -2,13 +2,16 @@
 import type { Kernel, Plugin } from '@medlarlever/core';
 
 import {
+  circlePart,
   crashesPart,
   logPart,
+  newsPart,
   randomPart,
   registryPart,
   routeFollowerPart,
   routeSourcePart,
   routesPart,
+  rowNewsPart,
   settingsPart,
   stoppingPart,
   targetClientPart,
@@ -22,6 +25,8 @@
 import { TargetBook } from '../targets/target-book.js';
 
 import { followRoutes, followTargets } from './followers.js';
+import { RowNews } from './row-news.js';
+import type { RowSource } from './row-source.js';
 
 const createTargets = (kernel: Kernel): TargetBook => {
   const client = kernel.get(targetClientPart);
@@ -54,15 +59,31 @@
   return routes;
 };
 
+/** The source, whose table a hub may follow for this instance. */
+const shared = <T>(kernel: Kernel, source: RowSource<T>): RowSource<T> => ({
+  ...source,
+  feed: kernel.get(rowNewsPart).share(source.feed),
+});
+
 export const feedApp: Plugin = {
   name: 'feed',
   register: kernel => {
+    kernel.provide(
+      rowNewsPart,
+      k =>
+        new RowNews({
+          members: () => k.get(newsPart).members(),
+          tell: (member, method, params) => {
+            k.get(circlePart).tell(member, method, params);
+          },
+        }),
+    );
     kernel.provide(routesPart, createRoutes);
     kernel.provide(targetsPart, createTargets);
     kernel.provide(routeFollowerPart, k =>
       followRoutes(
         {
-          source: k.get(routeSourcePart),
+          source: shared(k, k.get(routeSourcePart)),
           log: k.get(logPart),
           random: k.get(randomPart),
           waitMs: k.get(settingsPart).current.feedWaitMs,
@@ -73,7 +94,7 @@
     kernel.provide(targetFollowerPart, k =>
       followTargets(
         {
-          source: k.get(targetSourcePart),
+          source: shared(k, k.get(targetSourcePart)),
           log: k.get(logPart),
           random: k.get(randomPart),
           waitMs: k.get(settingsPart).current.feedWaitMs,
--- a/packages/relay/src/kernel/parts.ts
+++ b/packages/relay/src/kernel/parts.ts
@@ -4,6 +4,7 @@
 import type { Registry } from 'prom-client';
 
 import type { FeedFollower } from '../feed/feed-follower.js';
+import type { RowNews } from '../feed/row-news.js';
 import type { RowSource } from '../feed/row-source.js';
 import type { InstanceRows } from '../news/instance-rows.js';
 import type { LoadNews } from '../news/load-news.js';
@@ -50,6 +51,7 @@
 export const metricsPart = new Token<Registry>('metrics');
 export const routesPart = new Token<RouteHolder>('routes');
 export const targetsPart = new Token<TargetBook>('targets');
+export const rowNewsPart = new Token<RowNews>('row-news');
 export const routeFollowerPart = new Token<FeedFollower>('route-follower');
 export const targetFollowerPart = new Token<FeedFollower>('target-follower');
 export const servicesPart = new Token<ServiceStates>('services');
--- a/packages/relay/src/news/app.ts
+++ b/packages/relay/src/news/app.ts
@@ -17,6 +17,7 @@
   registryPart,
   roleNewsPart,
   routesPart,
+  rowNewsPart,
   servicesPart,
   settingsPart,
   snapshotsPart,
@@ -124,6 +125,7 @@
   kernel.get(newsPart).register(kernel);
   kernel.get(snapshotsPart).register(kernel);
   kernel.get(roleNewsPart).register(kernel);
+  kernel.get(rowNewsPart).register(kernel);
   const close = await openPeerInterface({
     kernel,
     log: kernel.get(logPart),
--- a/packages/relay/src/news/load-news.ts
+++ b/packages/relay/src/news/load-news.ts
@@ -86,6 +86,11 @@
     }, newWorkMs);
   }
 
+  /** Instances that rely on this one as their hub; most have none. */
+  members(): readonly string[] {
+    return this.#options.circle.large ? this.#gathered.members() : [];
+  }
+
   register(kernel: Kernel): void {
     kernel.method(newsMethod, params => {
       this.#hear(newsSchema.parse(params));
@@ -122,7 +127,7 @@
     const { circle, self } = this.#options;
     const hub = circle.large ? circle.hub() : undefined;
     // What a hub has to tell goes out with what it gathers.
-    if (hub === self && this.#gathered.members().length > 0) return;
+    if (hub === self && this.members().length > 0) return;
     const loads = this.#ownLoads();
     if (!this.#isDue(loads, hub !== undefined)) return;
     const news = this.#ownNews(loads);
@@ -138,7 +143,7 @@
   /** A hub tells its members and the other hubs what it gathered. */
   #publish(): void {
     const { circle } = this.#options;
-    if (!circle.large || this.#gathered.members().length === 0) return;
+    if (this.members().length === 0) return;
     const news = this.#gathered.take(this.#ownNews(this.#ownLoads()));
     this.#tellMembers(news);
     this.#unsaid.read.push(...news.read);
--- /dev/null
+++ b/packages/soak/src/checks/process-checks.ts
@@ -0,0 +1,142 @@
+/** Configuration, planned stops, recovery and the processes themselves. */
+import type { Arrival } from '@medlarlever/platform/stand-ins';
+
+import type { Attempt, Evidence } from '../scene/evidence.js';
+import { movingPrefix } from '../scene/routes.js';
+import { recoveryMs } from '../scene/scene.js';
+
+import { groupBy, isInTouch } from './check.js';
+import type { Check, Violation } from './check.js';
+
+/** Time after its acknowledgement in which a configuration is in force. */
+const inForceMs = 3_000;
+
+/** Time after which what a later version showed may not be undone. */
+const downgradeMs = 250;
+
+/** Newest version that the run of a request fits, by its service. */
+const versionOf = (evidence: Evidence, run: Arrival): number =>
+  evidence.configurations
+    .filter(({ service, atMs }) => service === run.service && atMs <= run.atMs)
+    .reduce((newest, { version }) => Math.max(newest, version), 0);
+
+const movingRuns = (evidence: Evidence) => {
+  const attempts = new Map(evidence.attempts.map(one => [one.id, one]));
+  return evidence.arrivals.flatMap(run => {
+    const sent = attempts.get(run.attempt);
+    if (!run.ran || !run.path.startsWith(movingPrefix)) return [];
+    return sent === undefined ? [] : [{ run, sent }];
+  });
+};
+
+export const configurationInForce: Check = evidence =>
+  movingRuns(evidence).flatMap(({ run, sent }): Violation[] => {
+    const due = evidence.configurations
+      .filter(({ atMs }) => atMs + inForceMs < sent.sentAtMs)
+      .at(-1);
+    if (due === undefined || versionOf(evidence, run) >= due.version) return [];
+    const calm = isInTouch(evidence, sent.instance, due.atMs, run.atMs);
+    if (!calm) return [];
+    const seen = `${run.attempt} ran at ${run.service} under version ${due.version}`;
+    return [{ promise: 'a configuration is in force within its time', seen }];
+  });
+
+export const noWayBack: Check = evidence => {
+  const lives = groupBy(
+    movingRuns(evidence),
+    ({ sent }) => `${sent.instance} ${sent.life}`,
+  );
+  return [...lives.values()].flatMap(runs => {
+    const seen = [...runs].sort((a, b) => a.run.atMs - b.run.atMs);
+    return seen.flatMap(({ run, sent }): Violation[] => {
+      const newest = seen
+        .filter(other => other.run.atMs + downgradeMs < sent.sentAtMs)
+        .reduce((most, other) => {
+          const oldest = oldestVersion(evidence, other.run);
+          return Math.max(most, oldest);
+        }, 0);
+      if (versionOf(evidence, run) >= newest) return [];
+      const told = `${run.attempt} ran at ${run.service} after version ${newest}`;
+      return [
+        { promise: 'no instance goes back to an older version', seen: told },
+      ];
+    });
+  });
+};
+
+/** Oldest version that certainly was in force when the run was placed. */
+const oldestVersion = (evidence: Evidence, run: Arrival): number => {
+  const fitting = evidence.configurations.filter(
+    ({ service, atMs }) => service === run.service && atMs <= run.atMs,
+  );
+  return fitting.length === 1 ? (fitting[0]?.version ?? 0) : 0;
+};
+
+/** Only own planned work was near, and the target did its part. */
+const lostByStop = (
+  evidence: Evidence,
+  attempt: Attempt,
+  arrivals: readonly Arrival[],
+): boolean => {
+  const { end, sentAtMs, endedAtMs, leftAtMs, instance } = attempt;
+  const broken = end?.whole === false && leftAtMs === undefined;
+  if (!broken || arrivals.length === 0) return false;
+  if (arrivals.some(({ failed }) => failed)) return false;
+  const stop = evidence.exits.find(
+    exit =>
+      exit.instance === instance &&
+      exit.asked === 'SIGTERM' &&
+      (exit.askedAtMs ?? 0) < (endedAtMs ?? 0) &&
+      exit.atMs > sentAtMs,
+  );
+  return stop !== undefined && onlyPlanned(evidence, attempt);
+};
+
+/** No fault but stops touched anything around the request. */
+const onlyPlanned = (evidence: Evidence, attempt: Attempt): boolean =>
+  evidence.disturbances.isCalmBut(
+    'SIGTERM',
+    attempt.sentAtMs - 4_000,
+    attempt.endedAtMs ?? Infinity,
+  );
+
+export const nothingLostInStops: Check = evidence => {
+  const arrivals = groupBy(evidence.arrivals, ({ attempt }) => attempt);
+  return evidence.attempts.flatMap((attempt): Violation[] => {
+    const own = arrivals.get(attempt.id) ?? [];
+    if (!lostByStop(evidence, attempt, own)) return [];
+    const seen = `${attempt.id} at ${attempt.instance}: ${attempt.end?.reason ?? ''}`;
+    return [{ promise: 'a planned stop loses no request', seen }];
+  });
+};
+
+/** Longest time from a stop signal to the end. */
+const graceMs = 8_000;
+
+export const expectedExits: Check = ({ exits, disturbances }) =>
+  exits.flatMap((exit): Violation[] => {
+    const seen = JSON.stringify(exit);
+    if (exit.asked === undefined) {
+      return [{ promise: 'no process ends by itself', seen }];
+    }
+    if (exit.asked === 'SIGKILL') return [];
+    const askedMs = exit.askedAtMs ?? 0;
+    const slow = exit.atMs - askedMs > graceMs;
+    const paused = !disturbances.isCalmBut('SIGTERM', askedMs, exit.atMs);
+    if (exit.code === 0 && (!slow || paused)) return [];
+    return [{ promise: 'a planned stop ends cleanly in its time', seen }];
+  });
+
+/** Part of the requests that must be served again after the recovery. */
+const servedShare = 0.25;
+
+export const recovery: Check = ({ attempts, calmSinceMs }) => {
+  const late = attempts.filter(
+    ({ sentAtMs, endedAtMs }) =>
+      sentAtMs > calmSinceMs + recoveryMs && endedAtMs !== undefined,
+  );
+  const served = late.filter(({ end }) => end?.status === 200 && end.whole);
+  if (late.length > 0 && served.length >= servedShare * late.length) return [];
+  const seen = `${served.length} of ${late.length} served`;
+  return [{ promise: 'everything serves again after the last fault', seen }];
+};
--- /dev/null
+++ b/packages/soak/src/faults/target-faults.ts
@@ -0,0 +1,56 @@
+/** Targets that leave, crash or fail part of their requests. */
+import { noFaults } from '@medlarlever/platform/stand-ins';
+import type { RunnerFaults } from '@medlarlever/platform/stand-ins';
+
+import type { Scene } from '../scene/scene.js';
+import type { Random } from '../shared/random.js';
+
+import { Fault, passBetween } from './fault.js';
+
+/** One target leaves after another of its kind has come. */
+export class Replacement extends Fault {
+  readonly name = 'replacement';
+
+  async inject(scene: Scene, random: Random): Promise<void> {
+    const [leaving] = random.sample(scene.targets.spare(), 1);
+    if (leaving === undefined) return;
+    await scene.targets.add(leaving.service, leaving.role);
+    await passBetween(random, 0.2, 1);
+    await scene.targets.leave(leaving);
+  }
+}
+
+export class Crash extends Fault {
+  readonly name = 'crash';
+
+  async inject(scene: Scene, random: Random): Promise<void> {
+    const [target] = random.sample(scene.targets.spare(), 1);
+    if (target === undefined) return;
+    const over = scene.disturbances.begin(target.id, this.name);
+    await scene.targets.crash(target, random.between(200, 2_500));
+    over();
+  }
+}
+
+const greyKinds: readonly Partial<RunnerFaults>[] = [
+  { hang: 0.3 },
+  { reset: 0.4 },
+  { cut: 0.5 },
+  { lose: 0.4 },
+  { extra: 0.5 },
+  { slowness: 8 },
+  { cut: 0.2, lose: 0.2, extra: 0.2 },
+];
+
+export class GreyTarget extends Fault {
+  readonly name = 'grey target';
+
+  async inject(scene: Scene, random: Random): Promise<void> {
+    const target = random.pick(scene.targets.all());
+    const over = scene.disturbances.begin(target.id, this.name);
+    target.faults = { ...noFaults(), ...random.pick(greyKinds) };
+    await passBetween(random, 1, 6);
+    target.faults = noFaults();
+    over();
+  }
+}
--- /dev/null
+++ b/packages/soak/src/network/proxy-set.ts
@@ -0,0 +1,33 @@
+/** The proxies through which one instance reaches others, by real address. */
+import { FaultProxy } from './fault-proxy.js';
+
+const addressPattern = /127\.0\.0\.1:\d+/g;
+
+export class ProxySet {
+  readonly #proxies = new Map<string, FaultProxy>();
+
+  /** The proxy must stand before the address is shown to the instance. */
+  async add(address: string): Promise<void> {
+    this.#proxies.set(address, await FaultProxy.start(address));
+  }
+
+  to(address: string): FaultProxy | undefined {
+    return this.#proxies.get(address);
+  }
+
+  all(): FaultProxy[] {
+    return [...this.#proxies.values()];
+  }
+
+  /** The text with each known address replaced by that of its proxy. */
+  rewrite(text: string): string {
+    return text.replaceAll(
+      addressPattern,
+      address => this.#proxies.get(address)?.address ?? address,
+    );
+  }
+
+  async stop(): Promise<void> {
+    await Promise.all(this.all().map(proxy => proxy.stop()));
+  }
+}
--- /dev/null
+++ b/packages/soak/src/processes/instance-process.ts
@@ -0,0 +1,196 @@
+/** One daemon as a process of its own, with its links and its log lines. */
+import { spawn } from 'node:child_process';
+import type { ChildProcess } from 'node:child_process';
+import { once } from 'node:events';
+import { writeFile } from 'node:fs/promises';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+
+import {
+  FakeStore,
+  aSettingsFileOf,
+  readyPath,
+  settingsVariable,
+} from '@medlarlever/platform/stand-ins';
+import type { SettingsPorts } from '@medlarlever/platform/stand-ins';
+import { request } from 'undici';
+
+import { FaultProxy } from '../network/fault-proxy.js';
+import { ProxySet } from '../network/proxy-set.js';
+import { freePort } from '../shared/free-port.js';
+
+/** How the process ended; the signal is the one that ended it. */
+export interface InstanceExit {
+  readonly instance: string;
+  readonly atMs: number;
+  readonly code: number | null;
+  readonly signal: string | null;
+  /** The signal that the soak had sent to end it. */
+  readonly asked: string | undefined;
+  readonly askedAtMs: number | undefined;
+}
+
+export interface InstanceOptions {
+  readonly name: string;
+  readonly dataCenter: string;
+  readonly folder: string;
+  /** The store whose rows it sees. */
+  readonly store: FakeStore;
+  readonly graceS: number;
+  readonly retryAllowance: number;
+}
+
+const entry = fileURLToPath(
+  import.meta.resolve('@medlarlever/platform/daemon'),
+);
+const clockStep = fileURLToPath(new URL('clock-step.js', import.meta.url));
+const readyPollMs = 100;
+
+export class InstanceProcess {
+  readonly lines: string[] = [];
+  readonly exits: InstanceExit[] = [];
+  /** Counts starts, so that requests name the life that took them. */
+  life = 0;
+  #child: ChildProcess | undefined;
+  #asked: { signal: string; atMs: number } | undefined;
+  #reloads = 0;
+
+  private constructor(
+    private readonly options: InstanceOptions,
+    private readonly ports: SettingsPorts,
+    /** Its view of the store, with moods of its own. */
+    readonly store: FakeStore,
+    readonly storeLink: FaultProxy,
+    readonly callerLink: FaultProxy,
+    readonly targetLinks: ProxySet,
+  ) {}
+
+  static async create(options: InstanceOptions): Promise<InstanceProcess> {
+    const targetLinks = new ProxySet();
+    const store = await FakeStore.start({
+      rowsOf: options.store,
+      rewrite: text => targetLinks.rewrite(text),
+    });
+    const storeLink = await FaultProxy.start(store.address);
+    const ports = {
+      callers: await freePort(),
+      readiness: await freePort(),
+      peers: await freePort(),
+      store: storeLink.address,
+    };
+    const callerLink = await FaultProxy.start(`127.0.0.1:${ports.callers}`);
+    return new InstanceProcess(
+      options,
+      ports,
+      store,
+      storeLink,
+      callerLink,
+      targetLinks,
+    );
+  }
+
+  get name(): string {
+    return this.options.name;
+  }
+
+  /** Address at which callers reach it, harmed or not. */
+  get address(): string {
+    return this.callerLink.address;
+  }
+
+  get running(): boolean {
+    return this.#child !== undefined;
+  }
+
+  async start(): Promise<void> {
+    const file = await this.#writeSettings();
+    const child = spawn(process.execPath, ['--import', clockStep, entry], {
+      env: { ...process.env, [settingsVariable]: file },
+      stdio: ['ignore', 'pipe', 'pipe'],
+    });
+    this.life += 1;
+    this.#asked = undefined;
+    this.#child = child;
+    child.stdout.on('data', chunk => {
+      this.#keep(chunk);
+    });
+    child.stderr.on('data', chunk => {
+      this.#keep(chunk);
+    });
+    child.once('exit', (code, signal) => {
+      this.#ended(code, signal);
+    });
+  }
+
+  /** Sends the signal and waits for the end. */
+  async end(signal: 'SIGTERM' | 'SIGKILL'): Promise<void> {
+    const child = this.#child;
+    if (child === undefined) return;
+    this.#asked = { signal, atMs: performance.now() };
+    const exit = once(child, 'exit');
+    child.kill(signal);
+    await exit;
+  }
+
+  signal(signal: 'SIGSTOP' | 'SIGCONT' | 'SIGUSR2'): void {
+    this.#child?.kill(signal);
+  }
+
+  /** Changes the settings file and says so. */
+  async reload(): Promise<void> {
+    this.#reloads += 1;
+    await this.#writeSettings();
+    this.#child?.kill('SIGHUP');
+  }
+
+  async isReady(): Promise<boolean> {
+    const url = `http://127.0.0.1:${this.ports.readiness}${readyPath}`;
+    try {
+      const answer = await request(url);
+      await answer.body.dump();
+      return answer.statusCode === 200;
+    } catch {
+      return false;
+    }
+  }
+
+  async untilReady(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted && !(await this.isReady())) {
+      await new Promise(resolve => setTimeout(resolve, readyPollMs));
+    }
+  }
+
+  async stop(): Promise<void> {
+    this.signal('SIGCONT');
+    await this.end('SIGKILL');
+    await this.store.stop();
+    await this.targetLinks.stop();
+    await this.storeLink.stop();
+    await this.callerLink.stop();
+  }
+
+  async #writeSettings(): Promise<string> {
+    const { name, folder } = this.options;
+    const contact = `127.0.0.1:${this.#reloads + 1}`;
+    const settings = aSettingsFileOf({ ...this.options, contact }, this.ports);
+    const file = join(folder, `${name}.json`);
+    await writeFile(file, JSON.stringify(settings));
+    return file;
+  }
+
+  #keep(chunk: unknown): void {
+    this.lines.push(...String(chunk).trimEnd().split('\n'));
+  }
+
+  #ended(code: number | null, signal: string | null): void {
+    this.#child = undefined;
+    this.exits.push({
+      instance: this.name,
+      atMs: performance.now(),
+      code,
+      signal,
+      asked: this.#asked?.signal,
+      askedAtMs: this.#asked?.atMs,
+    });
+  }
+}
--- /dev/null
+++ b/packages/soak/src/scene/evidence.ts
@@ -0,0 +1,56 @@
+/** All that a run of the soak saw, for the checks. Times are steady ms. */
+import type {
+  Arrival,
+  CallerEnd,
+  SeenOrder,
+} from '@medlarlever/platform/stand-ins';
+
+import type { InstanceExit } from '../processes/instance-process.js';
+
+import type { Disturbances } from './disturbances.js';
+
+export type RequestKind = 'idempotent' | 'non_idempotent' | 'stream';
+
+/** One attempt of a caller. */
+export interface Attempt {
+  readonly id: string;
+  readonly kind: RequestKind;
+  readonly method: string;
+  readonly path: string;
+  readonly body: string;
+  readonly instance: string;
+  /** Which life of the instance took it. */
+  readonly life: number;
+  readonly sentAtMs: number;
+  /** The caller closed its connection. */
+  leftAtMs: number | undefined;
+  endedAtMs: number | undefined;
+  end: CallerEnd | undefined;
+}
+
+/** A version of the configuration and the service of the route that moves. */
+export interface ConfigurationChange {
+  readonly version: number;
+  readonly service: string;
+  readonly atMs: number;
+}
+
+/** A target that said it is leaving. */
+export interface Leaving {
+  readonly target: string;
+  readonly atMs: number;
+}
+
+export interface Evidence {
+  readonly attempts: Attempt[];
+  readonly arrivals: readonly Arrival[];
+  readonly orders: readonly SeenOrder[];
+  readonly configurations: ConfigurationChange[];
+  readonly leavings: Leaving[];
+  readonly exits: InstanceExit[];
+  readonly disturbances: Disturbances;
+  /** When the last fault had ended; nothing was harmed after it. */
+  calmSinceMs: number;
+  /** When callers stopped sending. */
+  endMs: number;
+}
--- /dev/null
+++ b/packages/soak/src/scene/target-fleet.ts
@@ -0,0 +1,108 @@
+/** The targets of a run: they register, leave, crash and come back. */
+import { FakeRunner, TargetRecords } from '@medlarlever/platform/stand-ins';
+import type { FakeRole, FakeStore } from '@medlarlever/platform/stand-ins';
+
+import type { InstanceProcess } from '../processes/instance-process.js';
+import type { Random } from '../shared/random.js';
+
+import type { Leaving } from './evidence.js';
+
+const slots = 16;
+
+/** Time between heartbeats; a silent target is removed after three. */
+const heartbeatMs = 1_200;
+const lapseBeats = 3;
+
+/** How long a leaving target goes on serving. */
+export const leavingMs = 3_000;
+
+const table = 'servers';
+
+export interface TargetFleetOptions {
+  readonly store: FakeStore;
+  readonly random: Random;
+  readonly instances: readonly InstanceProcess[];
+}
+
+export class TargetFleet {
+  readonly records = new TargetRecords();
+  readonly leavings: Leaving[] = [];
+  readonly #running = new Map<string, FakeRunner>();
+  #count = 0;
+
+  constructor(private readonly options: TargetFleetOptions) {}
+
+  all(): FakeRunner[] {
+    return [...this.#running.values()];
+  }
+
+  /** Targets that neither leave nor are the last of their kind. */
+  spare(): FakeRunner[] {
+    const ready = this.all().filter(({ state }) => state === 'ready');
+    return ready.filter(
+      ({ service, role }) =>
+        ready.filter(other => other.service === service && other.role === role)
+          .length > 1,
+    );
+  }
+
+  /** Starts and registers a target. */
+  async add(service: string, role?: FakeRole): Promise<FakeRunner> {
+    const { store, random, instances } = this.options;
+    this.#count += 1;
+    const runner: FakeRunner = await FakeRunner.start({
+      id: `i-${this.#count}`,
+      service,
+      dataCenter: 'a',
+      slots,
+      role,
+      records: this.records,
+      random: random.next,
+      onChange: () => {
+        this.#register(runner);
+      },
+    });
+    await Promise.all(
+      instances.map(({ targetLinks }) => targetLinks.add(runner.address)),
+    );
+    this.#running.set(runner.id, runner);
+    store.put(table, runner.id, runner.registration);
+    return runner;
+  }
+
+  /** A planned end: the target says so, serves on for a while and ends. */
+  async leave(runner: FakeRunner): Promise<void> {
+    runner.state = 'draining';
+    this.#register(runner);
+    const atMs = performance.now();
+    this.leavings.push({ target: runner.id, atMs });
+    await this.#pass(leavingMs * 2);
+    this.#running.delete(runner.id);
+    this.options.store.remove(table, runner.id);
+    await runner.stop();
+  }
+
+  /** Ends at once; the row lapses, and another target takes the place. */
+  async crash(runner: FakeRunner, downMs: number): Promise<void> {
+    const { service, role, id } = runner;
+    this.#running.delete(id);
+    await runner.stop();
+    await this.#pass(downMs);
+    await this.add(service, role);
+    await this.#pass(Math.max(0, heartbeatMs * lapseBeats - downMs));
+    this.options.store.remove(table, id);
+  }
+
+  async stop(): Promise<void> {
+    await Promise.all(this.all().map(runner => runner.stop()));
+  }
+
+  #register(runner: FakeRunner): void {
+    if (!this.#running.has(runner.id)) return;
+    this.options.store.put(table, runner.id, runner.registration);
+  }
+
+  #pass(ms: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, ms));
+  }
+}
