--- a/packages/soak/src/checks/process-checks.ts
+++ b/packages/soak/src/checks/process-checks.ts
@@ -2,7 +2,7 @@
 import type { Arrival } from '@medlarlever/platform/stand-ins';
 
 import type { Attempt, Evidence } from '../scene/evidence.js';
-import { movingPrefix } from '../scene/routes.js';
+import { movingPrefix, timeoutMs } from '../scene/routes.js';
 import { recoveryMs } from '../scene/scene.js';
 
 import { groupBy, isInTouch } from './check.js';
@@ -132,8 +132,10 @@
 
 export const recovery: Check = ({ attempts, calmSinceMs }) => {
   const late = attempts.filter(
-    ({ sentAtMs, endedAtMs }) =>
-      sentAtMs > calmSinceMs + recoveryMs && endedAtMs !== undefined,
+    ({ sentAtMs, endedAtMs, leftAtMs = Infinity }) =>
+      sentAtMs > calmSinceMs + recoveryMs &&
+      endedAtMs !== undefined &&
+      leftAtMs >= sentAtMs + timeoutMs,
   );
   const served = late.filter(({ end }) => end?.status === 200 && end.whole);
   if (late.length > 0 && served.length >= servedShare * late.length) return [];
