--- /dev/null
+++ b/packages/relay/src/relay/generation-run.test.ts
@@ -0,0 +1,195 @@
+import test from 'ava';
+
+import {
+  brokenAnswer,
+  untilAborted,
+  wholeAnswer,
+} from '../fixtures/fake-target-client.js';
+import type {
+  FakeTargetClient,
+  SendScript,
+} from '../fixtures/fake-target-client.js';
+import { pausedClock } from '../fixtures/paused-clock.js';
+import { aPrompt, aTarget } from '../fixtures/relay-fixtures.js';
+import { aRelay } from '../fixtures/relay-set-up.js';
+import type { Route } from '../routes/route.js';
+
+const engines = [
+  aTarget('p1', { service: 'engines', role: 'prefill', slots: 8 }),
+  aTarget('p2', { service: 'engines', role: 'prefill', slots: 8 }),
+  aTarget('d1', { service: 'engines', role: 'decode', slots: 8 }),
+  aTarget('d2', { service: 'engines', role: 'decode', slots: 8 }),
+];
+
+const streamRoute: Partial<Route> = {
+  kind: 'stream',
+  services: [{ name: 'engines', weight: 1 }],
+  timeoutMs: 5_000,
+  latencyTargetMs: 1_000,
+};
+
+const longPrompt = aPrompt('own', { shared: 20_000, own: 5_000 });
+
+test('a long prompt is read apart and handed over', async t => {
+  const { serve, client } = aRelay({ route: streamRoute, targets: engines });
+  const caller = await serve({ prompt: longPrompt });
+  t.is(caller.text, 'ok');
+  t.is(client.prefills.length, 1);
+  const [read] = client.prefills;
+  t.is(client.sends[0]?.options.handover?.handle, read?.target);
+  t.deepEqual(client.freed, []);
+});
+
+test('a prefill that fails is repeated elsewhere, then handed over', async t => {
+  const { serve, client } = aRelay({ route: streamRoute, targets: engines });
+  client.onPrefill = ({ address, id }) =>
+    Promise.resolve(
+      client.prefills.length === 1
+        ? { kind: 'broken', phase: 'sent', reason: 'reset' }
+        : { kind: 'read', handover: { address, handle: id } },
+    );
+  const caller = await serve({ prompt: longPrompt });
+  t.is(caller.text, 'ok');
+  t.is(client.prefills.length, 2);
+});
+
+test('a stream that may not be resumed is broken off, never joined', async t => {
+  const { serve, client } = aRelay({ route: streamRoute, targets: engines });
+  client.onSend = (_target, _options, sink) =>
+    Promise.resolve(brokenAnswer(sink, 'id: 1\ndata: a\n\n'));
+  const caller = await serve({ prompt: longPrompt });
+  t.is(client.sends.length, 1);
+  t.true(caller.brokenOff);
+  t.false(caller.ended);
+});
+
+test('a resumable stream goes on after its last whole event', async t => {
+  const { serve, client } = aRelay({
+    route: { ...streamRoute, resumable: true },
+    targets: engines,
+  });
+  client.onSend = (_target, _options, sink) =>
+    Promise.resolve(
+      client.sends.length === 1
+        ? brokenAnswer(sink, 'id: 1\ndata: a\n\nid: 2\nda')
+        : wholeAnswer(sink, 'id: 2\ndata: b\n\n'),
+    );
+  const caller = await serve({ prompt: longPrompt });
+  t.is(caller.text, 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n');
+  t.is(client.sends[1]?.options.resumeAfter, '1');
+  t.not(client.sends[1]?.target, client.sends[0]?.target);
+  t.true(caller.ended);
+});
+
+test('a handover that is not taken is freed', async t => {
+  const { serve, client } = aRelay({
+    route: { ...streamRoute, resumable: false },
+    targets: engines,
+    allowance: 0,
+  });
+  client.onSend = () =>
+    Promise.resolve({ kind: 'not_executed', status: 503, misdirected: false });
+  const caller = await serve({ prompt: longPrompt });
+  t.is(caller.failure?.executed, 'no');
+  t.is(client.freed.length, 1);
+});
+
+test.serial('a prefill at an engine gone dark is given up', async t => {
+  const clock = pausedClock(t);
+  const { serve, client } = aRelay({ route: streamRoute, targets: engines });
+  client.onPrefill = async ({ address, id }, { signal }) => {
+    if (client.prefills.length > 1) {
+      return { kind: 'read', handover: { address, handle: id } };
+    }
+    await untilAborted(signal);
+    return { kind: 'aborted' };
+  };
+  client.alive = false;
+  const serving = serve({ prompt: longPrompt });
+  await clock.tickAsync(2_400);
+  const caller = await serving;
+  t.is(caller.text, 'ok');
+  t.is(client.prefills.length, 2);
+});
+
+test.serial(
+  'a prefill at an engine that is only busy is waited for',
+  async t => {
+    const clock = pausedClock(t);
+    const { serve, client } = aRelay({ route: streamRoute, targets: engines });
+    client.onPrefill = async ({ address, id }, { signal }) => {
+      const late = new AbortController();
+      setTimeout(() => {
+        late.abort();
+      }, 2_300);
+      await untilAborted(AbortSignal.any([signal, late.signal]));
+      if (signal.aborted) return { kind: 'aborted' };
+      return { kind: 'read', handover: { address, handle: id } };
+    };
+    const serving = serve({ prompt: longPrompt });
+    await clock.tickAsync(2_400);
+    const caller = await serving;
+    t.is(caller.text, 'ok');
+    t.is(client.prefills.length, 1);
+    t.true(client.asked.length > 0);
+  },
+);
+
+test('an engine that begins to leave during the prefill gets nothing', async t => {
+  const { serve, client, book } = aRelay({
+    route: streamRoute,
+    targets: engines,
+  });
+  client.onPrefill = ({ address, id }) => {
+    const leaving = engines.filter(({ id: name }) => name === 'd1');
+    for (const record of leaving) book.register({ ...record, leaving: true });
+    return Promise.resolve({
+      kind: 'read',
+      handover: { address, handle: id },
+    });
+  };
+  for (let i = 0; i < 4; i += 1) await serve({ prompt: longPrompt });
+  t.deepEqual(
+    new Set(client.sends.map(({ target }) => target)),
+    new Set(['d2']),
+  );
+});
+
+/** Answers nothing to the first send and `then` to the later ones. */
+const silentFirst =
+  (client: FakeTargetClient, then: string): SendScript =>
+  async (_target, { signal }, sink) => {
+    if (client.sends.length > 1) return wholeAnswer(sink, then);
+    await untilAborted(signal);
+    return { kind: 'aborted' };
+  };
+
+test.serial(
+  'a lost answer of an idempotent call is asked for elsewhere',
+  async t => {
+    const clock = pausedClock(t);
+    const { serve, client } = aRelay();
+    client.onSend = silentFirst(client, 'ok');
+    const serving = serve();
+    await clock.tickAsync(600);
+    const caller = await serving;
+    t.is(caller.text, 'ok');
+    t.is(client.sends.length, 2);
+  },
+);
+
+test.serial(
+  'a stalled stream that may be resumed goes on elsewhere',
+  async t => {
+    const clock = pausedClock(t);
+    const { serve, client } = aRelay({
+      route: { ...streamRoute, resumable: true },
+      targets: engines,
+    });
+    client.onSend = silentFirst(client, 'id: 1\n\n');
+    const serving = serve({ prompt: longPrompt });
+    await clock.tickAsync(4_900);
+    const caller = await serving;
+    t.is(caller.text, 'id: 1\n\n');
+  },
+);
