--- /dev/null
+++ b/packages/soak/src/network/fault-proxy.test.ts
@@ -0,0 +1,83 @@
+import { once } from 'node:events';
+import { connect, createServer } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
+
+import test from 'ava';
+import type { ExecutionContext } from 'ava';
+
+import { FaultProxy } from './fault-proxy.js';
+
+/** A server that sends back what it gets, behind a proxy. */
+const setUp = async (t: ExecutionContext) => {
+  const server = createServer(socket => {
+    socket.on('error', () => undefined);
+    socket.pipe(socket);
+  });
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const { port } = server.address() as AddressInfo;
+  const proxy = await FaultProxy.start(`127.0.0.1:${port}`);
+  t.teardown(async () => {
+    await proxy.stop();
+    server.close();
+  });
+  const client = connect(Number(proxy.address.split(':')[1]), '127.0.0.1');
+  client.on('error', () => undefined);
+  t.teardown(() => client.destroy());
+  await once(client, 'connect');
+  return { proxy, client };
+};
+
+const next = async (socket: Socket): Promise<string> => {
+  const [chunk] = (await once(socket, 'data')) as [Buffer];
+  return chunk.toString();
+};
+
+/** Lets what is under way arrive. */
+const turns = async (): Promise<void> => {
+  for (let i = 0; i < 50; i += 1) {
+    await new Promise(resolve => setImmediate(resolve));
+  }
+};
+
+test('bytes pass both ways', async t => {
+  const { client } = await setUp(t);
+  client.write('hello');
+  t.is(await next(client), 'hello');
+});
+
+test('a silent link keeps bytes until it heals', async t => {
+  const { proxy, client } = await setUp(t);
+  client.write('one');
+  await next(client);
+  proxy.silence('from target');
+  let seen = '';
+  client.on('data', chunk => {
+    seen += String(chunk);
+  });
+  client.write('two');
+  await turns();
+  t.is(seen, '');
+  t.false(client.destroyed);
+  const arrived = next(client);
+  proxy.silence('none');
+  t.is(await arrived, 'two');
+});
+
+test('a reset reaches the client', async t => {
+  const { proxy, client } = await setUp(t);
+  client.write('one');
+  await next(client);
+  const failed = once(client, 'error') as Promise<[NodeJS.ErrnoException]>;
+  proxy.resetAll();
+  const [error] = await failed;
+  t.is(error.code, 'ECONNRESET');
+});
+
+test('a closed connection is closed on the other side as well', async t => {
+  const { client } = await setUp(t);
+  client.end('last');
+  t.is(await next(client), 'last');
+  await once(client, 'close');
+  t.pass();
+});
