--- a/packages/relay/src/news/gathered-news.ts
+++ b/packages/relay/src/news/gathered-news.ts
@@ -17,14 +17,16 @@
   /** Sum of what the members' totals rose by, by service. */
   readonly #placedSum = new Map<string, number>();
   #read: News['read'] = [];
+  #pace: News['pace'] = [];
   #crashes: News['crashes'] = [];
 
   /** Takes in the report of a member. */
   report(news: News): void {
-    const { from, loads, placed, read, crashes } = news;
+    const { from, loads, placed, read, pace, crashes } = news;
     this.#reports.set(from, { atMs: performance.now(), loads });
     this.#count(from, placed);
     this.#read.push(...read);
+    this.#pace.push(...pace);
     this.#crashes.push(...crashes);
   }
 
@@ -45,9 +47,11 @@
       loads: this.#sum(own.loads),
       placed: [...this.#placedSum],
       read: [...own.read, ...this.#read],
+      pace: [...own.pace, ...this.#pace],
       crashes: [...own.crashes, ...this.#crashes],
     };
     this.#read = [];
+    this.#pace = [];
     this.#crashes = [];
     return news;
   }
--- a/packages/relay/src/news/load-news.test.ts
+++ b/packages/relay/src/news/load-news.test.ts
@@ -115,6 +115,21 @@
   },
 );
 
+test.serial('what one instance finds slow is slow for all of them', async t => {
+  const { clock, one, two } = setUp(t);
+  const mine = one.targets.all()[0];
+  t.truthy(mine);
+  if (mine === undefined) return;
+  mine.enter();
+  for (let i = 0; i < 5; i += 1) mine.took(400, 100);
+  await clock.tickAsync(800);
+  t.true((two.targets.find('t1')?.slowness ?? 0) > 3);
+  await clock.tickAsync(800);
+  const slowness = two.targets.find('t1')?.slowness ?? 0;
+  t.true(slowness < 4, 'samples are told once');
+  t.true(Math.abs(slowness - mine.slowness) < 0.1);
+});
+
 test.serial('hubs tell each other, and their members hear of it', async t => {
   const { clock, join, one, two } = setUp(t);
   const far = join('far');
--- a/packages/relay/src/news/load-news.ts
+++ b/packages/relay/src/news/load-news.ts
@@ -38,6 +38,13 @@
 /** Unchanged loads are told again before they are no longer believed. */
 const repeatAfterMs = 600;
 
+/** What is told once, and gathered until then. */
+const nothingUnsaid = (): Pick<News, 'read' | 'pace' | 'crashes'> => ({
+  read: [],
+  pace: [],
+  crashes: [],
+});
+
 export interface LoadNewsOptions {
   readonly self: string;
   readonly circle: NewsCircle;
@@ -60,7 +67,7 @@
   #tellingSoon = false;
   #hubPeriods = 0;
   /** News of this data centre that the other hubs have not been told. */
-  #unsaid: Pick<News, 'read' | 'crashes'> = { read: [], crashes: [] };
+  #unsaid = nothingUnsaid();
 
   constructor(options: LoadNewsOptions) {
     this.#options = options;
@@ -147,13 +154,14 @@
     const news = this.#gathered.take(this.#ownNews(this.#ownLoads()));
     this.#tellMembers(news);
     this.#unsaid.read.push(...news.read);
+    this.#unsaid.pace.push(...news.pace);
     this.#unsaid.crashes.push(...news.crashes);
     this.#hubPeriods += 1;
     if (this.#hubPeriods % otherHubsPeriods !== 0) return;
     for (const hub of circle.otherHubs()) {
       circle.tell(hub, dataCenterNewsMethod, { ...news, ...this.#unsaid });
     }
-    this.#unsaid = { read: [], crashes: [] };
+    this.#unsaid = nothingUnsaid();
   }
 
   /** True when the sums of a hub contain what this instance tells. */
@@ -196,10 +204,21 @@
       loads,
       placed,
       read,
+      pace: this.#ownPace(),
       crashes: crashes.takeNew(),
     };
   }
 
+  #ownPace(): News['pace'] {
+    return this.#options.targets
+      .all()
+      .map((state): News['pace'][number] => {
+        const { ratio, samples } = state.takeUntold();
+        return [state.record.id, Number(ratio.toFixed(2)), samples];
+      })
+      .filter(([, , samples]) => samples > 0);
+  }
+
   #ownLoads(): News['loads'] {
     return this.#options.targets
       .all()
@@ -224,6 +243,9 @@
       const cached = parts.map(([part, tokens]) => ({ id: part, tokens }));
       targets.find(id)?.cache.add(cached, expectedMs);
     }
+    for (const [id, ratio, samples] of news.pace) {
+      targets.find(id)?.heardPace({ ratio, samples });
+    }
     for (const [fingerprint, target] of news.crashes) {
       crashes.learn(fingerprint, target);
     }
--- a/packages/relay/src/news/news-schema.ts
+++ b/packages/relay/src/news/news-schema.ts
@@ -28,6 +28,11 @@
   placed: z.array(z.tuple([z.string(), z.number()])),
   /** Target, the prompt parts that it began to read, and the time it needs. */
   read: z.array(z.tuple([z.string(), z.array(partSchema), z.number()])),
+  /**
+   * Target, mean time that things took there against what was expected, and
+   * how many things these were.
+   */
+  pace: z.array(z.tuple([z.string(), z.number(), z.number()])).default([]),
   /** Request fingerprint and the target that crashed with it. */
   crashes: z.array(z.tuple([z.string(), z.string()])),
 });
--- a/packages/relay/src/placing/candidates.test.ts
+++ b/packages/relay/src/placing/candidates.test.ts
@@ -29,6 +29,7 @@
   Array.from({ length: instances }, (_, i) =>
     placeGeneration({
       targets,
+      leaving: [],
       prompt: aPrompt(`own-${i}`, { shared: 0, own: 9_000 }),
       speed: new ReadingSpeed(),
       slots: 64,
@@ -92,6 +93,7 @@
   const placed = Array.from({ length: 10 }, (_, i) =>
     placeGeneration({
       targets,
+      leaving: [],
       prompt,
       speed: new ReadingSpeed(),
       slots: 64,
--- a/packages/relay/src/placing/placement.test.ts
+++ b/packages/relay/src/placing/placement.test.ts
@@ -10,6 +10,7 @@
 
 const options = (change: Partial<PlacementOptions>): PlacementOptions => ({
   targets: [],
+  leaving: [],
   prompt: aPrompt('own'),
   speed: new ReadingSpeed(),
   slots: 8,
@@ -177,3 +178,18 @@
   t.is(placement?.copyFrom, undefined);
   t.is(placement?.tokens, 16_000);
 });
+
+test('what a leaving engine keeps is copied instead of read again', t => {
+  const gone = anEngine('p1', 'prefill');
+  const targets = [anEngine('p2', 'prefill'), anEngine('d1', 'decode')];
+  const prompt = aPrompt('own', { shared: 20_000, own: 500 });
+  gone.cache.add(prompt.parts.slice(0, 1));
+  const without = placeGeneration(options({ targets, prompt }));
+  t.is(without?.tokens, 20_500);
+  const placement = placeGeneration(
+    options({ targets, prompt, leaving: [gone] }),
+  );
+  t.is(placement?.copyFrom, gone);
+  t.is(placement?.tokens, 500);
+  t.is(placement?.prefill?.record.id, 'p2');
+});
--- a/packages/relay/src/placing/placement.ts
+++ b/packages/relay/src/placing/placement.ts
@@ -55,6 +55,8 @@
 
 export interface PlacementOptions extends DrawOptions {
   readonly targets: readonly TargetState[];
+  /** Engines that take no requests any more, but give copies. */
+  readonly leaving: readonly TargetState[];
   readonly prompt: Prompt;
   readonly speed: ReadingSpeed;
   readonly slots: number;
@@ -115,7 +117,7 @@
 ): TargetState | undefined => {
   const { prompt } = options;
   const own = target.cache.cachedTokens(prompt.parts);
-  const sources = usable(options)
+  const sources = [...usable(options), ...options.leaving]
     .filter(other => other !== target)
     .map(other => {
       const tokens = other.cache.copyableTokens(prompt.parts) - own;
--- a/packages/relay/src/relay/generation-run.ts
+++ b/packages/relay/src/relay/generation-run.ts
@@ -8,6 +8,7 @@
   placeGeneration,
 } from '../placing/placement.js';
 import type { Placement, PlacementOptions } from '../placing/placement.js';
+import { EventTimes } from '../placing/event-pace.js';
 import { readingOverheadMs } from '../placing/reading-speed.js';
 import type { Prompt } from '../requests/request.js';
 import type { EngineSettings } from '../routes/route.js';
@@ -125,6 +126,7 @@
     const { targets, dataCenter, reach, crowded, random } = this.parts;
     return {
       targets: targets.open(this.journey.service),
+      leaving: targets.leftLately(this.journey.service),
       prompt: this.prompt,
       speed: this.service.speed,
       slots: this.engine.slots,
@@ -280,7 +282,9 @@
       ? this.#startReading(target, placement.tokens, placement.firstEventMs)
       : this.#startReading(target, 0, handoverMs);
     const watch = this.#watch(target, placement.firstEventMs);
+    const times = new EventTimes();
     this.#onEvent = () => {
+      times.noted();
       read();
       target.heard();
       watch?.heard();
@@ -302,6 +306,7 @@
     watch?.end();
     read();
     leave();
+    this.#notePace(target, times);
     parts.metrics.sent(journey.service, outcome.kind);
     if (outcome.kind === 'whole') {
       noteSuccess(parts, target);
@@ -312,6 +317,11 @@
     return this.#sendFailed(target, outcome);
   }
 
+  #notePace(target: TargetState, { gapMs }: EventTimes): void {
+    if (gapMs === undefined) return;
+    target.took(gapMs, this.service.pace.sample(gapMs));
+  }
+
   #watch(target: TargetState, expectedMs: number): SendWatch | undefined {
     if (!this.mayRunAgain()) return undefined;
     const stalledMs = Math.max(stalledStreamMs, stalledFactor * expectedMs);
--- a/packages/relay/src/relay/service-state.ts
+++ b/packages/relay/src/relay/service-state.ts
@@ -1,4 +1,5 @@
 /** What the relay keeps for each service. */
+import { EventPace } from '../placing/event-pace.js';
 import { ReadingSpeed } from '../placing/reading-speed.js';
 import { RetryWindow } from '../retries/retry-window.js';
 import type { RetryWindowOptions } from '../retries/retry-window.js';
@@ -6,6 +7,7 @@
 export interface ServiceState {
   readonly retries: RetryWindow;
   readonly speed: ReadingSpeed;
+  readonly pace: EventPace;
   /** Prompt tokens that this instance gave to engines to read. */
   tokensPlaced: number;
 }
@@ -34,6 +36,7 @@
     const state = {
       retries: new RetryWindow(this.retryOptions),
       speed: new ReadingSpeed(),
+      pace: new EventPace(),
       tokensPlaced: 0,
     };
     this.#states.set(service, state);
--- a/packages/relay/src/targets/target-book.test.ts
+++ b/packages/relay/src/targets/target-book.test.ts
@@ -105,3 +105,18 @@
   engine.succeeded();
   t.false(engine.avoided);
 });
+
+test.serial('an engine that left can be copied from for a moment', async t => {
+  const clock = FakeTimers.install({ now: 10_000 });
+  t.teardown(() => {
+    clock.uninstall();
+  });
+  const book = new TargetBook({ log: aLog(), kvTokens: () => 1_000 });
+  book.register(aTarget('t1'));
+  t.deepEqual(book.leftLately('api'), []);
+  book.register(aTarget('t1', { leaving: true }));
+  t.is(book.leftLately('api')[0]?.record.id, 't1');
+  t.deepEqual(book.leftLately('other'), []);
+  await clock.tickAsync(2_000);
+  t.deepEqual(book.leftLately('api'), []);
+});
--- a/packages/relay/src/targets/target-book.ts
+++ b/packages/relay/src/targets/target-book.ts
@@ -10,6 +10,9 @@
  */
 export const lapseGraceMs = 2_200;
 
+/** A leaving target serves on for a few seconds; copies begin well before. */
+const copyableMs = 2_000;
+
 /** Cache size assumed while the configuration does not tell it. */
 const unknownKvTokens = 100_000;
 
@@ -50,6 +53,15 @@
     );
   }
 
+  /** Engines that left a moment ago: what they keep can still be copied. */
+  leftLately(service: string): TargetState[] {
+    const sinceMs = performance.now() - copyableMs;
+    return this.all().filter(
+      ({ record, leavingSinceMs = -Infinity }) =>
+        record.service === service && leavingSinceMs > sinceMs,
+    );
+  }
+
   /** Takes in a registration. */
   register(record: TargetRecord): void {
     const state = this.#states.get(record.id);
--- a/packages/relay/src/targets/target-state.ts
+++ b/packages/relay/src/targets/target-state.ts
@@ -12,6 +12,15 @@
   readonly running: number;
 }
 
+/** Times taken against what was expected. */
+export interface PaceSamples {
+  /** Mean ratio; 1 when as expected. */
+  readonly ratio: number;
+  readonly samples: number;
+}
+
+const noSamples: PaceSamples = { ratio: 0, samples: 0 };
+
 export const noLoad: TargetLoad = { unreadTokens: 0, running: 0 };
 
 /** A target with work that nobody heard of for so long has gone dark. */
@@ -38,6 +47,7 @@
   #avoidUntilMs = 0;
   #closedUntilMs = 0;
   #slowness = 1;
+  #untold = noSamples;
   #others: TargetLoad = noLoad;
   #heardAtMs = performance.now();
 
@@ -133,7 +143,23 @@
   /** Notes how long something took against what was expected. */
   took(actualMs: number, expectedMs: number): void {
     const ratio = Math.min(20, Math.max(0.2, actualMs / expectedMs));
-    this.#slowness += sampleShare * (ratio - this.#slowness);
+    this.heardPace({ ratio, samples: 1 });
+    const { ratio: mean, samples } = this.#untold;
+    const sum = mean * samples + ratio;
+    this.#untold = { ratio: sum / (samples + 1), samples: samples + 1 };
+  }
+
+  /** Takes in what others saw, or what was seen here. */
+  heardPace({ ratio, samples }: PaceSamples): void {
+    const share = 1 - (1 - sampleShare) ** samples;
+    this.#slowness += share * (ratio - this.#slowness);
+  }
+
+  /** Samples that the other instances have not been told. */
+  takeUntold(): PaceSamples {
+    const untold = this.#untold;
+    this.#untold = noSamples;
+    return untold;
   }
 
   succeeded(): void {
