--- a/packages/soak/src/faults/instance-faults.ts
+++ b/packages/soak/src/faults/instance-faults.ts
@@ -1,5 +1,8 @@
 /** Signals to the daemons: planned stops, kills, pauses, reloads, clocks. */
-import type { InstanceProcess } from '../processes/instance-process.js';
+import type {
+  HarmfulSignal,
+  InstanceProcess,
+} from '../processes/instance-process.js';
 import type { Scene } from '../scene/scene.js';
 import type { Random } from '../shared/random.js';
 
@@ -53,20 +56,35 @@
   }
 }
 
-export class Pause extends Fault {
-  readonly name = 'pause';
-
+/** A signal that harms one instance for a time, and one that ends the harm. */
+abstract class SignalledFault extends Fault {
   async inject(scene: Scene, random: Random): Promise<void> {
     const [instance] = random.sample(scene.idleInstances(), 1);
     if (instance === undefined) return;
     await scene.holding(instance, async () => {
       const over = scene.disturbances.begin(instance.name, this.name);
-      instance.signal('SIGSTOP');
+      instance.signal(this.first);
       await passBetween(random, 0.3, 5);
-      instance.signal('SIGCONT');
+      instance.signal(this.last);
       over();
     });
   }
+
+  protected abstract readonly first: HarmfulSignal;
+  protected abstract readonly last: HarmfulSignal;
+}
+
+export class Pause extends SignalledFault {
+  readonly name = 'pause';
+  protected override readonly first = 'SIGSTOP';
+  protected override readonly last = 'SIGCONT';
+}
+
+/** The time of day steps ahead and back. */
+export class ClockStep extends SignalledFault {
+  readonly name = 'clock step';
+  protected override readonly first = 'SIGUSR2';
+  protected override readonly last = 'SIGUSR2';
 }
 
 /** The settings file changes, mostly with a signal. */
@@ -78,19 +96,3 @@
     await instance?.reload();
   }
 }
-
-export class ClockStep extends Fault {
-  readonly name = 'clock step';
-
-  async inject(scene: Scene, random: Random): Promise<void> {
-    const [instance] = random.sample(scene.idleInstances(), 1);
-    if (instance === undefined) return;
-    await scene.holding(instance, async () => {
-      const over = scene.disturbances.begin(instance.name, this.name);
-      instance.signal('SIGUSR2');
-      await passBetween(random, 0.5, 4);
-      instance.signal('SIGUSR2');
-      over();
-    });
-  }
-}
--- a/packages/soak/src/processes/instance-process.ts
+++ b/packages/soak/src/processes/instance-process.ts
@@ -9,6 +9,7 @@
 import {
   FakeStore,
   aSettingsFileOf,
+  freePort,
   readyPath,
   settingsVariable,
 } from '@medlarlever/platform/stand-ins';
@@ -17,7 +18,6 @@
 
 import { FaultProxy } from '../network/fault-proxy.js';
 import { ProxySet } from '../network/proxy-set.js';
-import { freePort } from '../shared/free-port.js';
 
 /** How the process ended; the signal is the one that ended it. */
 export interface InstanceExit {
@@ -30,6 +30,9 @@
   readonly askedAtMs: number | undefined;
 }
 
+/** Signals that stop and continue a process, and that step its clock. */
+export type HarmfulSignal = 'SIGSTOP' | 'SIGCONT' | 'SIGUSR2';
+
 export interface InstanceOptions {
   readonly name: string;
   readonly dataCenter: string;
@@ -132,7 +135,7 @@
     await exit;
   }
 
-  signal(signal: 'SIGSTOP' | 'SIGCONT' | 'SIGUSR2'): void {
+  signal(signal: HarmfulSignal): void {
     this.#child?.kill(signal);
   }
 
