--- a/packages/soak/src/checks/all.ts
+++ b/packages/soak/src/checks/all.ts
@@ -16,6 +16,7 @@
   noWayBack,
   nothingLostInStops,
   recovery,
+  startsReady,
 } from './process-checks.js';
 import {
   endedWork,
@@ -41,6 +42,7 @@
   noWayBack,
   nothingLostInStops,
   expectedExits,
+  startsReady,
   recovery,
 ];
 
--- a/packages/soak/src/checks/checks.test.ts
+++ b/packages/soak/src/checks/checks.test.ts
@@ -52,6 +52,7 @@
   configurations: [],
   leavings: [],
   exits: [],
+  neverReady: [],
   disturbances: new Disturbances(),
   calmSinceMs: 50_000,
   endMs: 101_000,
@@ -240,6 +241,12 @@
   ]);
 });
 
+test('an instance that never gets ready is found', t => {
+  t.deepEqual(promisesBroken({ neverReady: ['i2'] }), [
+    'a started instance gets ready',
+  ]);
+});
+
 test('a system that does not serve again is found', t => {
   const attempts = [anAttempt('a', { end: { ...end, status: 503 } })];
   t.true(
--- a/packages/soak/src/checks/process-checks.ts
+++ b/packages/soak/src/checks/process-checks.ts
@@ -127,6 +127,12 @@
     return [{ promise: 'a planned stop ends cleanly in its time', seen }];
   });
 
+export const startsReady: Check = ({ neverReady }) =>
+  neverReady.map(instance => ({
+    promise: 'a started instance gets ready',
+    seen: instance,
+  }));
+
 /** Part of the requests that must be served again after the recovery. */
 const servedShare = 0.25;
 
--- a/packages/soak/src/faults/instance-faults.ts
+++ b/packages/soak/src/faults/instance-faults.ts
@@ -19,7 +19,7 @@
   await instance.end(signal);
   await passBetween(random, 0, 1.5);
   await instance.start();
-  await instance.untilReady(scene.stopping);
+  await scene.untilReady(instance);
   over();
 };
 
--- a/packages/soak/src/processes/instance-process.ts
+++ b/packages/soak/src/processes/instance-process.ts
@@ -49,6 +49,9 @@
 const clockStep = fileURLToPath(new URL('clock-step.js', import.meta.url));
 const readyPollMs = 100;
 
+/** Long enough for a store that is away and a busy machine. */
+const readyPatienceMs = 40_000;
+
 export class InstanceProcess {
   readonly lines: string[] = [];
   readonly exits: InstanceExit[] = [];
@@ -157,10 +160,14 @@
     }
   }
 
-  async untilReady(signal: AbortSignal): Promise<void> {
-    while (!signal.aborted && !(await this.isReady())) {
+  /** False when it is not ready after a long time. */
+  async untilReady(signal: AbortSignal): Promise<boolean> {
+    const untilMs = performance.now() + readyPatienceMs;
+    while (!signal.aborted && performance.now() < untilMs) {
+      if (await this.isReady()) return true;
       await new Promise(resolve => setTimeout(resolve, readyPollMs));
     }
+    return signal.aborted;
   }
 
   async stop(): Promise<void> {
--- a/packages/soak/src/scene/evidence.ts
+++ b/packages/soak/src/scene/evidence.ts
@@ -48,6 +48,8 @@
   readonly configurations: ConfigurationChange[];
   readonly leavings: Leaving[];
   readonly exits: InstanceExit[];
+  /** Instances that did not get ready long after a start. */
+  readonly neverReady: readonly string[];
   readonly disturbances: Disturbances;
   /** When the last fault had ended; nothing was harmed after it. */
   calmSinceMs: number;
--- a/packages/soak/src/scene/scene.ts
+++ b/packages/soak/src/scene/scene.ts
@@ -41,6 +41,7 @@
   readonly #held = new Set<InstanceProcess>();
   readonly #attempts: Attempt[] = [];
   readonly #configurations: ConfigurationChange[] = [];
+  readonly #neverReady: string[] = [];
 
   private constructor(
     private readonly options: SceneOptions,
@@ -84,6 +85,12 @@
     }
   }
 
+  /** Waits for a started instance; notes one that never gets ready. */
+  async untilReady(instance: InstanceProcess): Promise<void> {
+    const ready = await instance.untilReady(this.stopping);
+    if (!ready) this.#neverReady.push(instance.name);
+  }
+
   /** Sends the moving route to the other service. */
   moveRoute(): void {
     const version = (this.#configurations.at(-1)?.version ?? 0) + 1;
@@ -139,7 +146,7 @@
     }
     await Promise.all(this.instances.map(instance => instance.start()));
     await Promise.all(
-      this.instances.map(instance => instance.untilReady(this.stopping)),
+      this.instances.map(instance => this.untilReady(instance)),
     );
   }
 
@@ -156,6 +163,7 @@
       orders,
       configurations: this.#configurations,
       leavings: this.targets.leavings,
+      neverReady: this.#neverReady,
       exits: this.instances.flatMap(({ exits }) => exits),
       disturbances: this.disturbances,
       calmSinceMs,
