--- a/packages/relay/src/metrics/relay-metrics.ts
+++ b/packages/relay/src/metrics/relay-metrics.ts
@@ -6,6 +6,7 @@
 import type { Route } from '../routes/route.js';
 
 const secondsBuckets = [0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 2, 3, 5];
+const gapBuckets = [0.02, 0.04, 0.06, 0.1, 0.2, 0.5, 1, 2];
 
 /** Routes with labels of their own; the rest share one. */
 const mostRouteLabels = 40;
@@ -15,6 +16,8 @@
   readonly #ends: Counter<'route' | 'outcome'>;
   readonly #first: Histogram<'route'>;
   readonly #total: Histogram<'route'>;
+  readonly #reading: Histogram<'service'>;
+  readonly #gaps: Histogram<'service'>;
   readonly #sends: Counter<'service' | 'outcome'>;
   readonly #labels = new LabelLimit(mostRouteLabels);
 
@@ -40,6 +43,20 @@
       buckets: secondsBuckets,
       registers,
     });
+    this.#reading = new Histogram({
+      name: 'medlarlever_relay_reading_seconds',
+      help: 'Time that a prompt waited and was read apart',
+      labelNames: ['service'],
+      buckets: secondsBuckets,
+      registers,
+    });
+    this.#gaps = new Histogram({
+      name: 'medlarlever_relay_gap_seconds',
+      help: 'Mean time between the events of a stream',
+      labelNames: ['service'],
+      buckets: gapBuckets,
+      registers,
+    });
     this.#sends = new Counter({
       name: 'medlarlever_relay_sends_total',
       help: 'Sends to targets by service and outcome',
@@ -55,6 +72,16 @@
     this.#total.observe({ route: label }, totalMs / msPerSecond);
   }
 
+  /** A prompt was read apart. */
+  read(service: string, tookMs: number): void {
+    this.#reading.observe({ service }, tookMs / msPerSecond);
+  }
+
+  /** A stream ended whose events came at this pace. */
+  paced(service: string, gapMs: number): void {
+    this.#gaps.observe({ service }, gapMs / msPerSecond);
+  }
+
   sent(service: string, outcome: string): void {
     this.#sends.inc({ service, outcome });
   }
--- a/packages/relay/src/metrics/state-metrics.ts
+++ b/packages/relay/src/metrics/state-metrics.ts
@@ -8,6 +8,8 @@
 import type { RouteHolder } from '../routes/route-holder.js';
 import type { TargetBook } from '../targets/target-book.js';
 
+const msPerSecond = 1_000;
+
 export interface StateMetricsOptions {
   readonly registry: Registry;
   readonly routes: RouteHolder;
@@ -15,6 +17,8 @@
   readonly services: ServiceStates;
   readonly instances: InstanceRegistry;
   readonly feeds: readonly FeedFollower[];
+  /** How far the process is behind with its connections. */
+  readonly behindMs: () => number;
   /** Log lines dropped because their reader was slow. */
   readonly droppedLines: () => number;
 }
@@ -37,6 +41,23 @@
     'Instances heard of, this one included',
     () => options.instances.all().length,
   );
+  gauge(
+    'revision_age_seconds',
+    'Time since the configuration in force was taken',
+    () => options.routes.ageMs / msPerSecond,
+  );
+  gauge(
+    'suspected_instances',
+    'Instances that do not answer heartbeats',
+    () =>
+      options.instances.all().filter(({ state }) => state === 'suspected')
+        .length,
+  );
+  gauge(
+    'behind_seconds',
+    'Delay of the event loop',
+    () => options.behindMs() / msPerSecond,
+  );
   gauge('dropped_log_lines', 'Log lines dropped', options.droppedLines);
   registerTargets(options, registers);
   registerServices(options, registers);
--- a/packages/relay/src/relay/generation-run.ts
+++ b/packages/relay/src/relay/generation-run.ts
@@ -241,6 +241,7 @@
 
   #noteRead(target: TargetState, queued: number, tookMs: number): void {
     const { speed, retries } = this.service;
+    this.parts.metrics.read(this.journey.service, tookMs);
     speed.sample(queued, tookMs);
     noteSuccess(this.parts, target);
     target.cache.add(this.prompt.parts);
@@ -319,6 +320,7 @@
 
   #notePace(target: TargetState, { gapMs }: EventTimes): void {
     if (gapMs === undefined) return;
+    this.parts.metrics.paced(this.journey.service, gapMs);
     target.took(gapMs, this.service.pace.sample(gapMs));
   }
 
--- a/packages/relay/src/routes/route-holder.ts
+++ b/packages/relay/src/routes/route-holder.ts
@@ -8,6 +8,7 @@
 
 export class RouteHolder {
   #table: RouteTable | undefined;
+  #takenAtMs = performance.now();
   readonly #listeners: ChangeListener[] = [];
 
   constructor(private readonly log: Log) {}
@@ -20,6 +21,11 @@
     return this.#table?.version ?? 0;
   }
 
+  /** Time since the configuration in force was taken, or since the start. */
+  get ageMs(): number {
+    return performance.now() - this.#takenAtMs;
+  }
+
   onChange(listener: ChangeListener): void {
     this.#listeners.push(listener);
   }
@@ -39,6 +45,7 @@
     }
     const table = new RouteTable(configuration);
     this.#table = table;
+    this.#takenAtMs = performance.now();
     this.log.event('revision_in_force', {
       revision: table.version,
       before: held ?? null,
--- a/packages/relay/src/server/app.ts
+++ b/packages/relay/src/server/app.ts
@@ -91,6 +91,7 @@
     services: kernel.get(servicesPart),
     instances: kernel.get(registryPart),
     feeds: [kernel.get(routeFollowerPart), kernel.get(targetFollowerPart)],
+    behindMs: () => kernel.get(loopDelayPart).currentMs,
     droppedLines: kernel.get(droppedLinesPart),
   });
   const answer = async () => ({
