--- a/packages/relay/src/feed/app.ts
+++ b/packages/relay/src/feed/app.ts
@@ -2,7 +2,7 @@
 import type { Kernel, Plugin } from '@medlarlever/core';
 
 import {
-  circlePart,
+  topologyPart,
   crashesPart,
   logPart,
   newsPart,
@@ -74,7 +74,7 @@
         new RowNews({
           members: () => k.get(newsPart).members(),
           tell: (member, method, params) => {
-            k.get(circlePart).tell(member, method, params);
+            k.get(topologyPart).tell(member, method, params);
           },
         }),
     );
--- a/packages/relay/src/kernel/parts.ts
+++ b/packages/relay/src/kernel/parts.ts
@@ -8,7 +8,7 @@
 import type { RowSource } from '../feed/row-source.js';
 import type { InstanceRows } from '../news/instance-rows.js';
 import type { LoadNews } from '../news/load-news.js';
-import type { NewsCircle } from '../news/news-circle.js';
+import type { NewsTopology } from '../news/news-topology.js';
 import type { Snapshots } from '../news/snapshots.js';
 import type { Relay } from '../relay/relay.js';
 import type { ServiceStates } from '../relay/service-state.js';
@@ -63,7 +63,7 @@
 /** Instances among which shares are divided. */
 export const instanceCountPart = new Token<() => number>('instance-count');
 /** Whom an instance tells its news. */
-export const circlePart = new Token<NewsCircle>('news-circle');
+export const topologyPart = new Token<NewsTopology>('news-topology');
 export const newsPart = new Token<LoadNews>('news');
 export const snapshotsPart = new Token<Snapshots>('snapshots');
 export const roleNewsPart = new Token<RoleNews>('role-news');
--- a/packages/relay/src/news/app.ts
+++ b/packages/relay/src/news/app.ts
@@ -4,7 +4,7 @@
 
 import { closeSoon } from '../kernel/closing.js';
 import {
-  circlePart,
+  topologyPart,
   crashesPart,
   demandPart,
   incarnationPart,
@@ -30,7 +30,7 @@
 
 import { InstanceRows } from './instance-rows.js';
 import { LoadNews } from './load-news.js';
-import { MeshCircle } from './news-circle.js';
+import { MeshTopology } from './news-topology.js';
 import { Snapshots } from './snapshots.js';
 
 /**
@@ -77,7 +77,7 @@
 const createNews = (kernel: Kernel): LoadNews =>
   new LoadNews({
     self: kernel.get(settingsPart).current.instance,
-    circle: kernel.get(circlePart),
+    topology: kernel.get(topologyPart),
     targets: kernel.get(targetsPart),
     crashes: kernel.get(crashesPart),
     services: kernel.get(servicesPart),
@@ -147,8 +147,8 @@
     kernel.provide(instanceRowsPart, createRows);
     kernel.provide(meshPart, createMesh);
     kernel.provide(
-      circlePart,
-      k => new MeshCircle(k.get(registryPart), () => k.get(meshPart)),
+      topologyPart,
+      k => new MeshTopology(k.get(registryPart), () => k.get(meshPart)),
     );
     kernel.provide(newsPart, createNews);
     kernel.provide(instanceCountPart, k => () => instanceCount(k));
--- a/packages/relay/src/news/load-news.test.ts
+++ b/packages/relay/src/news/load-news.test.ts
@@ -3,7 +3,7 @@
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
 
-import { FakeCircle, FakeCircles } from '../fixtures/fake-circle.js';
+import { FakeTopology, FakeDeployment } from '../fixtures/fake-topology.js';
 import { aLog, aTarget } from '../fixtures/relay-fixtures.js';
 import { ServiceStates } from '../relay/service-state.js';
 import { CrashCounts } from '../retries/crash-counts.js';
@@ -16,9 +16,9 @@
 const anInstance = (
   name: string,
   signal: AbortSignal,
-  circles = new FakeCircles(),
+  deployment = new FakeDeployment(),
 ) => {
-  const circle = new FakeCircle(circles, name);
+  const topology = new FakeTopology(deployment, name);
   const targets = new TargetBook({ log: aLog(), kvTokens: () => 1_000 });
   targets.register(aTarget('t1'));
   const crashes = new CrashCounts();
@@ -27,7 +27,7 @@
   const held = { revision: 1 };
   const news = new LoadNews({
     self: name,
-    circle,
+    topology,
     targets,
     crashes,
     services: new ServiceStates({
@@ -40,9 +40,9 @@
   });
   const kernel = new Kernel();
   news.register(kernel);
-  circles.kernels.set(name, kernel);
+  deployment.kernels.set(name, kernel);
   void news.run(signal);
-  return { circle, demand, targets, crashes, news, kernel, newer, held };
+  return { topology, demand, targets, crashes, news, kernel, newer, held };
 };
 
 const setUp = (t: ExecutionContext) => {
@@ -52,15 +52,15 @@
     stop.abort();
     clock.uninstall();
   });
-  const circles = new FakeCircles();
-  const join = (name: string) => anInstance(name, stop.signal, circles);
-  return { clock, circles, join, one: join('one'), two: join('two') };
+  const deployment = new FakeDeployment();
+  const join = (name: string) => anInstance(name, stop.signal, deployment);
+  return { clock, deployment, join, one: join('one'), two: join('two') };
 };
 
 test.serial(
   'an instance sees the load of the other and lets it lapse',
   async t => {
-    const { clock, circles, one, two } = setUp(t);
+    const { clock, deployment, one, two } = setUp(t);
     const mine = one.targets.find('t1');
     const theirs = two.targets.find('t1');
     mine?.enter();
@@ -70,7 +70,7 @@
     t.is(theirs?.unreadTokens, 500);
     await clock.tickAsync(5_000);
     t.is(theirs?.running, 1);
-    circles.cutOff.add('one');
+    deployment.cutOff.add('one');
     await clock.tickAsync(3_000);
     t.is(theirs?.running, 0);
   },
@@ -99,7 +99,7 @@
   async t => {
     const { clock, join, one, two } = setUp(t);
     const three = join('three');
-    for (const { circle } of [one, two, three]) circle.gatherAt('one');
+    for (const { topology } of [one, two, three]) topology.gatherAt('one');
     const target = ({ targets }: typeof one) => targets.find('t1');
     target(one)?.enter();
     target(two)?.startReading([], 500);
@@ -134,12 +134,12 @@
   const { clock, join, one, two } = setUp(t);
   const far = join('far');
   const farMember = join('far member');
-  one.circle.gatherAt('one');
-  two.circle.gatherAt('one');
-  one.circle.hubs = ['far'];
-  far.circle.gatherAt('far');
-  farMember.circle.gatherAt('far');
-  far.circle.hubs = ['one'];
+  one.topology.gatherAt('one');
+  two.topology.gatherAt('one');
+  one.topology.hubs = ['far'];
+  far.topology.gatherAt('far');
+  farMember.topology.gatherAt('far');
+  far.topology.hubs = ['one'];
   two.targets.find('t1')?.enter();
   await clock.tickAsync(1_500);
   t.is(farMember.targets.find('t1')?.running, 1);
@@ -151,16 +151,16 @@
 test.serial(
   'what a member tells in a second does not grow with their number',
   async t => {
-    const { clock, circles, join, one, two } = setUp(t);
+    const { clock, deployment, join, one, two } = setUp(t);
     const members = Array.from({ length: 40 }, (_, i) => join(`m${i}`));
-    for (const { circle } of [one, two, ...members]) circle.gatherAt('one');
+    for (const { topology } of [one, two, ...members]) topology.gatherAt('one');
     for (const { targets } of members) targets.find('t1')?.enter();
     await clock.tickAsync(1_000);
-    circles.told.clear();
+    deployment.told.clear();
     await clock.tickAsync(1_000);
     t.true(
-      (circles.told.get('m7') ?? 0) <= 7,
-      `${circles.told.get('m7') ?? 0}`,
+      (deployment.told.get('m7') ?? 0) <= 7,
+      `${deployment.told.get('m7') ?? 0}`,
     );
     t.is(members[3]?.targets.find('t1')?.running, 40);
   },
--- a/packages/relay/src/news/load-news.ts
+++ b/packages/relay/src/news/load-news.ts
@@ -13,7 +13,7 @@
 
 import { GatheredNews } from './gathered-news.js';
 import { HeardLoads } from './heard-loads.js';
-import type { NewsCircle } from './news-circle.js';
+import type { NewsTopology } from './news-topology.js';
 import {
   dataCenterNewsMethod,
   newsMethod,
@@ -47,7 +47,7 @@
 
 export interface LoadNewsOptions {
   readonly self: string;
-  readonly circle: NewsCircle;
+  readonly topology: NewsTopology;
   readonly targets: TargetBook;
   readonly crashes: CrashCounts;
   readonly services: ServiceStates;
@@ -85,7 +85,7 @@
       parts.map(({ id, tokens }) => [id, tokens]),
       Math.round(expectedMs),
     ]);
-    if (this.#tellingSoon || this.#options.circle.large) return;
+    if (this.#tellingSoon || this.#options.topology.large) return;
     this.#tellingSoon = true;
     setTimeout(() => {
       this.#tellingSoon = false;
@@ -95,7 +95,7 @@
 
   /** Instances that rely on this one as their hub; most have none. */
   members(): readonly string[] {
-    return this.#options.circle.large ? this.#gathered.members() : [];
+    return this.#options.topology.large ? this.#gathered.members() : [];
   }
 
   register(kernel: Kernel): void {
@@ -131,25 +131,25 @@
   }
 
   #tell(): void {
-    const { circle, self } = this.#options;
-    const hub = circle.large ? circle.hub() : undefined;
+    const { topology, self } = this.#options;
+    const hub = topology.large ? topology.hub() : undefined;
     // What a hub has to tell goes out with what it gathers.
     if (hub === self && this.members().length > 0) return;
     const loads = this.#ownLoads();
     if (!this.#isDue(loads, hub !== undefined)) return;
     const news = this.#ownNews(loads);
     if (hub === undefined || hub === self) {
-      circle.broadcast(newsMethod, news);
+      topology.broadcast(newsMethod, news);
       return;
     }
     this.#heard.reported(hub, loads);
-    circle.toldHub(hub);
-    circle.tell(hub, reportMethod, news);
+    topology.toldHub(hub);
+    topology.tell(hub, reportMethod, news);
   }
 
   /** A hub tells its members and the other hubs what it gathered. */
   #publish(): void {
-    const { circle } = this.#options;
+    const { topology } = this.#options;
     if (this.members().length === 0) return;
     const news = this.#gathered.take(this.#ownNews(this.#ownLoads()));
     this.#tellMembers(news);
@@ -158,21 +158,21 @@
     this.#unsaid.crashes.push(...news.crashes);
     this.#hubPeriods += 1;
     if (this.#hubPeriods % otherHubsPeriods !== 0) return;
-    for (const hub of circle.otherHubs()) {
-      circle.tell(hub, dataCenterNewsMethod, { ...news, ...this.#unsaid });
+    for (const hub of topology.otherHubs()) {
+      topology.tell(hub, dataCenterNewsMethod, { ...news, ...this.#unsaid });
     }
     this.#unsaid = nothingUnsaid();
   }
 
   /** True when the sums of a hub contain what this instance tells. */
   get #isMember(): boolean {
-    const { circle, self } = this.#options;
-    return circle.large && circle.hub() !== self;
+    const { topology, self } = this.#options;
+    return topology.large && topology.hub() !== self;
   }
 
   #tellMembers(news: News): void {
     for (const member of this.#gathered.members()) {
-      this.#options.circle.tell(member, newsMethod, news);
+      this.#options.topology.tell(member, newsMethod, news);
     }
   }
 
@@ -232,8 +232,8 @@
   }
 
   #hear(news: News): void {
-    const { targets, crashes, circle, demand } = this.#options;
-    circle.heardFrom(news.from);
+    const { targets, crashes, topology, demand } = this.#options;
+    topology.heardFrom(news.from);
     demand.heard(news.from, news.placed);
     this.#heard.heard(news.from, news.loads);
     for (const [id, , , silentMs] of news.loads) {
--- a/packages/relay/src/news/news-circle.ts
+++ b/packages/relay/src/news/news-topology.ts
@@ -4,7 +4,7 @@
 
 import { HubChoice } from './hub-choice.js';
 
-export abstract class NewsCircle {
+export abstract class NewsTopology {
   /**
    * True when the deployment is too large for everyone to tell everyone: then
    * one instance of each data centre, its hub, gathers the news and sums them.
@@ -26,7 +26,7 @@
 /** Of each other data centre the first ones are told, as any may be away. */
 const hubCandidates = 2;
 
-export class MeshCircle extends NewsCircle {
+export class MeshTopology extends NewsTopology {
   readonly #choice = new HubChoice();
 
   constructor(
--- a/packages/relay/src/placing/candidates.test.ts
+++ b/packages/relay/src/placing/candidates.test.ts
@@ -2,7 +2,7 @@
 
 import { aPrompt, anEngine } from '../fixtures/relay-fixtures.js';
 
-import { drawn, homeOf } from './candidates.js';
+import { sampled, homeOf } from './candidates.js';
 import { placeGeneration } from './placement.js';
 import type { PlacementOptions } from './placement.js';
 import { ReadingSpeed } from './reading-speed.js';
@@ -24,7 +24,7 @@
 const place = (
   targets: PlacementOptions['targets'],
   prompt: PlacementOptions['prompt'],
-  draw: PlacementOptions['draw'],
+  random: PlacementOptions['random'],
 ) =>
   placeGeneration({
     targets,
@@ -36,16 +36,16 @@
     dataCenter: 'a',
     excluded: new Set(),
     unreached: new Set(),
-    draw,
+    random,
   });
 
 /** Each instance places one request before it hears of any other. */
 const placeBlindly = (
   targets: PlacementOptions['targets'],
-  draw: PlacementOptions['draw'],
+  random: PlacementOptions['random'],
 ) =>
   Array.from({ length: instances }, (_, i) =>
-    place(targets, aPrompt(`own-${i}`, { shared: 0, own: 9_000 }), draw),
+    place(targets, aPrompt(`own-${i}`, { shared: 0, own: 9_000 }), random),
   );
 
 const mostCommon = (ids: readonly (string | undefined)[]): number => {
@@ -57,11 +57,14 @@
 test('instances with the same late picture do not all choose one engine', t => {
   const targets = [...engines('prefill', 16), ...engines('decode', 16)];
   const alone = placeBlindly(targets, undefined);
-  const crowded = placeBlindly(targets, numbersFrom(7));
+  const largeDeployment = placeBlindly(targets, numbersFrom(7));
   const decoders = (placements: typeof alone) =>
     mostCommon(placements.map(placement => placement?.decode.record.id));
   t.is(decoders(alone), instances, 'what drawing is there to avoid');
-  t.true(decoders(crowded) <= instances / 4, `${decoders(crowded)}`);
+  t.true(
+    decoders(largeDeployment) <= instances / 4,
+    `${decoders(largeDeployment)}`,
+  );
 });
 
 test('a shared part has the same home everywhere, and homes differ', t => {
@@ -101,8 +104,8 @@
   t.true(placed.every(one => one?.prefill?.record.id === home));
 });
 
-test('few targets are all drawn', t => {
+test('few targets are all sampled', t => {
   const targets = engines('decode', 2);
-  const found = drawn(targets, { dataCenter: 'a', draw: numbersFrom(1) });
+  const found = sampled(targets, { dataCenter: 'a', random: numbersFrom(1) });
   t.is(found.length, 2);
 });
--- a/packages/relay/src/placing/candidates.ts
+++ b/packages/relay/src/placing/candidates.ts
@@ -4,9 +4,9 @@
 import type { Prompt } from '../requests/request.js';
 import type { TargetState } from '../targets/target-state.js';
 
-/** Targets drawn at random in the own data centre and in the others. */
-const drawnNear = 2;
-const drawnFar = 1;
+/** Targets sampled at random in the own data centre and in the others. */
+const sampledNear = 2;
+const sampledFar = 1;
 
 /** Fewer kept tokens do not make a target worth weighing. */
 const fewestKeptTokens = 512;
@@ -41,53 +41,56 @@
   return home;
 };
 
-export interface DrawOptions {
+export interface SampleOptions {
   /** Data centre of this instance. */
   readonly dataCenter: string;
   /**
    * Uniform numbers. Given when many instances choose from the same late
-   * picture: the best of a few drawn targets spares them one common choice.
+   * picture: the best of a few sampled targets spares them one common choice.
    */
-  readonly draw: (() => number) | undefined;
+  readonly random: (() => number) | undefined;
 }
 
 const sample = (
   targets: readonly TargetState[],
   count: number,
-  draw: () => number,
+  random: () => number,
 ): TargetState[] => {
   const left = [...targets];
   const taken: TargetState[] = [];
   while (taken.length < count && left.length > 0) {
-    taken.push(...left.splice(Math.floor(draw() * left.length), 1));
+    taken.push(...left.splice(Math.floor(random() * left.length), 1));
   }
   return taken;
 };
 
-/** A few of the targets, most of them near; all when nothing is drawn. */
-export const drawn = (
+/** A few of the targets, most of them near; all when nothing is sampled. */
+export const sampled = (
   targets: readonly TargetState[],
-  { dataCenter, draw }: DrawOptions,
+  { dataCenter, random }: SampleOptions,
 ): readonly TargetState[] => {
-  if (draw === undefined) return targets;
+  if (random === undefined) return targets;
   const isNear = ({ record }: TargetState) => record.dataCenter === dataCenter;
   const near = targets.filter(isNear);
   const far = targets.filter(target => !isNear(target));
-  return [...sample(near, drawnNear, draw), ...sample(far, drawnFar, draw)];
+  return [
+    ...sample(near, sampledNear, random),
+    ...sample(far, sampledFar, random),
+  ];
 };
 
-/** A few drawn targets, the home, and all that keep part of the prompt. */
-export const drawnReaders = (
+/** A few sampled targets, the home, and all that keep part of the prompt. */
+export const sampledReaders = (
   targets: readonly TargetState[],
   prompt: Prompt,
-  options: DrawOptions,
+  options: SampleOptions,
 ): readonly TargetState[] => {
-  if (options.draw === undefined) return targets;
+  if (options.random === undefined) return targets;
   const home = homeOf(targets, prompt);
   const kept = targets.filter(
     target =>
       target === home ||
       target.cache.cachedTokens(prompt.parts) >= fewestKeptTokens,
   );
-  return [...new Set([...kept, ...drawn(targets, options)])];
+  return [...new Set([...kept, ...sampled(targets, options)])];
 };
--- a/packages/relay/src/placing/placement.ts
+++ b/packages/relay/src/placing/placement.ts
@@ -2,8 +2,8 @@
 import type { Prompt } from '../requests/request.js';
 import type { TargetState } from '../targets/target-state.js';
 
-import { drawn, drawnReaders, homeOf } from './candidates.js';
-import type { DrawOptions } from './candidates.js';
+import { sampled, sampledReaders, homeOf } from './candidates.js';
+import type { SampleOptions } from './candidates.js';
 import { readingOverheadMs } from './reading-speed.js';
 import type { ReadingSpeed } from './reading-speed.js';
 
@@ -53,7 +53,7 @@
   readonly firstEventMs: number;
 }
 
-export interface PlacementOptions extends DrawOptions {
+export interface PlacementOptions extends SampleOptions {
   readonly targets: readonly TargetState[];
   /** Engines that take no requests any more, but give copies. */
   readonly leaving: readonly TargetState[];
@@ -217,7 +217,7 @@
 export const placeDecoding = (
   options: PlacementOptions,
 ): TargetState | undefined =>
-  leastLoaded(drawn(decodersOf(usable(options), options), options), options);
+  leastLoaded(sampled(decodersOf(usable(options), options), options), options);
 
 /** The engine at which the prompt is read soonest, apart from any answer. */
 const readApart = (
@@ -226,7 +226,7 @@
 ): Candidate | undefined => {
   const readers = targets.filter(({ record }) => record.role === 'prefill');
   const home = homeOf(readers, options.prompt);
-  const candidates = drawnReaders(readers, options.prompt, options)
+  const candidates = sampledReaders(readers, options.prompt, options)
     .map(target => reader(target, options, 1))
     .map(candidate => {
       const { target, tokens, cost } = candidate;
@@ -242,7 +242,7 @@
   options: PlacementOptions,
 ): Placement | undefined => {
   const targets = usable(options);
-  const decoders = drawn(decodersOf(targets, options), options);
+  const decoders = sampled(decodersOf(targets, options), options);
   const apart = readApart(targets, options);
   const inPlace = readInPlace(decoders, options);
   const decode = leastLoaded(decoders, options);
--- a/packages/relay/src/relay/app.ts
+++ b/packages/relay/src/relay/app.ts
@@ -2,7 +2,7 @@
 import type { Plugin } from '@medlarlever/core';
 
 import {
-  circlePart,
+  topologyPart,
   crashesPart,
   drainPart,
   instanceCountPart,
@@ -54,7 +54,7 @@
         metrics: new RelayMetrics(k.get(metricsPart)),
         log: k.get(logPart),
         random: k.get(randomPart),
-        crowded: () => k.get(circlePart).large,
+        largeDeployment: () => k.get(topologyPart).large,
         dataCenter: k.get(settingsPart).current.dataCenter,
         behindMs: () => k.get(loopDelayPart).currentMs,
         timeLeftMs: () => k.get(drainPart).leftMs,
--- a/packages/relay/src/relay/generation-run.ts
+++ b/packages/relay/src/relay/generation-run.ts
@@ -123,7 +123,7 @@
   }
 
   #options(): PlacementOptions {
-    const { targets, dataCenter, reach, crowded, random } = this.parts;
+    const { targets, dataCenter, reach, largeDeployment, random } = this.parts;
     return {
       targets: targets.open(this.journey.service),
       leaving: targets.leftLately(this.journey.service),
@@ -134,7 +134,7 @@
       dataCenter,
       excluded: this.excluded,
       unreached: reach.avoided(),
-      draw: crowded() ? random : undefined,
+      random: largeDeployment() ? random : undefined,
     };
   }
 
--- a/packages/relay/src/relay/relay.ts
+++ b/packages/relay/src/relay/relay.ts
@@ -42,7 +42,7 @@
   readonly log: Log;
   readonly random: () => number;
   /** True when many instances choose targets from the same late picture. */
-  readonly crowded: () => boolean;
+  readonly largeDeployment: () => boolean;
   /** Data centre of this instance. */
   readonly dataCenter: string;
   /** How far this process is behind with what has arrived. */
--- a/packages/relay/src/roles/app.ts
+++ b/packages/relay/src/roles/app.ts
@@ -8,7 +8,7 @@
   incarnationPart,
   leavingPart,
   logPart,
-  circlePart,
+  topologyPart,
   randomPart,
   registryPart,
   roleLeaderPart,
@@ -59,7 +59,7 @@
     kernel.provide(demandPart, () => new ReadingDemand());
     kernel.provide(
       roleNewsPart,
-      k => new RoleNews(k.get(circlePart), k.get(targetsPart)),
+      k => new RoleNews(k.get(topologyPart), k.get(targetsPart)),
     );
     kernel.provide(roleLeaderPart, createLeader);
     kernel.step({
--- a/packages/relay/src/roles/role-leader.test.ts
+++ b/packages/relay/src/roles/role-leader.test.ts
@@ -7,7 +7,7 @@
 import { Right } from 'purify-ts';
 import type { Either } from 'purify-ts';
 
-import { FakeCircle, FakeCircles } from '../fixtures/fake-circle.js';
+import { FakeTopology, FakeDeployment } from '../fixtures/fake-topology.js';
 import { aConfiguration, aLog, aTarget } from '../fixtures/relay-fixtures.js';
 import { ServiceStates } from '../relay/service-state.js';
 import { RouteHolder } from '../routes/route-holder.js';
@@ -116,7 +116,10 @@
       }),
       demand: new ReadingDemand(),
       orders,
-      news: new RoleNews(new FakeCircle(new FakeCircles(), 'self'), targets),
+      news: new RoleNews(
+        new FakeTopology(new FakeDeployment(), 'self'),
+        targets,
+      ),
       log,
       random,
       turnMs,
--- a/packages/relay/src/roles/role-news.ts
+++ b/packages/relay/src/roles/role-news.ts
@@ -3,7 +3,7 @@
 import { Right } from 'purify-ts';
 import { z } from 'zod';
 
-import type { NewsCircle } from '../news/news-circle.js';
+import type { NewsTopology } from '../news/news-topology.js';
 import type { TargetBook } from '../targets/target-book.js';
 
 const closeMethod = 'relay.close';
@@ -16,7 +16,7 @@
 
 export class RoleNews {
   constructor(
-    private readonly circle: NewsCircle,
+    private readonly topology: NewsTopology,
     private readonly targets: TargetBook,
   ) {}
 
@@ -31,7 +31,7 @@
   /** No instance that hears of it sends new work there for the time. */
   close(target: string, forMs: number): void {
     this.targets.find(target)?.closeFor(forMs);
-    this.circle.spread(closeMethod, { target, forMs });
+    this.topology.spread(closeMethod, { target, forMs });
   }
 
   reopen(target: string): void {
