--- a/packages/relay/src/news/load-news.ts
+++ b/packages/relay/src/news/load-news.ts
@@ -21,6 +21,7 @@
   reportMethod,
 } from './news-schema.js';
 import type { News } from './news-schema.js';
+import { OwnWork } from './own-work.js';
 
 /** How often changed loads are told; engines change within such times. */
 const newsPeriodMs = 150;
@@ -61,7 +62,7 @@
   readonly #options: LoadNewsOptions;
   readonly #heard = new HeardLoads();
   readonly #gathered = new GatheredNews();
-  #read: News['read'] = [];
+  readonly #own: OwnWork;
   #toldText = '[]';
   #toldAtMs = 0;
   #tellingSoon = false;
@@ -71,6 +72,7 @@
 
   constructor(options: LoadNewsOptions) {
     this.#options = options;
+    this.#own = new OwnWork(options.targets);
   }
 
   /** Notes parts that a target begins to read. */
@@ -80,11 +82,7 @@
     expectedMs: number,
   ): void {
     if (parts.length === 0) return;
-    this.#read.push([
-      target,
-      parts.map(({ id, tokens }) => [id, tokens]),
-      Math.round(expectedMs),
-    ]);
+    this.#own.reading(target, parts, expectedMs);
     if (this.#tellingSoon || this.#options.topology.large) return;
     this.#tellingSoon = true;
     setTimeout(() => {
@@ -135,7 +133,7 @@
     const hub = topology.large ? topology.hub() : undefined;
     // What a hub has to tell goes out with what it gathers.
     if (hub === self && this.members().length > 0) return;
-    const loads = this.#ownLoads();
+    const loads = this.#own.loads();
     if (!this.#isDue(loads, hub !== undefined)) return;
     const news = this.#ownNews(loads);
     if (hub === undefined || hub === self) {
@@ -151,7 +149,7 @@
   #publish(): void {
     const { topology } = this.#options;
     if (this.members().length === 0) return;
-    const news = this.#gathered.take(this.#ownNews(this.#ownLoads()));
+    const news = this.#gathered.take(this.#ownNews(this.#own.loads()));
     this.#tellMembers(news);
     this.#unsaid.read.push(...news.read);
     this.#unsaid.pace.push(...news.pace);
@@ -181,7 +179,7 @@
     const text = JSON.stringify(loads.map(load => load.slice(0, 3)));
     const changed =
       text !== this.#toldText ||
-      this.#read.length > 0 ||
+      this.#own.hasReading ||
       this.#options.crashes.hasNew;
     const nowMs = performance.now();
     const repeats = loads.length > 0 || toHub;
@@ -196,41 +194,16 @@
     const { self, crashes, revision, services, demand } = this.#options;
     const placed = services.tokensPlaced();
     if (!this.#isMember) demand.heard(self, placed);
-    const read = this.#read;
-    this.#read = [];
     return {
       from: self,
       revision: revision(),
       loads,
       placed,
-      read,
-      pace: this.#ownPace(),
+      ...this.#own.take(),
       crashes: crashes.takeNew(),
     };
   }
 
-  #ownPace(): News['pace'] {
-    return this.#options.targets
-      .all()
-      .map((state): News['pace'][number] => {
-        const { ratio, samples } = state.takeUntold();
-        return [state.record.id, Number(ratio.toFixed(2)), samples];
-      })
-      .filter(([, , samples]) => samples > 0);
-  }
-
-  #ownLoads(): News['loads'] {
-    return this.#options.targets
-      .all()
-      .map((state): News['loads'][number] => {
-        const { unreadTokens, running } = state.ownLoad;
-        const silentMs = Math.round(state.silentMs);
-        const { id } = state.record;
-        return [id, unreadTokens, running, silentMs];
-      })
-      .filter(([, unread, running]) => unread > 0 || running > 0);
-  }
-
   #hear(news: News): void {
     const { targets, crashes, topology, demand } = this.#options;
     topology.heardFrom(news.from);
