--- a/packages/relay/src/placing/placement.test.ts
+++ b/packages/relay/src/placing/placement.test.ts
@@ -83,7 +83,7 @@
   t.is(placement?.copyFrom, undefined);
 });
 
-test('a largeDeployment keeper has its part copied instead of read again', t => {
+test('a crowded keeper has its part copied instead of read again', t => {
   const readers = ['p1', 'p2'].map(id => anEngine(id, 'prefill'));
   const maker = anEngine('d1', 'decode');
   const prompt = aPrompt('x', { shared: 13_000, own: 3_000 });
--- a/packages/relay/src/roles/waiting-policy.test.ts
+++ b/packages/relay/src/roles/waiting-policy.test.ts
@@ -92,18 +92,18 @@
   t.is(changes, 0);
 });
 
-test('the last decode engine and largeDeployment ones stay', t => {
+test('the last decode engine and crowded ones stay', t => {
   const last = [engine('p1', 'prefill', waiting), engine('d1', 'decode')];
   t.is(setUp().show(last, 5_000).length, 0);
-  const largeDeployment = [
+  const crowded = [
     engine('p1', 'prefill', waiting),
     engine('d1', 'decode', { running: 5 }),
     engine('d2', 'decode', { running: 5 }),
   ];
-  t.is(setUp().show(largeDeployment, 5_000).length, 0);
+  t.is(setUp().show(crowded, 5_000).length, 0);
 });
 
-test('idle prefill engines go to largeDeployment decoding', t => {
+test('idle prefill engines go to crowded decoding', t => {
   const engines = [
     engine('p1', 'prefill'),
     engine('p2', 'prefill'),
--- a/packages/relay/src/roles/waiting-policy.ts
+++ b/packages/relay/src/roles/waiting-policy.ts
@@ -27,7 +27,7 @@
 const fullShare = 0.45;
 
 /** Part of the slots in use at which decoding needs one more engine. */
-const largeDeploymentShare = 0.6;
+const crowdedShare = 0.6;
 
 /** Weight of the newest picture in the moving averages. */
 const newestShare = 0.35;
@@ -151,7 +151,7 @@
   const kept = Math.max(1, Math.ceil((usedShare * makers) / fullShare));
   if (wanted > 0) return Math.max(0, Math.min(wanted, makers - kept));
   const spare = readers > 1 && waitMs < shortWaitMs && needed < readers;
-  return spare && usedShare > largeDeploymentShare ? -1 : 0;
+  return spare && usedShare > crowdedShare ? -1 : 0;
 };
 
 const explain = (figures: Figures): string =>
