Run the bundle that is deployed in the soak

A start of the compiled files takes four times the processor time of the bundle's; with restarts in series the soak mostly measured module loading.

--- a/packages/soak/src/processes/instance-process.ts
+++ b/packages/soak/src/processes/instance-process.ts
@@ -43,8 +43,9 @@
   readonly retryAllowance: number;
 }
 
+/** The bundle that is deployed. */
 const entry = fileURLToPath(
-  import.meta.resolve('@medlarlever/platform/daemon'),
+  new URL('../../../../target/medlarleverd.cjs', import.meta.url),
 );
 const clockStep = fileURLToPath(new URL('clock-step.js', import.meta.url));
 const readyPollMs = 100;
