--- a/packages/relay/src/feed/relayed-feed.ts
+++ b/packages/relay/src/feed/relayed-feed.ts
@@ -26,6 +26,7 @@
 /** What a hub last told is taken for complete so long. */
 export const coveredMs = 1_300;
 
+/** What a relayed feed works with. */
 export interface RelayedFeedOptions {
   readonly feed: RowFeed;
   /** True while this instance follows the table for others. */
@@ -33,6 +34,7 @@
   readonly publish: (page: RelayedPage) => void;
 }
 
+/** A feed that is asked only when no hub tells of it. */
 export class RelayedFeed extends RowFeed {
   readonly #options: RelayedFeedOptions;
   #latest: RelayedPage | undefined;
--- a/packages/relay/src/feed/row-news.ts
+++ b/packages/relay/src/feed/row-news.ts
@@ -25,6 +25,7 @@
 });
 type Message = z.infer<typeof messageSchema>;
 
+/** Whom the changes are passed on to, and how. */
 export interface RowNewsOptions {
   /** Instances that this one follows the tables for. */
   readonly members: () => readonly string[];
@@ -52,6 +53,7 @@
   })),
 });
 
+/** The shared feeds by table. */
 export class RowNews {
   readonly #feeds = new Map<string, RelayedFeed>();
 
@@ -72,6 +74,7 @@
     return shared;
   }
 
+  /** Registers the method by which hubs pass changes on. */
   register(kernel: Kernel): void {
     kernel.method(rowsMethod, params => {
       const message = messageSchema.parse(params);
--- a/packages/relay/src/news/gathered-news.ts
+++ b/packages/relay/src/news/gathered-news.ts
@@ -10,6 +10,7 @@
   readonly loads: News['loads'];
 }
 
+/** Reports of the members, until they are told as one. */
 export class GatheredNews {
   readonly #reports = new Map<string, Report>();
   /** Running totals by member and service, as last reported. */
--- a/packages/relay/src/news/heard-loads.ts
+++ b/packages/relay/src/news/heard-loads.ts
@@ -10,11 +10,13 @@
   readonly loads: News['loads'];
 }
 
+/** Who told what, and when. */
 export class HeardLoads {
   readonly #heard = new Map<string, HeardLoad>();
   #reportedTo: string | undefined;
   #reported: News['loads'] = [];
 
+  /** Takes in the loads that an instance or a hub told. */
   heard(from: string, loads: News['loads']): void {
     this.#heard.set(from, { atMs: performance.now(), loads });
   }
--- a/packages/relay/src/news/hub-choice.ts
+++ b/packages/relay/src/news/hub-choice.ts
@@ -10,6 +10,7 @@
 /** It is tried again after this time. */
 const distrustMs = 5_000;
 
+/** Which instances may be relied on as hubs. */
 export class HubChoice {
   readonly #distrustedUntilMs = new Map<string, number>();
   readonly #toldSinceMs = new Map<string, number>();
@@ -36,6 +37,7 @@
     this.#distrustedUntilMs.set(name, nowMs + distrustMs);
   }
 
+  /** Notes a sign of life of the hub. */
   heard(name: string): void {
     this.#toldSinceMs.delete(name);
     this.#distrustedUntilMs.delete(name);
--- a/packages/relay/src/news/news-topology.ts
+++ b/packages/relay/src/news/news-topology.ts
@@ -4,6 +4,7 @@
 
 import { HubChoice } from './hub-choice.js';
 
+/** How news get from one instance to the others. */
 export abstract class NewsTopology {
   /**
    * True when the deployment is too large for everyone to tell everyone: then
@@ -12,10 +13,13 @@
   abstract readonly large: boolean;
   /** The hub of this data centre; this instance itself at the hub. */
   abstract hub(): string;
+  /** Notes that news came from the instance. */
   abstract heardFrom(name: string): void;
+  /** Notes that the hub was told something, and ought to answer. */
   abstract toldHub(name: string): void;
   /** Tells every linked instance; messages may be lost. */
   abstract broadcast(method: string, params: unknown): void;
+  /** Tells one instance; the message may be lost. */
   abstract tell(name: string, method: string, params: unknown): void;
   /** Tells every known instance. */
   abstract spread(method: string, params: unknown): void;
@@ -26,6 +30,7 @@
 /** Of each other data centre the first ones are told, as any may be away. */
 const hubCandidates = 2;
 
+/** Links while the deployment is small, hubs beyond that. */
 export class MeshTopology extends NewsTopology {
   readonly #choice = new HubChoice();
 
--- a/packages/relay/src/placing/event-pace.ts
+++ b/packages/relay/src/placing/event-pace.ts
@@ -25,6 +25,7 @@
   }
 }
 
+/** Mean gap between the events of the service's streams. */
 export class EventPace {
   #gapMs = 0;
   #samples = 0;
--- a/packages/relay/src/server/loop-delay.ts
+++ b/packages/relay/src/server/loop-delay.ts
@@ -5,6 +5,7 @@
 /** What waited during a delay is read over the next turns, not in one. */
 const keptShare = 0.5;
 
+/** Delay of the event loop, from a timer that ought to fire on time. */
 export class LoopDelay {
   #dueMs = Infinity;
   #lastMs = 0;
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -9,11 +9,13 @@
 const cli = meow(
   `
   Usage: npm run soak -- [--seed N] [--seeds COUNT] [--seconds S] [--jobs J]
+                        [--instances I] [--callers C] | --regressions
 
-  --seed     first seed (1); "0" takes one from the time of day
+  --seed     first seed (1); 0 takes one from the time of day
   --seeds    how many seeds in a row (1)
   --seconds  time in which faults begin (15); the recovery follows
   --jobs     seeds that are played at the same time (1)
+  --instances, --callers  size of a run (3 and 12)
   --regressions  plays the seeds that ever failed
   Exits 1 when a promise is broken; what was seen is kept in target/soak.
 `,
