--- a/packages/soak/src/checks/all.ts
+++ b/packages/soak/src/checks/all.ts
@@ -17,6 +17,7 @@
   nothingLostInStops,
   recovery,
   startsReady,
+  steadyMachine,
 } from './process-checks.js';
 import {
   endedWork,
@@ -27,6 +28,7 @@
 } from './target-checks.js';
 
 const checks: readonly Check[] = [
+  steadyMachine,
   wholeAnswers,
   orderedEvents,
   nothingForeign,
--- a/packages/soak/src/checks/checks.test.ts
+++ b/packages/soak/src/checks/checks.test.ts
@@ -55,6 +55,7 @@
   neverReady: [],
   disturbances: new Disturbances(),
   calmSinceMs: 50_000,
+  longestStallMs: 0,
   endMs: 101_000,
   ...change,
 });
@@ -241,6 +242,12 @@
   ]);
 });
 
+test('a machine that stood still fails the run by that name', t => {
+  t.deepEqual(promisesBroken({ longestStallMs: 29_000 }), [
+    'the machine leaves a run that can be judged',
+  ]);
+});
+
 test('an instance that never gets ready is found', t => {
   t.deepEqual(promisesBroken({ neverReady: ['i2'] }), [
     'a started instance gets ready',
--- a/packages/soak/src/checks/process-checks.ts
+++ b/packages/soak/src/checks/process-checks.ts
@@ -127,6 +127,15 @@
     return [{ promise: 'a planned stop ends cleanly in its time', seen }];
   });
 
+/** A longer stall makes callers and targets of the soak late themselves. */
+const longestStallMs = 2_000;
+
+export const steadyMachine: Check = ({ longestStallMs: stallMs }) => {
+  if (stallMs <= longestStallMs) return [];
+  const seen = `the soak stood still for ${Math.round(stallMs)} ms`;
+  return [{ promise: 'the machine leaves a run that can be judged', seen }];
+};
+
 export const startsReady: Check = ({ neverReady }) =>
   neverReady.map(instance => ({
     promise: 'a started instance gets ready',
--- a/packages/soak/src/scene/evidence.ts
+++ b/packages/soak/src/scene/evidence.ts
@@ -53,6 +53,8 @@
   readonly disturbances: Disturbances;
   /** When the last fault had ended; nothing was harmed after it. */
   calmSinceMs: number;
+  /** Longest time in which the soak itself stood still. */
+  longestStallMs: number;
   /** When callers stopped sending. */
   endMs: number;
 }
--- a/packages/soak/src/scene/scene.ts
+++ b/packages/soak/src/scene/scene.ts
@@ -9,6 +9,7 @@
 import { Disturbances } from './disturbances.js';
 import type { Attempt, ConfigurationChange, Evidence } from './evidence.js';
 import { configurationOf, movingServices } from './routes.js';
+import { StallWatch } from './stall-watch.js';
 import { TargetFleet } from './target-fleet.js';
 
 export interface SceneOptions {
@@ -105,6 +106,7 @@
     const { callers: count, seed } = this.options;
     const { instances } = this;
     const attempts = this.#attempts;
+    const stalls = new StallWatch();
     const callers = Array.from({ length: count }, (_, i) => {
       const random = new Random(seed + i + 1);
       return new Caller({ instances, random, attempts });
@@ -115,7 +117,7 @@
     await pass(recoveryMs + calmMs);
     this.#stop.abort();
     await Promise.all(sending);
-    return this.#evidence(calmSinceMs);
+    return this.#evidence(calmSinceMs, stalls.stop());
   }
 
   async close(): Promise<void> {
@@ -155,7 +157,7 @@
     await fault.inject(this, random);
   }
 
-  #evidence(calmSinceMs: number): Evidence {
+  #evidence(calmSinceMs: number, longestStallMs: number): Evidence {
     const { arrivals, orders } = this.targets.records;
     return {
       attempts: this.#attempts,
@@ -167,6 +169,7 @@
       exits: this.instances.flatMap(({ exits }) => exits),
       disturbances: this.disturbances,
       calmSinceMs,
+      longestStallMs,
       endMs: performance.now(),
     };
   }
