End a request whose time was over before it was read without a send

A call with 68 ms left was read 0.8 s late by the one instance that still ran. Its delay was counted, so nothing was left of its time; but the timer of zero milliseconds fires only in the next turn of the event loop, after the first send (it reached the target at 30.629 s and was cut at 30.631 s). Ruled out: a delay that was not measured (the cut came 2 ms later, by that timer), generations (they are refused by admission). A test fails without the change.

--- a/packages/relay/src/relay/journey.ts
+++ b/packages/relay/src/relay/journey.ts
@@ -54,7 +54,8 @@
       this.#ending.abort();
     };
     caller.left.addEventListener('abort', this.#onLeft, { once: true });
-    if (caller.left.aborted) this.#ending.abort();
+    // A timer of no time would fire only after the first send.
+    if (caller.left.aborted || this.leftMs === 0) this.#ending.abort();
   }
 
   /** Aborts at the deadline and when the caller leaves. */
--- a/packages/relay/src/relay/relay.test.ts
+++ b/packages/relay/src/relay/relay.test.ts
@@ -185,3 +185,14 @@
   t.is(caller.failure?.retryAfterMs, 1_300);
   t.is(client.sends.length, 0);
 });
+
+test('a request whose time was over before it was read is not sent', async t => {
+  for (const kind of ['idempotent', 'non_idempotent'] as const) {
+    const { serve, client } = aRelay({ route: { kind } });
+    const arrivedMs = performance.now() - 800;
+    const caller = await serve({ arrivedMs, patienceMs: 70 });
+    t.is(caller.failure?.code, 'deadline_exceeded');
+    t.is(caller.failure?.executed, 'no');
+    t.is(client.sends.length, 0);
+  }
+});
