Look whether the caller has left on every new connection

Cause, from the lines of the one instance left in its data centre: requests that it handles take 40 to 150 ms, so its event loop is not late; yet a request sent at 30.206 s reached a target at 31.381 s. New connections wait: the event loop takes one of them in each of its turns, and with most instances dead the clients open more than that. The caller's close has arrived with its request and is read one turn later. Ruled out: a delay of the loop (measured, small), kept connections (the close is read in time).

The first request of every connection now waits two turns of the loop, which is nothing when it is idle. A test without any loop delay fails before. What remains: the time in that queue is not counted against the request, as it cannot be seen.

--- a/packages/relay/src/server/caller-server.test.ts
+++ b/packages/relay/src/server/caller-server.test.ts
@@ -1,6 +1,7 @@
 import { execFileSync } from 'node:child_process';
 
 import test from 'ava';
+import type { ExecutionContext } from 'ava';
 import { Right } from 'purify-ts';
 
 import { aLog, aRequest } from '../fixtures/relay-fixtures.js';
@@ -33,7 +34,8 @@
   execFileSync(process.execPath, ['-e', script]);
 };
 
-test('a caller that left before its request was read is seen to have left', async t => {
+/** A server whose relay notes the callers that it is given. */
+const openServer = async (t: ExecutionContext, loopDelay: LoopDelay) => {
   const callers: Caller[] = [];
   const relay = {
     serve: (_request: unknown, caller: Caller) => {
@@ -42,8 +44,6 @@
       return Promise.resolve();
     },
   };
-  const loopDelay = new LoopDelay();
-  loopDelay.start();
   const server = await CallerServer.open({
     relay: relay as unknown as Relay,
     routes: new RouteHolder(aLog()),
@@ -54,10 +54,28 @@
     port: 0,
   });
   t.teardown(() => server.close());
-  sendAndLeave(server.port);
-  t.true(loopDelay.currentMs > 100, 'the server was kept from reading');
+  return { callers, port: server.port };
+};
+
+const untilServed = async (callers: readonly Caller[]): Promise<void> => {
   while (callers.length === 0) {
     await new Promise(resolve => setImmediate(resolve));
   }
+};
+
+test('a caller that left before its request was read is seen to have left', async t => {
+  const loopDelay = new LoopDelay();
+  loopDelay.start();
+  const { callers, port } = await openServer(t, loopDelay);
+  sendAndLeave(port);
+  t.true(loopDelay.currentMs > 100, 'the server was kept from reading');
+  await untilServed(callers);
+  t.is(callers.length, 1);
+});
+
+test('a caller that left while its connection waited is seen to have left', async t => {
+  const { callers, port } = await openServer(t, new LoopDelay());
+  sendAndLeave(port);
+  await untilServed(callers);
   t.is(callers.length, 1);
 });
--- a/packages/relay/src/server/relay-controller.ts
+++ b/packages/relay/src/server/relay-controller.ts
@@ -1,5 +1,6 @@
 /** Every request of callers, whatever its path and method. */
 import type { IncomingMessage } from 'node:http';
+import type { Socket } from 'node:net';
 import { setImmediate as nextTurn } from 'node:timers/promises';
 
 import { Failure } from '@medlarlever/core';
@@ -40,6 +41,9 @@
 
 @Controller()
 export class RelayController {
+  /** Connections that had a request before. */
+  readonly #known = new WeakSet<Socket>();
+
   constructor(
     @Inject(relayToken) readonly relay: Relay,
     @Inject(routesToken) readonly routes: RouteHolder,
@@ -91,7 +95,7 @@
     const bytes = body.extract() as Buffer;
     try {
       const decoded = this.decoder.decode(message, url, bytes, arrivedMs);
-      await this.#seeLeaving();
+      await this.#seeLeaving(message.socket);
       if (decoded.isLeft()) caller.refuse(decoded.extract());
       else await this.relay.serve(decoded.unsafeCoerce(), caller);
     } finally {
@@ -100,11 +104,15 @@
   }
 
   /**
-   * A process that is behind may have the caller's close unread in the same
-   * connection: the event loop reads it one turn after the request.
+   * The caller's close may lie unread behind its request: the event loop reads
+   * it one turn later. That is so when the process is behind, and on a new
+   * connection: the loop takes one of those in each turn, so that a burst of
+   * them waits without any delay of the loop itself.
    */
-  async #seeLeaving(): Promise<void> {
-    if (this.loopDelay.currentMs < noticeableDelayMs) return;
+  async #seeLeaving(socket: Socket): Promise<void> {
+    const isNew = !this.#known.has(socket);
+    this.#known.add(socket);
+    if (!isNew && this.loopDelay.currentMs < noticeableDelayMs) return;
     await nextTurn();
     await nextTurn();
   }
