--- a/packages/relay/src/news/load-news.ts
+++ b/packages/relay/src/news/load-news.ts
@@ -26,7 +26,7 @@
 /** How often changed loads are told; engines change within such times. */
 const newsPeriodMs = 150;
 
-/** How often a hub tells its members, and each how many times the other hubs. */
+/** How often a hub tells its members, and after how many times the other hubs. */
 const hubPeriodMs = 200;
 const otherHubsPeriods = 2;
 
