Keep the hub's part of the news apart from the member's

LoadNews did both, and gathered reports also where it would never tell them: an instance that had not heard of most others yet took reports without end, and its members waited 0.9 s to pass it over. Who is reported to now tells, whatever it knows of the size. The order of imported parts is the usual one again.

--- a/packages/relay/src/feed/app.ts
+++ b/packages/relay/src/feed/app.ts
@@ -2,7 +2,6 @@
 import type { Kernel, Plugin } from '@medlarlever/core';
 
 import {
-  topologyPart,
   crashesPart,
   logPart,
   newsPart,
@@ -18,6 +17,7 @@
   targetFollowerPart,
   targetSourcePart,
   targetsPart,
+  topologyPart,
 } from '../kernel/parts.js';
 import { startRank } from '../kernel/ranks.js';
 import { RouteHolder } from '../routes/route-holder.js';
--- a/packages/relay/src/news/app.ts
+++ b/packages/relay/src/news/app.ts
@@ -4,7 +4,6 @@
 
 import { closeSoon } from '../kernel/closing.js';
 import {
-  topologyPart,
   crashesPart,
   demandPart,
   incarnationPart,
@@ -24,6 +23,7 @@
   stoppingPart,
   tablePart,
   targetsPart,
+  topologyPart,
 } from '../kernel/parts.js';
 import { startRank } from '../kernel/ranks.js';
 import { openPeerInterface } from '../server/peer-interface.js';
--- a/packages/relay/src/news/load-news.test.ts
+++ b/packages/relay/src/news/load-news.test.ts
@@ -130,6 +130,19 @@
   t.true(Math.abs(slowness - mine.slowness) < 0.1);
 });
 
+test.serial(
+  'a hub that has not heard of most instances gathers all the same',
+  async t => {
+    const { clock, join, one, two } = setUp(t);
+    const three = join('three');
+    for (const { topology } of [two, three]) topology.gatherAt('one');
+    three.targets.find('t1')?.enter();
+    await clock.tickAsync(1_500);
+    t.deepEqual(one.news.members(), ['two', 'three']);
+    t.is(two.targets.find('t1')?.running, 1);
+  },
+);
+
 test.serial('hubs tell each other, and their members hear of it', async t => {
   const { clock, join, one, two } = setUp(t);
   const far = join('far');
--- a/packages/relay/src/news/load-news.ts
+++ b/packages/relay/src/news/load-news.ts
@@ -11,8 +11,8 @@
 import type { TargetBook } from '../targets/target-book.js';
 import { noLoad } from '../targets/target-state.js';
 
-import { GatheredNews } from './gathered-news.js';
 import { HeardLoads } from './heard-loads.js';
+import { NewsHub } from './news-hub.js';
 import type { NewsTopology } from './news-topology.js';
 import {
   dataCenterNewsMethod,
@@ -26,10 +26,6 @@
 /** How often changed loads are told; engines change within such times. */
 const newsPeriodMs = 150;
 
-/** How often a hub tells its members, and after how many times the other hubs. */
-const hubPeriodMs = 200;
-const otherHubsPeriods = 2;
-
 /**
  * New work is told sooner, so that instances do not all choose the engine that
  * was idle a moment ago. What is placed within this time is told together.
@@ -39,13 +35,6 @@
 /** Unchanged loads are told again before they are no longer believed. */
 const repeatAfterMs = 600;
 
-/** What is told once, and gathered until then. */
-const nothingUnsaid = (): Pick<News, 'read' | 'pace' | 'crashes'> => ({
-  read: [],
-  pace: [],
-  crashes: [],
-});
-
 export interface LoadNewsOptions {
   readonly self: string;
   readonly topology: NewsTopology;
@@ -61,18 +50,19 @@
 export class LoadNews {
   readonly #options: LoadNewsOptions;
   readonly #heard = new HeardLoads();
-  readonly #gathered = new GatheredNews();
+  readonly #hub: NewsHub;
   readonly #own: OwnWork;
   #toldText = '[]';
   #toldAtMs = 0;
   #tellingSoon = false;
-  #hubPeriods = 0;
-  /** News of this data centre that the other hubs have not been told. */
-  #unsaid = nothingUnsaid();
 
   constructor(options: LoadNewsOptions) {
     this.#options = options;
     this.#own = new OwnWork(options.targets);
+    this.#hub = new NewsHub({
+      topology: options.topology,
+      ownNews: () => this.#ownNews(this.#own.loads()),
+    });
   }
 
   /** Notes parts that a target begins to read. */
@@ -93,7 +83,7 @@
 
   /** Instances that rely on this one as their hub; most have none. */
   members(): readonly string[] {
-    return this.#options.topology.large ? this.#gathered.members() : [];
+    return this.#hub.members();
   }
 
   register(kernel: Kernel): void {
@@ -103,31 +93,27 @@
     });
     kernel.method(reportMethod, params => {
       const news = newsSchema.parse(params);
-      this.#gathered.report(news);
+      this.#hub.report(news);
       this.#hear(news);
       return Promise.resolve(Right(null));
     });
     kernel.method(dataCenterNewsMethod, params => {
       const news = newsSchema.parse(params);
       this.#hear(news);
-      this.#tellMembers(news);
+      this.#hub.tellMembers(news);
       return Promise.resolve(Right(null));
     });
   }
 
   /** Tells until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
-    void this.#runHub(signal);
+    void this.#hub.run(signal);
     while (await sleep(newsPeriodMs, signal)) {
       this.#tell();
       this.#apply();
     }
   }
 
-  async #runHub(signal: AbortSignal): Promise<void> {
-    while (await sleep(hubPeriodMs, signal)) this.#publish();
-  }
-
   #tell(): void {
     const { topology, self } = this.#options;
     const hub = topology.large ? topology.hub() : undefined;
@@ -145,35 +131,12 @@
     topology.tell(hub, reportMethod, news);
   }
 
-  /** A hub tells its members and the other hubs what it gathered. */
-  #publish(): void {
-    const { topology } = this.#options;
-    if (this.members().length === 0) return;
-    const news = this.#gathered.take(this.#ownNews(this.#own.loads()));
-    this.#tellMembers(news);
-    this.#unsaid.read.push(...news.read);
-    this.#unsaid.pace.push(...news.pace);
-    this.#unsaid.crashes.push(...news.crashes);
-    this.#hubPeriods += 1;
-    if (this.#hubPeriods % otherHubsPeriods !== 0) return;
-    for (const hub of topology.otherHubs()) {
-      topology.tell(hub, dataCenterNewsMethod, { ...news, ...this.#unsaid });
-    }
-    this.#unsaid = nothingUnsaid();
-  }
-
   /** True when the sums of a hub contain what this instance tells. */
   get #isMember(): boolean {
     const { topology, self } = this.#options;
     return topology.large && topology.hub() !== self;
   }
 
-  #tellMembers(news: News): void {
-    for (const member of this.#gathered.members()) {
-      this.#options.topology.tell(member, newsMethod, news);
-    }
-  }
-
   /** Changes are due at once; members of a hub report when idle as well. */
   #isDue(loads: News['loads'], toHub: boolean): boolean {
     const text = JSON.stringify(loads.map(load => load.slice(0, 3)));
--- a/packages/relay/src/relay/app.ts
+++ b/packages/relay/src/relay/app.ts
@@ -2,7 +2,6 @@
 import type { Plugin } from '@medlarlever/core';
 
 import {
-  topologyPart,
   crashesPart,
   drainPart,
   instanceCountPart,
@@ -17,6 +16,7 @@
   settingsPart,
   targetClientPart,
   targetsPart,
+  topologyPart,
 } from '../kernel/parts.js';
 import { RelayMetrics } from '../metrics/relay-metrics.js';
 import { CrashCounts } from '../retries/crash-counts.js';
--- a/packages/relay/src/roles/app.ts
+++ b/packages/relay/src/roles/app.ts
@@ -8,7 +8,6 @@
   incarnationPart,
   leavingPart,
   logPart,
-  topologyPart,
   randomPart,
   registryPart,
   roleLeaderPart,
@@ -18,6 +17,7 @@
   settingsPart,
   tablePart,
   targetsPart,
+  topologyPart,
 } from '../kernel/parts.js';
 import { startRank } from '../kernel/ranks.js';
 
