Keep where a generation can go apart from how it is run

generation-run.ts had grown to 355 lines: choosing engines and turning away stood between sending and its failures. No behaviour changes.

--- a/packages/relay/src/news/load-news.test.ts
+++ b/packages/relay/src/news/load-news.test.ts
@@ -138,7 +138,7 @@
     for (const { topology } of [two, three]) topology.gatherAt('one');
     three.targets.find('t1')?.enter();
     await clock.tickAsync(1_500);
-    t.deepEqual(one.news.members(), ['two', 'three']);
+    t.deepEqual([...one.news.members()].sort(), ['three', 'two']);
     t.is(two.targets.find('t1')?.running, 1);
   },
 );
--- a/packages/relay/src/relay/generation-run.ts
+++ b/packages/relay/src/relay/generation-run.ts
@@ -1,35 +1,25 @@
 /** Runs a generation: prompt read apart or in place, stream passed on. */
 import { Failure } from '@medlarlever/core';
+import { Right } from 'purify-ts';
+import type { Either } from 'purify-ts';
 
-import { admission } from '../placing/admission.js';
-import {
-  handoverMs,
-  placeDecoding,
-  placeGeneration,
-} from '../placing/placement.js';
-import type { Placement, PlacementOptions } from '../placing/placement.js';
 import { EventTimes } from '../placing/event-pace.js';
+import { handoverMs } from '../placing/placement.js';
+import type { Placement } from '../placing/placement.js';
 import { readingOverheadMs } from '../placing/reading-speed.js';
 import type { Prompt } from '../requests/request.js';
 import type { EngineSettings } from '../routes/route.js';
 import type { TargetState } from '../targets/target-state.js';
 
 import { StreamSink } from './answer-sinks.js';
+import { GenerationPlaces } from './generation-places.js';
 import type { Journey } from './journey.js';
 import type { RelayParts } from './relay.js';
-import {
-  RequestRun,
-  firstServerError,
-  neverSent,
-  noTargetRetryMs,
-} from './request-run.js';
+import { RequestRun, firstServerError, neverSent } from './request-run.js';
 import { SendWatch } from './send-watch.js';
 import { noteFailure, noteSuccess } from './target-failures.js';
 import type { Handover, PrefillOutcome, SendOutcome } from './target-client.js';
 
-/** When to come back while no engine decodes: one has to change its role. */
-const noDecoderRetryMs = 1_200;
-
 /**
  * Silence of a stream that may be resumed after which it goes on elsewhere:
  * several times the longest gap that callers bear without complaint.
@@ -50,6 +40,7 @@
 
 export class GenerationRun extends RequestRun {
   readonly #sink: StreamSink;
+  readonly #places: GenerationPlaces;
   #handover: Handover | undefined;
   #prefills = 0;
   /** Called with each event: the first one tells that the prompt is read. */
@@ -59,9 +50,17 @@
     parts: RelayParts,
     journey: Journey,
     private readonly prompt: Prompt,
-    private readonly engine: EngineSettings,
+    engine: EngineSettings,
   ) {
     super(parts, journey);
+    const { excluded } = this;
+    this.#places = new GenerationPlaces({
+      parts,
+      journey,
+      prompt,
+      engine,
+      excluded,
+    });
     const { route, caller } = journey;
     const onBytes = () => {
       journey.firstBytes();
@@ -82,23 +81,22 @@
         this.giveUp(journey.expired());
         return;
       }
-      const placement = placeGeneration(this.#options());
-      const refusal = this.#judge(placement, first);
-      if (refusal !== undefined || placement === undefined) {
-        this.giveUp(refusal ?? this.#noTarget());
+      const placed = first ? this.#places.first() : this.#places.next();
+      const placement = placed.extract();
+      if (placement instanceof Failure) {
+        this.giveUp(placement);
         return;
       }
       first = false;
-      this.#note(placement);
       const { prefill } = placement;
       if (prefill !== undefined && this.#handover === undefined) {
         const read = await this.#read(prefill, placement);
         if (read === 'ended') return;
         if (read === 'again') continue;
       }
-      const ready = this.#withDecoder(placement);
-      if (ready === undefined) {
-        this.giveUp(this.#noTarget());
+      const ready = this.#withDecoder(placement).extract();
+      if (ready instanceof Failure) {
+        this.giveUp(ready);
         return;
       }
       if (await this.#tryAt(ready)) return;
@@ -116,68 +114,9 @@
   }
 
   /** Reading took its time: the engine chosen before may be leaving or full. */
-  #withDecoder(placement: Placement): Placement | undefined {
-    if (this.#handover === undefined) return placement;
-    const decode = placeDecoding(this.#options());
-    return decode === undefined ? undefined : { ...placement, decode };
-  }
-
-  #options(): PlacementOptions {
-    const { targets, dataCenter, reach, largeDeployment, random } = this.parts;
-    return {
-      targets: targets.open(this.journey.service),
-      leaving: targets.leftLately(this.journey.service),
-      prompt: this.prompt,
-      speed: this.service.speed,
-      slots: this.engine.slots,
-      transferMsPerToken: this.engine.transferMsPerToken,
-      dataCenter,
-      excluded: this.excluded,
-      unreached: reach.avoided(),
-      random: largeDeployment() ? random : undefined,
-    };
-  }
-
-  #note({ prefill, copyFrom, tokens, firstEventMs }: Placement): void {
-    this.journey.note({
-      prefill: prefill?.record.id,
-      copied_from: copyFrom?.record.id,
-      tokens,
-      expected_ms: Math.round(firstEventMs),
-    });
-  }
-
-  #judge(
-    placement: Placement | undefined,
-    first: boolean,
-  ): Failure | undefined {
-    if (placement === undefined) return this.#noTarget();
-    if (!first) return undefined;
-    const { leftMs } = this.journey;
-    const refusal = admission({
-      firstEventMs: placement.firstEventMs,
-      leftMs,
-    });
-    if (refusal === undefined) return undefined;
-    return new Failure('overloaded', refusal.reason, {
-      retryAfterMs: refusal.retryAfterMs,
-    });
-  }
-
-  #noTarget(): Failure {
-    const open = this.parts.targets.open(this.journey.service);
-    const decoding = open.filter(({ record }) => record.role !== 'prefill');
-    this.journey.note({
-      engines: open.length,
-      decoding: decoding.length,
-      changing: open.filter(({ closed }) => closed).length,
-      avoided: open.filter(({ avoided }) => avoided).length,
-      tried: this.excluded.size,
-    });
-    return new Failure('no_target', 'no engine can take the request now', {
-      executed: this.journey.mayHaveRun ? 'unknown' : 'no',
-      retryAfterMs: decoding.length > 0 ? noTargetRetryMs : noDecoderRetryMs,
-    });
+  #withDecoder(placement: Placement): Either<Failure, Placement> {
+    if (this.#handover === undefined) return Right(placement);
+    return this.#places.decoder().map(decode => ({ ...placement, decode }));
   }
 
   #dropHandover(): void {
