--- a/packages/soak/src/checks/check.ts
+++ b/packages/soak/src/checks/check.ts
@@ -11,7 +11,7 @@
 export type Check = (evidence: Evidence) => Violation[];
 
 /** Calm after which an instance is held to bounds of time again. */
-const settledMs = 4_000;
+export const settledMs = 4_000;
 
 /** True when neither instance nor store was harmed shortly before or in the time. */
 export const isInTouch = (
--- a/packages/soak/src/checks/checks.test.ts
+++ b/packages/soak/src/checks/checks.test.ts
@@ -56,7 +56,6 @@
   disturbances: new Disturbances(),
   calmSinceMs: 50_000,
   longestStallMs: 0,
-  endMs: 101_000,
   ...change,
 });
 
--- a/packages/soak/src/checks/process-checks.ts
+++ b/packages/soak/src/checks/process-checks.ts
@@ -2,10 +2,10 @@
 import type { Arrival } from '@medlarlever/platform/stand-ins';
 
 import type { Attempt, Evidence } from '../scene/evidence.js';
-import { movingPrefix, timeoutMs } from '../scene/routes.js';
+import { graceS, movingPrefix, timeoutMs } from '../scene/routes.js';
 import { recoveryMs } from '../scene/scene.js';
 
-import { groupBy, isInTouch } from './check.js';
+import { groupBy, isInTouch, settledMs } from './check.js';
 import type { Check, Violation } from './check.js';
 
 /** Time after its acknowledgement in which a configuration is in force. */
@@ -96,7 +96,7 @@
 const onlyPlanned = (evidence: Evidence, attempt: Attempt): boolean =>
   evidence.disturbances.isCalmBut(
     'SIGTERM',
-    attempt.sentAtMs - 4_000,
+    attempt.sentAtMs - settledMs,
     attempt.endedAtMs ?? Infinity,
   );
 
@@ -111,7 +111,7 @@
 };
 
 /** Longest time from a stop signal to the end. */
-const graceMs = 8_000;
+const graceMs = graceS * 1_000;
 
 export const expectedExits: Check = ({ exits, disturbances }) =>
   exits.flatMap((exit): Violation[] => {
--- a/packages/soak/src/checks/target-checks.ts
+++ b/packages/soak/src/checks/target-checks.ts
@@ -2,7 +2,7 @@
 import type { Arrival, SeenOrder } from '@medlarlever/platform/stand-ins';
 
 import type { Attempt, Evidence } from '../scene/evidence.js';
-import { retryAllowance } from '../scene/scene.js';
+import { retryAllowance } from '../scene/routes.js';
 import { leavingMs } from '../scene/target-fleet.js';
 
 import { groupBy, isInTouch } from './check.js';
--- a/packages/soak/src/processes/instance-process.ts
+++ b/packages/soak/src/processes/instance-process.ts
@@ -105,10 +105,6 @@
     return this.callerLink.address;
   }
 
-  get running(): boolean {
-    return this.#child !== undefined;
-  }
-
   async start(): Promise<void> {
     const file = await this.#writeSettings();
     const child = spawn(process.execPath, ['--import', clockStep, entry], {
--- a/packages/soak/src/scene/evidence.ts
+++ b/packages/soak/src/scene/evidence.ts
@@ -52,9 +52,7 @@
   readonly neverReady: readonly string[];
   readonly disturbances: Disturbances;
   /** When the last fault had ended; nothing was harmed after it. */
-  calmSinceMs: number;
+  readonly calmSinceMs: number;
   /** Longest time in which the soak itself stood still. */
-  longestStallMs: number;
-  /** When callers stopped sending. */
-  endMs: number;
+  readonly longestStallMs: number;
 }
--- a/packages/soak/src/scene/routes.ts
+++ b/packages/soak/src/scene/routes.ts
@@ -9,6 +9,12 @@
 export const timeoutMs = 2_500;
 export const maxAttempts = 2;
 
+/** Time that a stopping instance has, in seconds. */
+export const graceS = 8;
+
+/** Retries that are free, small enough for faults to use them up. */
+export const retryAllowance = 30;
+
 /** The route that changes of the configuration move between both services. */
 export const movingPrefix = '/move/';
 export const movingServices = ['move-a', 'move-b'] as const;
--- a/packages/soak/src/scene/scene.ts
+++ b/packages/soak/src/scene/scene.ts
@@ -8,7 +8,12 @@
 import { Caller } from './caller.js';
 import { Disturbances } from './disturbances.js';
 import type { Attempt, ConfigurationChange, Evidence } from './evidence.js';
-import { configurationOf, movingServices } from './routes.js';
+import {
+  configurationOf,
+  graceS,
+  movingServices,
+  retryAllowance,
+} from './routes.js';
 import { StallWatch } from './stall-watch.js';
 import { TargetFleet } from './target-fleet.js';
 
@@ -20,11 +25,6 @@
   readonly folder: string;
 }
 
-const graceS = 8;
-
-/** Retries that are free, small enough for faults to use them up. */
-export const retryAllowance = 30;
-
 /** Time after the last fault in which everything is to serve again. */
 export const recoveryMs = 15_000;
 
@@ -170,7 +170,6 @@
       disturbances: this.disturbances,
       calmSinceMs,
       longestStallMs,
-      endMs: performance.now(),
     };
   }
 }
