--- a/packages/bench/src/explore/lease-scenario.ts
+++ b/packages/bench/src/explore/lease-scenario.ts
@@ -8,8 +8,7 @@
   SilentLog,
   sleep,
 } from '@medlarlever/core';
-import type { Lease, Write ,
-  EraTracker} from '@medlarlever/core';
+import type { Lease, Write, EraTracker } from '@medlarlever/core';
 import { MemoryTable } from '@medlarlever/stand-ins';
 import type { TableBackup } from '@medlarlever/stand-ins';
 import { Right } from 'purify-ts';
