Add restores, departures and pauses to the soak, and keep claims across a restore

Cause: what the soak and the library did not play is not proved. The soak's store could not be restored, its targets announced nothing; an idempotency record that a restore lost led to a second run.

`RestoredClaims` remembers the claims of a process, writes them again in a new era and refuses new claims for 5 s (executed "no").

--- a/packages/bench/src/operations/idempotency.test.ts
+++ b/packages/bench/src/operations/idempotency.test.ts
@@ -367,3 +367,61 @@
       t.is(fleet.table.callCounts.commit, 2 * 16);
     }),
 );
+
+/** Gives every instance an answer of the restored table, which shows the new era. */
+const showRestore = async ({ fleet, clock }: FleetFixture) => {
+  for (const { table } of fleet.instances) void table.readRows([]);
+  await clock.tickAsync(100);
+};
+
+test.serial('an operation whose record a restore lost is not run again', t =>
+  withOperationFleet(t, {}, async fixture => {
+    const { fleet, clock } = fixture;
+    const backup = fleet.table.createBackup();
+    const first = await sendAndAwait(fixture, 0, { key: 'k' });
+    fleet.table.restoreBackup(backup);
+    await showRestore(fixture);
+    await clock.tickAsync(5_000);
+    const repeated = await sendAndAwait(fixture, 1, { key: 'k' });
+    t.deepEqual(repeated, markRepeated(first));
+    t.is(fleet.countExecutions('k'), 1);
+  }),
+);
+
+test.serial(
+  'no key is claimed until lost records had time to be written again',
+  t =>
+    withOperationFleet(t, {}, async fixture => {
+      const { fleet } = fixture;
+      const backup = fleet.table.createBackup();
+      await sendAndAwait(fixture, 0, { key: 'k' });
+      fleet.instances[0]?.table.pauseAnswers();
+      fleet.table.restoreBackup(backup);
+      await showRestore(fixture);
+      const refused = await sendAndAwait(fixture, 1, {
+        key: 'k',
+        deadlineMs: 1_000,
+      });
+      t.deepEqual(getCodeAndExecution(refused), ['claim_unavailable', 'no']);
+      t.is(fleet.countExecutions('k'), 1);
+    }),
+);
+
+test.serial(
+  'a run during which the table is restored stores its result in the new era',
+  t =>
+    withOperationFleet(t, {}, async fixture => {
+      const { fleet, clock } = fixture;
+      fleet.delayResponses(3_000);
+      const backup = fleet.table.createBackup();
+      const running = fleet.sendRequest(0, { key: 'k' });
+      await clock.tickAsync(500);
+      fleet.table.restoreBackup(backup);
+      await showRestore(fixture);
+      await clock.tickAsync(8_000);
+      t.true((await running).isRight());
+      const repeated = await sendAndAwait(fixture, 1, { key: 'k' });
+      t.like(repeated, { isReplayed: true });
+      t.is(fleet.countExecutions('k'), 1);
+    }),
+);
--- a/packages/core/src/idempotency/idempotency-store.ts
+++ b/packages/core/src/idempotency/idempotency-store.ts
@@ -7,7 +7,7 @@
 
 import type { Either } from 'purify-ts';
 
-import type { Failure } from '../shared/failure.js';
+import { Failure } from '../shared/failure.js';
 import type { Log } from '../shared/log.js';
 import {
   commitWithRetry,
@@ -125,6 +125,27 @@
     return getCommitOutcome(commitResult) === 'committed';
   }
 
+  /**
+   * Writes the record of a claim again if a restore of the table has lost it.
+   * Returns false if the table gave no definite answer or changed meanwhile.
+   */
+  async restoreRecord(
+    name: IdempotencyRecordKey,
+    record: IdempotencyRecord,
+  ): Promise<boolean> {
+    const stored = (await this.readRecord(name)).extract();
+    if (stored instanceof Failure) return false;
+    if (stored !== undefined && !isOlderRecord(stored.record, record))
+      return true;
+    const owned = this.#createOwnedRecord(name, record, stored?.version);
+    const transaction = {
+      token: randomUUID(),
+      writes: [this.#createWrite(owned)],
+    };
+    const commit = await this.options.table.commitTransaction(transaction);
+    return commit.map(({ kind }) => kind === 'committed').orDefault(false);
+  }
+
   /** Reads the record of a key; `undefined` when there is none. */
   async readRecord(
     name: IdempotencyRecordKey,
@@ -174,6 +195,15 @@
   }
 }
 
+/** True if the stored record is an earlier state of the same claim. */
+const isOlderRecord = (
+  stored: IdempotencyRecord,
+  record: IdempotencyRecord,
+): boolean =>
+  stored.token === record.token &&
+  stored.state === 'running' &&
+  record.state !== 'running';
+
 /** Returns the row that conflicts with the write, if any. */
 const getConflictingRow = (commit: CommitResult): Row | undefined =>
   commit.kind === 'conflict' ? commit.rows[0] : undefined;
--- a/packages/core/src/idempotency/idempotent-executor.ts
+++ b/packages/core/src/idempotency/idempotent-executor.ts
@@ -31,6 +31,7 @@
   getReplayOutcome,
   createStillRunningFailure,
 } from './replay-outcome.js';
+import { RestoredClaims } from './restored-claims.js';
 import { UnstoredResults } from './unstored-results.js';
 import type { OperationResponse } from './service-dispatcher.js';
 
@@ -74,12 +75,19 @@
 export class IdempotentExecutor {
   readonly #options: IdempotentExecutorOptions;
   readonly #store: IdempotencyStore;
+  readonly #restoredClaims: RestoredClaims;
   readonly #unstoredResults = new UnstoredResults();
   readonly #stopController = new AbortController();
 
   constructor(options: IdempotentExecutorOptions) {
     this.#options = options;
     this.#store = new IdempotencyStore(options);
+    this.#restoredClaims = new RestoredClaims({
+      ...options,
+      store: this.#store,
+      eras: options.table.eras,
+      signal: this.#stopController.signal,
+    });
   }
 
   /** Number of claims whose result is not stored yet. */
@@ -98,6 +106,9 @@
       validateKey(name.key, retentionMs) ??
       this.#options.rateLimiter.acquire(name.customer, claimsPerMinute);
     if (rejection !== undefined) return Left(rejection);
+    const { remainingSettlingMs } = this.#restoredClaims;
+    if (remainingSettlingMs > 0)
+      return Left(createClaimUnavailableFailure(remainingSettlingMs));
     return this.#claimAndRun(operation, run, signal, undefined);
   }
 
@@ -180,11 +191,15 @@
     run: RunOperation,
     signal: AbortSignal,
   ): Promise<OperationOutcome> {
-    const rejection = this.#checkBeforeRun(operation, signal);
+    const rejection =
+      this.#checkBeforeRun(operation, signal) ??
+      this.#checkClaimEra(ownedRecord);
     if (rejection !== undefined) {
       void this.#storeResult(ownedRecord, { state: 'released' });
       return Left(rejection);
     }
+    const { name, stored } = ownedRecord;
+    this.#restoredClaims.remember(name, stored.record);
     const result = await run();
     const change = result.caseOf<Partial<IdempotencyRecord>>({
       Left: ({ executed }) => ({
@@ -204,6 +219,14 @@
     return result.map(answer => ({ ...answer, isReplayed: false }));
   }
 
+  /** Fails if the table was restored since the claim and may have lost it. */
+  #checkClaimEra({ stored }: OwnedRecord): Failure | undefined {
+    const { currentEra } = this.#options.table.eras;
+    return stored.version.era === currentEra
+      ? undefined
+      : createClaimUnavailableFailure(this.#restoredClaims.remainingSettlingMs);
+  }
+
   #checkBeforeRun(
     { name, retentionMs, deadline }: IdempotentOperation,
     signal: AbortSignal,
@@ -225,7 +248,11 @@
     change: Partial<IdempotencyRecord>,
   ): Promise<void> {
     const { log } = this.#options;
-    const { token } = ownedRecord.stored.record;
+    const { record } = ownedRecord.stored;
+    const { token } = record;
+    if (change.state === 'released') this.#restoredClaims.forget(token);
+    else
+      this.#restoredClaims.remember(ownedRecord.name, { ...record, ...change });
     const { customer, operation } = ownedRecord.name;
     const fields = { customer, operation, token };
     if (change.state === 'unknown') log.writeEvent('claim_unknown', fields);
@@ -236,7 +263,13 @@
       change,
       signal,
     );
-    if (!isStored) log.writeEvent('result_delayed', fields);
+    if (!isStored) {
+      log.writeEvent('result_delayed', fields);
+      // After a restore the row has another version, or none.
+      const { era } = ownedRecord.stored.version;
+      if (era !== this.#options.table.eras.currentEra)
+        await this.#restoredClaims.writeAgain(token);
+    }
     if (!signal.aborted) this.#unstoredResults.delete(token);
   }
 
--- a/packages/core/src/idempotency/replay-outcome.ts
+++ b/packages/core/src/idempotency/replay-outcome.ts
@@ -11,11 +11,13 @@
 const retryAfterMs = 1_000;
 
 /** Failure when the claim was not stored; this attempt was not run. */
-export const createClaimUnavailableFailure = (): Failure =>
+export const createClaimUnavailableFailure = (
+  claimRetryAfterMs = retryAfterMs,
+): Failure =>
   new Failure(
     'claim_unavailable',
     'the claim could not be stored, so this attempt was not run',
-    { retryAfterMs },
+    { retryAfterMs: claimRetryAfterMs },
   );
 
 /** Failure when the earlier run is still in progress at the deadline. */
--- a/packages/core/src/shared/events.ts
+++ b/packages/core/src/shared/events.ts
@@ -180,6 +180,12 @@
     'The record of a crash could not yet be stored at the platform.',
   ),
 
+  claims_restored: defineEvent(
+    415,
+    'warn',
+    'After a restore of the platform, this process wrote its idempotency records again.',
+  ),
+
   // 500: relayed requests
   request_answered: defineEvent(
     501,
--- a/packages/soak/src/checks/run-checks.test.ts
+++ b/packages/soak/src/checks/run-checks.test.ts
@@ -43,6 +43,7 @@
   failed: false,
   endedAtMs: 100_090,
   leftAtMs: undefined,
+  announcedLeaving: false,
   answer: 'text',
   seal: 's',
   ...change,
@@ -55,6 +56,7 @@
   attempts: [createAttempt('a')],
   arrivals: [createArrival('a')],
   orders: [],
+  pauseRequests: [],
   configurations: [],
   targetDepartures: [],
   exits: [],
@@ -311,3 +313,48 @@
     ),
   );
 });
+
+test('a request to a target that announced its departure long ago is a violation', t => {
+  const attempts = ['a', 'b', 'c'].map((id, i) =>
+    createAttempt(id, {
+      sentAtMs: 100_000 + 3_000 * i,
+      endedAtMs: 100_100 + 3_000 * i,
+    }),
+  );
+  const arrivals = ['a', 'b', 'c'].map((id, i) =>
+    createArrival(id, {
+      atMs: 100_010 + 3_000 * i,
+      announcedLeaving: true,
+    }),
+  );
+  const seen = listBrokenPromises({ attempts, arrivals });
+  t.deepEqual(seen, [
+    'a target that announced its departure gets no new requests',
+  ]);
+  const ofAnotherLife = attempts.map((attempt, i) => ({ ...attempt, life: i }));
+  t.deepEqual(listBrokenPromises({ attempts: ofAnotherLife, arrivals }), []);
+});
+
+test('three requests to a target in its pause are a violation, two are not', t => {
+  const ids = ['a', 'b', 'c', 'd'];
+  const attempts = ids.map(id => createAttempt(id));
+  const arrivals = ids.map((id, i) =>
+    createArrival(id, { atMs: 100_010 + 600 * i }),
+  );
+  const createPause = (durationMs: number) => ({
+    target: 't1',
+    attempt: 'a',
+    atMs: 100_010,
+    durationMs,
+  });
+  const promise =
+    'a target that asked for a pause gets no requests until its end';
+  const listBroken = (durationMs: number) =>
+    listBrokenPromises({
+      attempts,
+      arrivals,
+      pauseRequests: [createPause(durationMs)],
+    });
+  t.true(listBroken(2_000).includes(promise));
+  t.false(listBroken(1_500).includes(promise));
+});
--- a/packages/soak/src/checks/run-checks.ts
+++ b/packages/soak/src/checks/run-checks.ts
@@ -9,6 +9,10 @@
   checkRefusedRequests,
   checkCompleteAnswers,
 } from './answer-checks.js';
+import {
+  checkAnnouncedDepartures,
+  checkPauses,
+} from './announcement-checks.js';
 import type { Check, Violation } from './check.js';
 import {
   checkConfigurationInForce,
@@ -36,6 +40,8 @@
   checkRefusedRequests,
   checkValidRequestsAccepted,
   checkLeavingTargets,
+  checkAnnouncedDepartures,
+  checkPauses,
   checkDisconnectedCallers,
   checkWorkCancellation,
   checkRetryBudget,
--- a/packages/soak/src/faults/fault-plan.ts
+++ b/packages/soak/src/faults/fault-plan.ts
@@ -17,11 +17,14 @@
 import {
   StoreHistoryLoss,
   StoreDelay,
+  StoreRestore,
   StoreOutage,
   SingleInstanceStoreOutage,
 } from './store-faults.js';
 import {
+  DepartureByResponse,
   TargetCrash,
+  TargetPause,
   TargetGrayFailure,
   TargetReplacement,
 } from './target-faults.js';
@@ -50,9 +53,12 @@
   new SingleInstanceStoreOutage(),
   new StoreDelay(),
   new StoreHistoryLoss(),
+  new StoreRestore(),
   new TargetReplacement(),
   new TargetCrash(),
   new TargetGrayFailure(),
+  new DepartureByResponse(),
+  new TargetPause(),
   new RouteChange(),
 ];
 
@@ -81,6 +87,7 @@
   new SequentialStops(),
   new SettingsReload(),
   new TargetReplacement(),
+  new DepartureByResponse(),
   new RouteChange(),
 ];
 
--- a/packages/soak/src/faults/store-faults.ts
+++ b/packages/soak/src/faults/store-faults.ts
@@ -60,6 +60,27 @@
   }
 }
 
+/**
+ * Restores the store from a backup that is some seconds old, after a moment in which
+ * it is away. The operator and the targets write their rows again afterwards.
+ */
+export class StoreRestore extends Fault {
+  readonly name = 'restored store';
+
+  async inject(run: SoakRun, random: SeededRandom): Promise<void> {
+    const backup = run.createStoreBackup();
+    await waitBetweenSeconds(random, 0.5, 6);
+    const endFault = run.faultLog.beginFault(storeSubject, this.name);
+    for (const { store } of run.instances) store.behavior = 'silent';
+    await waitBetweenSeconds(random, 0, 1);
+    run.restoreStore(backup);
+    for (const { store } of run.instances) store.behavior = 'serving';
+    await waitBetweenSeconds(random, 0.2, 1.5);
+    await run.writeLostRows();
+    endFault();
+  }
+}
+
 /** Makes the store drop its history of changes up to the current position. */
 export class StoreHistoryLoss extends Fault {
   readonly name = 'lost history';
--- a/packages/soak/src/faults/target-faults.ts
+++ b/packages/soak/src/faults/target-faults.ts
@@ -76,3 +76,31 @@
     endFault();
   }
 }
+
+/** Adds a target, then ends another one that says so in its responses alone. */
+export class DepartureByResponse extends Fault {
+  readonly name = 'departure by response';
+
+  async inject(run: SoakRun, random: SeededRandom): Promise<void> {
+    const [leaving] = random.sampleItems(
+      run.targetFleet.listRedundantTargets(),
+      1,
+    );
+    if (leaving === undefined || leaving.announcesLeaving) return;
+    await run.targetFleet.addTarget(leaving.service, leaving.role);
+    await waitBetweenSeconds(random, 0.2, 1);
+    await run.targetFleet.leaveByResponses(leaving);
+  }
+}
+
+/** Makes a target refuse all requests for a while and ask for pauses. */
+export class TargetPause extends Fault {
+  readonly name = 'pause of a target';
+
+  async inject(run: SoakRun, random: SeededRandom): Promise<void> {
+    const target = random.pickItem(run.targetFleet.listTargets());
+    target.pauseMs = Math.round(random.nextBetween(300, 3_000));
+    await waitBetweenSeconds(random, 0.5, 4);
+    target.pauseMs = 0;
+  }
+}
--- a/packages/soak/src/run/run-record.ts
+++ b/packages/soak/src/run/run-record.ts
@@ -5,6 +5,7 @@
 import type {
   Arrival,
   AttemptOutcome,
+  PauseRequest,
   ReceivedOrder,
 } from '@medlarlever/platform/stand-ins';
 
@@ -53,6 +54,7 @@
   readonly attempts: Attempt[];
   readonly arrivals: readonly Arrival[];
   readonly orders: readonly ReceivedOrder[];
+  readonly pauseRequests: readonly PauseRequest[];
   readonly configurations: ConfigurationChange[];
   readonly targetDepartures: TargetDeparture[];
   readonly exits: InstanceExit[];
--- a/packages/soak/src/run/soak-run.ts
+++ b/packages/soak/src/run/soak-run.ts
@@ -3,6 +3,7 @@
  * faults.
  */
 import { FakeStore } from '@medlarlever/platform/stand-ins';
+import type { StoreBackup } from '@medlarlever/platform/stand-ins';
 
 import { InstanceProcess } from '../processes/instance-process.js';
 import { SeededRandom } from '../shared/seeded-random.js';
@@ -120,9 +121,32 @@
   switchMovingRoute(): void {
     const version = (this.#configurations.at(-1)?.version ?? 0) + 1;
     const service = movingServices[version % movingServices.length] ?? '';
-    this.store.putRow('op', 'config', createConfiguration(version, service));
     const atMs = performance.now();
     this.#configurations.push({ version, service, atMs });
+    this.#writeConfiguration();
+  }
+
+  /** Copies all rows of the store. */
+  createStoreBackup(): StoreBackup {
+    return this.store.createBackup();
+  }
+
+  /** Restores the store; what was written since the backup is lost. */
+  restoreStore(backup: StoreBackup): void {
+    this.store.restoreBackup(backup);
+  }
+
+  /** Writes again what the operator and the targets wrote last. */
+  writeLostRows(): Promise<void> {
+    this.#writeConfiguration();
+    return this.targetFleet.writeLostRows();
+  }
+
+  #writeConfiguration(): void {
+    const newest = this.#configurations.at(-1);
+    if (newest === undefined) return;
+    const { version, service } = newest;
+    this.store.putRow('op', 'config', createConfiguration(version, service));
   }
 
   /**
@@ -193,11 +217,12 @@
     faultFreeSinceMs: number,
     longestStallMs: number,
   ): RunRecord {
-    const { arrivals, orders } = this.targetFleet.records;
+    const { arrivals, orders, pauseRequests } = this.targetFleet.records;
     return {
       attempts: this.#attempts,
       arrivals,
       orders,
+      pauseRequests,
       configurations: this.#configurations,
       targetDepartures: this.targetFleet.departures,
       unreadyInstances: this.#unreadyInstances,
--- a/packages/soak/src/run/target-fleet.ts
+++ b/packages/soak/src/run/target-fleet.ts
@@ -94,6 +94,7 @@
    */
   async drainTarget(target: FakeTarget): Promise<void> {
     target.state = 'draining';
+    target.announcesLeaving = true;
     this.#registerTarget(target);
     const atMs = performance.now();
     this.departures.push({ target: target.id, atMs });
@@ -103,6 +104,18 @@
     await target.stop();
   }
 
+  /**
+   * Ends a target that says in its responses alone that it leaves. Its registration
+   * is removed only when it stops.
+   */
+  async leaveByResponses(target: FakeTarget): Promise<void> {
+    target.announcesLeaving = true;
+    await this.#sleep(targetDrainMs * 3);
+    this.#runningTargets.delete(target.id);
+    this.options.store.removeRow(targetTableName, target.id);
+    await target.stop();
+  }
+
   /**
    * Stops a target without notice, adds a replacement after `downMs` milliseconds
    * and removes the row after the missed heartbeats.
@@ -119,6 +132,19 @@
     this.options.store.removeRow(targetTableName, id);
   }
 
+  /**
+   * Writes the rows of the running targets again, after a restore of the store, and
+   * removes those of the others when their heartbeats have been missed.
+   */
+  async writeLostRows(): Promise<void> {
+    for (const target of this.listTargets()) this.#registerTarget(target);
+    await this.#sleep(heartbeatIntervalMs * missedHeartbeatLimit);
+    const { store } = this.options;
+    for (const key of store.listKeys(targetTableName)) {
+      if (!this.#runningTargets.has(key)) store.removeRow(targetTableName, key);
+    }
+  }
+
   /** Stops all running targets. */
   async stop(): Promise<void> {
     await Promise.all(this.listTargets().map(target => target.stop()));
