--- a/packages/relay/src/relay/generation-runner.ts
+++ b/packages/relay/src/relay/generation-runner.ts
@@ -10,6 +10,7 @@
 import { kvTransferMs } from '../placement/placement.js';
 import type { Placement } from '../placement/placement.js';
 import { prefillOverheadMs } from '../placement/prefill-speed.js';
+import { computeUrgency } from '../placement/urgency.js';
 import type { Prompt } from '../requests/relay-request.js';
 import type { EngineSettings } from '../routes/route-configuration.js';
 import type { TargetState } from '../targets/target-state.js';
@@ -45,13 +46,6 @@
  */
 const stallTimeoutFactor = 4;
 
-/**
- * Urgency level of a route with rank 0. Engines accept levels from 0, the most
- * urgent, to 9.
- */
-const baseUrgency = 3;
-const maxUrgency = 9;
-
 type FailedPrefillOutcome = Exclude<PrefillOutcome, { kind: 'read' }>;
 
 /** Runs one generation, with new attempts at other targets if needed. */
@@ -164,9 +158,12 @@
     this.#kvCacheHandle = undefined;
   }
 
-  /** Urgency level for the engines' admission, derived from the route's rank. */
-  get #urgency(): number {
-    return Math.min(maxUrgency, this.context.route.rank + baseUrgency);
+  /** Urgency level for the admission of an engine that must compute the tokens. */
+  #computeUrgency(prefillTokens: number): number {
+    const { rank, latencyTargetMs } = this.context.route;
+    const { prefillSpeed } = this.serviceState;
+    const prefillMs = prefillSpeed.estimatePrefillMs(prefillTokens);
+    return computeUrgency({ rank, prefillMs, latencyTargetMs });
   }
 
   /**
@@ -216,7 +213,7 @@
       context.request,
       {
         remainingMs: context.remainingMs,
-        urgency: this.#urgency,
+        urgency: this.#computeUrgency(prefillTokens),
         copySourceAddress: copySource?.record.address,
         signal: watchdog.signal,
       },
@@ -307,7 +304,9 @@
       context.request,
       {
         remainingMs: context.remainingMs,
-        urgency: this.#urgency,
+        urgency: this.#computeUrgency(
+          isColocated ? placement.prefillTokens : 0,
+        ),
         kvCacheHandle,
         copySourceAddress: isColocated
           ? placement.copySource?.record.address
--- a/packages/relay/src/roles/queue-wait-policy.test.ts
+++ b/packages/relay/src/roles/queue-wait-policy.test.ts
@@ -20,9 +20,10 @@
   ...overrides,
 });
 
-const setUp = () => {
+const setUp = (latencyTargetMs = 1_500) => {
   const policy = new QueueWaitPolicy({
     getPrefillTokensPerMs: () => 40,
+    getLatencyTargetMs: () => latencyTargetMs,
     minChangeIntervalMs: 4_000,
   });
   let nowMs = 0;
@@ -171,3 +172,34 @@
   const [change] = runPolicy(engines.slice(0, 1), 500);
   t.like(change, { engine: 'p1', to: 'decode' });
 });
+
+test('prompts of varying length need more prefill engines than the mean rate fills', t => {
+  const { runPolicy } = setUp();
+  // 40 tokens a millisecond and engine: two engines would be busy 83% of the time.
+  const prefillRate = 66_000;
+  const engines = [
+    ...['p1', 'p2'].map(name => createEngineView(name, 'prefill')),
+    ...['d1', 'd2', 'd3'].map(name =>
+      createEngineView(name, 'decode', { running: 2 }),
+    ),
+  ];
+  const changes = runPolicy(engines, 3_000, prefillRate);
+  t.deepEqual(
+    changes.map(({ to }) => to),
+    ['prefill'],
+  );
+});
+
+test('a wait that is short for long latency targets is long for short ones', t => {
+  const engines = [
+    createEngineView('p1', 'prefill', { prefillTokens: 4_000 }),
+    createEngineView('d1', 'decode'),
+    createEngineView('d2', 'decode'),
+  ];
+  const countChanges = (latencyTargetMs: number) => {
+    const { runPolicy } = setUp(latencyTargetMs);
+    return runPolicy(engines, 4_000).length;
+  };
+  t.is(countChanges(1_500), 0);
+  t.is(countChanges(600), 1);
+});
--- a/packages/relay/src/roles/queue-wait-policy.ts
+++ b/packages/relay/src/roles/queue-wait-policy.ts
@@ -11,6 +11,8 @@
 export interface QueueWaitPolicyOptions {
   /** Returns the prompt tokens that a prefill engine processes per millisecond. */
   readonly getPrefillTokensPerMs: () => number;
+  /** Returns the longest time to a first event that a route of the service aims for. */
+  readonly getLatencyTargetMs: () => number;
   /**
    * Minimum time between two changes, so that the effect of the first change is
    * visible before the next decision.
@@ -18,11 +20,17 @@
   readonly minChangeIntervalMs: number;
 }
 
-/** Fraction of its time that a prefill engine can be busy before queues grow. */
-const targetPrefillUtilization = 0.7;
+/**
+ * Fraction of its time that a prefill engine can be busy. Prompt lengths vary widely,
+ * so queues grow long before an engine is always busy.
+ */
+const targetPrefillUtilization = 0.5;
 
-/** Average prefill wait above which adding an engine is worth the role change. */
-const longPrefillWaitMs = 150;
+/**
+ * Average prefill wait above which adding an engine is worth the role change, as a
+ * fraction of the latency target.
+ */
+const longPrefillWaitShare = 0.1;
 
 /** Average prefill wait below which a prefill engine can be removed. */
 const shortPrefillWaitMs = 15;
@@ -31,10 +39,10 @@
  * Maximum fraction of decode slots in use after decode engines have moved to
  * prefill.
  */
-const maxDecodeUtilizationAfterRemoval = 0.45;
+const maxDecodeUtilizationAfterRemoval = 0.55;
 
 /** Fraction of decode slots in use above which decode needs one more engine. */
-const highDecodeUtilization = 0.6;
+const highDecodeUtilization = 0.7;
 
 /** Weight of the newest sample in the exponential moving averages. */
 const smoothingFactor = 0.35;
@@ -50,6 +58,8 @@
 /** Measured values from which the policy derives a decision. */
 interface PolicyInputs {
   readonly averagePrefillWaitMs: number;
+  /** Wait above which another prefill engine is worth the role change. */
+  readonly longPrefillWaitMs: number;
   readonly decodeUtilization: number;
   readonly prefillEngineCount: number;
   readonly decodeEngineCount: number;
@@ -165,6 +175,8 @@
     );
     return {
       averagePrefillWaitMs: this.#averagePrefillWaitMs,
+      longPrefillWaitMs:
+        longPrefillWaitShare * this.#options.getLatencyTargetMs(),
       decodeUtilization: this.#decodeUtilization,
       prefillEngineCount: prefillEngines.length,
       decodeEngineCount: decodeEngines.length,
@@ -185,6 +197,7 @@
 const computePrefillEngineDelta = (inputs: PolicyInputs): number => {
   const {
     averagePrefillWaitMs,
+    longPrefillWaitMs,
     decodeUtilization,
     prefillEngineCount,
     decodeEngineCount,
--- a/packages/relay/src/roles/role-leader.ts
+++ b/packages/relay/src/roles/role-leader.ts
@@ -49,6 +49,9 @@
 const roleChangeTimeoutMs = 9_000;
 const statusPollIntervalMs = 700;
 
+/** Latency target assumed for a service to which no route leads yet. */
+const defaultLatencyTargetMs = 1_500;
+
 /** Minimum time between two decisions, as a multiple of the role change time. */
 const settlingTimeFactor = 1.5;
 const msPerSecond = 1_000;
@@ -142,6 +145,10 @@
     const policy = new QueueWaitPolicy({
       getPrefillTokensPerMs: () =>
         this.#options.services.getState(service.name).prefillSpeed.tokensPerMs,
+      getLatencyTargetMs: () =>
+        this.#options.routes.currentTable?.getLongestLatencyTargetMs(
+          service.name,
+        ) ?? defaultLatencyTargetMs,
       minChangeIntervalMs: settlingTimeFactor * changeMs,
     });
     this.#policiesByService.set(service.name, policy);
--- a/packages/relay/src/routes/route-table.ts
+++ b/packages/relay/src/routes/route-table.ts
@@ -46,6 +46,14 @@
     return this.#servicesByName.get(name);
   }
 
+  /** Longest latency target of the routes to the service; undefined without any. */
+  getLongestLatencyTargetMs(service: string): number | undefined {
+    const targetsMs = this.configuration.routes
+      .filter(({ services }) => services.some(({ name }) => name === service))
+      .map(({ latencyTargetMs }) => latencyTargetMs);
+    return targetsMs.length > 0 ? Math.max(...targetsMs) : undefined;
+  }
+
   get services(): readonly Service[] {
     return this.configuration.services;
   }
