--- a/packages/relay/src/roles/queue-wait-policy.test.ts
+++ b/packages/relay/src/roles/queue-wait-policy.test.ts
@@ -203,3 +203,16 @@
   t.is(countChanges(1_500), 0);
   t.is(countChanges(600), 1);
 });
+
+test('decode engines that the last burst needed are not moved in the pause after it', t => {
+  const { runPolicy } = setUp(600);
+  const createFleet = (running: number) => [
+    createEngineView('p1', 'prefill', { prefillTokens: 4_000 }),
+    ...['d1', 'd2', 'd3'].map(name =>
+      createEngineView(name, 'decode', { running }),
+    ),
+  ];
+  t.is(runPolicy(createFleet(5), 2_000).length, 0);
+  t.is(runPolicy(createFleet(1), 4_000).length, 0);
+  t.true(runPolicy(createFleet(1), 20_000).length > 0);
+});
--- a/packages/relay/src/roles/queue-wait-policy.ts
+++ b/packages/relay/src/roles/queue-wait-policy.ts
@@ -7,6 +7,8 @@
 import { RolePolicy } from '@medlarlever/core';
 import type { EngineView, FleetView, RoleDecision } from '@medlarlever/core';
 
+import { DecayingPeak } from './decaying-peak.js';
+
 /** Parameters of {@link QueueWaitPolicy}. */
 export interface QueueWaitPolicyOptions {
   /** Returns the prompt tokens that a prefill engine processes per millisecond. */
@@ -36,13 +38,14 @@
 const shortPrefillWaitMs = 15;
 
 /**
- * Maximum fraction of decode slots in use after decode engines have moved to
- * prefill.
+ * Maximum fraction of decode slots that the recent peak of running requests takes
+ * after decode engines have moved to prefill. A burst comes faster than an engine
+ * can move back.
  */
 const maxDecodeUtilizationAfterRemoval = 0.55;
 
 /** Fraction of decode slots in use above which decode needs one more engine. */
-const highDecodeUtilization = 0.7;
+const highDecodeUtilization = 0.6;
 
 /** Weight of the newest sample in the exponential moving averages. */
 const smoothingFactor = 0.35;
@@ -61,6 +64,8 @@
   /** Wait above which another prefill engine is worth the role change. */
   readonly longPrefillWaitMs: number;
   readonly decodeUtilization: number;
+  /** Decode engines that the recent peak of running requests needs. */
+  readonly minDecodeEngineCount: number;
   readonly prefillEngineCount: number;
   readonly decodeEngineCount: number;
   /** Number of prefill engines needed to handle the prompt token rate. */
@@ -73,6 +78,7 @@
   readonly #options: QueueWaitPolicyOptions;
   #averagePrefillWaitMs = 0;
   #decodeUtilization = 0;
+  readonly #runningRequestPeak = new DecayingPeak();
   #sampleCount = 0;
   #changedAtMs = -Infinity;
 
@@ -162,6 +168,14 @@
       engine => engine.running,
     );
     const slots = sumOverEngines(decodeEngines, engine => engine.slots);
+    const slotsPerEngine = Math.max(
+      1,
+      slots / Math.max(1, decodeEngines.length),
+    );
+    const runningRequestPeak = this.#runningRequestPeak.addValue(
+      runningRequestCount,
+      view.nowMs,
+    );
     const weight = this.#sampleCount === 0 ? 1 : smoothingFactor;
     this.#sampleCount += 1;
     this.#averagePrefillWaitMs +=
@@ -178,6 +192,13 @@
       longPrefillWaitMs:
         longPrefillWaitShare * this.#options.getLatencyTargetMs(),
       decodeUtilization: this.#decodeUtilization,
+      minDecodeEngineCount: Math.max(
+        1,
+        Math.ceil(
+          runningRequestPeak /
+            (slotsPerEngine * maxDecodeUtilizationAfterRemoval),
+        ),
+      ),
       prefillEngineCount: prefillEngines.length,
       decodeEngineCount: decodeEngines.length,
       requiredPrefillEngineCount: Math.ceil(
@@ -199,6 +220,7 @@
     averagePrefillWaitMs,
     longPrefillWaitMs,
     decodeUtilization,
+    minDecodeEngineCount,
     prefillEngineCount,
     decodeEngineCount,
     requiredPrefillEngineCount,
@@ -212,13 +234,6 @@
     requiredPrefillEngineCount - prefillEngineCount,
     minAddedEngineCount,
   );
-  const minDecodeEngineCount = Math.max(
-    1,
-    Math.ceil(
-      (decodeUtilization * decodeEngineCount) /
-        maxDecodeUtilizationAfterRemoval,
-    ),
-  );
   if (addedCount > 0)
     return Math.max(
       0,
@@ -237,7 +252,7 @@
   `prefill wait ${Math.round(inputs.averagePrefillWaitMs)} ms, ` +
   `decode slots used ${inputs.decodeUtilization.toFixed(2)}, ` +
   `${inputs.prefillEngineCount} prefill and ${inputs.decodeEngineCount} decode engines, ` +
-  `${inputs.requiredPrefillEngineCount} prefill engines required`;
+  `${inputs.requiredPrefillEngineCount} prefill and ${inputs.minDecodeEngineCount} decode engines required`;
 
 const sumOverEngines = (
   engines: readonly EngineView[],
