--- a/packages/relay/src/roles/queue-wait-policy.test.ts
+++ b/packages/relay/src/roles/queue-wait-policy.test.ts
@@ -216,3 +216,21 @@
   t.is(runPolicy(createFleet(1), 4_000).length, 0);
   t.true(runPolicy(createFleet(1), 20_000).length > 0);
 });
+
+test('an engine moves back to decode in a burst of short requests, although prompts wait', t => {
+  const { runPolicy } = setUp(600);
+  const createFleet = (running: number) => [
+    ...['p1', 'p2', 'p3'].map(name =>
+      createEngineView(name, 'prefill', { prefillTokens: 6_000 }),
+    ),
+    ...['d1', 'd2', 'd3'].map(name =>
+      createEngineView(name, 'decode', { running }),
+    ),
+  ];
+  t.is(runPolicy(createFleet(4), 3_000).length, 0);
+  const changes = runPolicy(createFleet(9), 3_000);
+  t.deepEqual(
+    changes.map(({ to }) => to),
+    ['decode'],
+  );
+});
--- a/packages/relay/src/roles/queue-wait-policy.ts
+++ b/packages/relay/src/roles/queue-wait-policy.ts
@@ -34,17 +34,17 @@
  */
 const longPrefillWaitShare = 0.1;
 
-/** Average prefill wait below which a prefill engine can be removed. */
-const shortPrefillWaitMs = 15;
-
 /**
  * Maximum fraction of decode slots that the recent peak of running requests takes
  * after decode engines have moved to prefill. A burst comes faster than an engine
  * can move back.
  */
-const maxDecodeUtilizationAfterRemoval = 0.55;
+const maxDecodeUtilizationAfterRemoval = 0.45;
 
-/** Fraction of decode slots in use above which decode needs one more engine. */
+/**
+ * Fraction of decode slots in use above which decode gets one more engine, even if
+ * prompts wait: without a decode slot no request is answered, short or long.
+ */
 const highDecodeUtilization = 0.6;
 
 /** Weight of the newest sample in the exponential moving averages. */
@@ -226,6 +226,8 @@
     requiredPrefillEngineCount,
   } = inputs;
   if (decodeEngineCount === 0) return -1;
+  if (decodeUtilization > highDecodeUtilization && prefillEngineCount > 1)
+    return -1;
   const minAddedEngineCount =
     averagePrefillWaitMs > longPrefillWaitMs || prefillEngineCount === 0
       ? 1
@@ -234,18 +236,10 @@
     requiredPrefillEngineCount - prefillEngineCount,
     minAddedEngineCount,
   );
-  if (addedCount > 0)
-    return Math.max(
-      0,
-      Math.min(addedCount, decodeEngineCount - minDecodeEngineCount),
-    );
-  const hasSparePrefillEngine =
-    prefillEngineCount > 1 &&
-    averagePrefillWaitMs < shortPrefillWaitMs &&
-    requiredPrefillEngineCount < prefillEngineCount;
-  return hasSparePrefillEngine && decodeUtilization > highDecodeUtilization
-    ? -1
-    : 0;
+  return Math.max(
+    0,
+    Math.min(addedCount, decodeEngineCount - minDecodeEngineCount),
+  );
 };
 
 const formatExplanation = (inputs: PolicyInputs): string =>
