--- a/packages/relay/src/roles/queue-wait-policy.ts
+++ b/packages/relay/src/roles/queue-wait-policy.ts
@@ -35,18 +35,29 @@
 const longPrefillWaitShare = 0.1;
 
 /**
- * Maximum fraction of decode slots that the recent peak of running requests takes
- * after decode engines have moved to prefill. A burst comes faster than an engine
- * can move back.
+ * Maximum fraction of decode slots in use after decode engines have moved to
+ * prefill.
  */
-const maxDecodeUtilizationAfterRemoval = 0.45;
+const maxDecodeUtilizationAfterRemoval = 0.55;
 
 /**
- * Fraction of decode slots in use above which decode gets one more engine, even if
- * prompts wait: without a decode slot no request is answered, short or long.
+ * The same for the recent peak of running requests: a burst comes faster than an
+ * engine can move back.
  */
+const maxPeakDecodeUtilization = 0.85;
+
+/** Average prefill wait below which a prefill engine can be removed. */
+const shortPrefillWaitMs = 15;
+
+/** Fraction of decode slots in use above which decode takes an idle prefill engine. */
 const highDecodeUtilization = 0.6;
 
+/**
+ * Fraction of decode slots in use above which decode takes a prefill engine even if
+ * prompts wait: without a decode slot no request is answered, short or long.
+ */
+const fullDecodeUtilization = 0.9;
+
 /** Weight of the newest sample in the exponential moving averages. */
 const smoothingFactor = 0.35;
 
@@ -64,7 +75,7 @@
   /** Wait above which another prefill engine is worth the role change. */
   readonly longPrefillWaitMs: number;
   readonly decodeUtilization: number;
-  /** Decode engines that the recent peak of running requests needs. */
+  /** Decode engines that the running requests and their recent peak need. */
   readonly minDecodeEngineCount: number;
   readonly prefillEngineCount: number;
   readonly decodeEngineCount: number;
@@ -195,8 +206,11 @@
       minDecodeEngineCount: Math.max(
         1,
         Math.ceil(
-          runningRequestPeak /
-            (slotsPerEngine * maxDecodeUtilizationAfterRemoval),
+          (this.#decodeUtilization * decodeEngines.length) /
+            maxDecodeUtilizationAfterRemoval,
+        ),
+        Math.ceil(
+          runningRequestPeak / (slotsPerEngine * maxPeakDecodeUtilization),
         ),
       ),
       prefillEngineCount: prefillEngines.length,
@@ -226,7 +240,7 @@
     requiredPrefillEngineCount,
   } = inputs;
   if (decodeEngineCount === 0) return -1;
-  if (decodeUtilization > highDecodeUtilization && prefillEngineCount > 1)
+  if (decodeUtilization > fullDecodeUtilization && prefillEngineCount > 1)
     return -1;
   const minAddedEngineCount =
     averagePrefillWaitMs > longPrefillWaitMs || prefillEngineCount === 0
@@ -236,10 +250,18 @@
     requiredPrefillEngineCount - prefillEngineCount,
     minAddedEngineCount,
   );
-  return Math.max(
-    0,
-    Math.min(addedCount, decodeEngineCount - minDecodeEngineCount),
-  );
+  if (addedCount > 0)
+    return Math.max(
+      0,
+      Math.min(addedCount, decodeEngineCount - minDecodeEngineCount),
+    );
+  const hasSparePrefillEngine =
+    prefillEngineCount > 1 &&
+    averagePrefillWaitMs < shortPrefillWaitMs &&
+    requiredPrefillEngineCount < prefillEngineCount;
+  return hasSparePrefillEngine && decodeUtilization > highDecodeUtilization
+    ? -1
+    : 0;
 };
 
 const formatExplanation = (inputs: PolicyInputs): string =>
