--- a/packages/relay/src/roles/queue-wait-policy.ts
+++ b/packages/relay/src/roles/queue-wait-policy.ts
@@ -8,6 +8,11 @@
 import type { EngineView, FleetView, RoleDecision } from '@medlarlever/core';
 
 import { DecayingPeak } from './decaying-peak.js';
+import {
+  findEngineForMissingDecode,
+  selectSpareDecodeEngines,
+  sortByLoad,
+} from './engine-selection.js';
 
 /** Parameters of {@link QueueWaitPolicy}. */
 export interface QueueWaitPolicyOptions {
@@ -274,55 +279,3 @@
   engines: readonly EngineView[],
   getValue: (engine: EngineView) => number,
 ): number => engines.reduce((total, engine) => total + getValue(engine), 0);
-
-const sortByLoad = (engines: readonly EngineView[]): readonly EngineView[] =>
-  [...engines].sort(
-    (a, b) => a.running + a.prefillTokens - b.running - b.prefillTokens,
-  );
-
-/**
- * Selects up to `count` decode engines with the lowest load. Each data centre
- * keeps at least one, so that it still works when it is partitioned from the
- * others.
- */
-const selectSpareDecodeEngines = (
-  decodeEngines: readonly EngineView[],
-  count: number,
-): readonly EngineView[] => {
-  const remainingByDataCenter = countEnginesByDataCenter(decodeEngines);
-  const selected: EngineView[] = [];
-  for (const engine of sortByLoad(decodeEngines)) {
-    const remainingCount =
-      (remainingByDataCenter.get(engine.dataCenter) ?? 0) - 1;
-    if (remainingCount < 1 || selected.length >= count) continue;
-    remainingByDataCenter.set(engine.dataCenter, remainingCount);
-    selected.push(engine);
-  }
-  return selected;
-};
-
-/**
- * Finds a prefill engine to move to decode, in a data centre that has several
- * prefill engines but no decode engine.
- */
-const findEngineForMissingDecode = (
-  prefillEngines: readonly EngineView[],
-  decodeEngines: readonly EngineView[],
-): EngineView | undefined => {
-  const decodeCounts = countEnginesByDataCenter(decodeEngines);
-  const prefillCounts = countEnginesByDataCenter(prefillEngines);
-  return sortByLoad(prefillEngines).find(
-    ({ dataCenter }) =>
-      !decodeCounts.has(dataCenter) && (prefillCounts.get(dataCenter) ?? 0) > 1,
-  );
-};
-
-const countEnginesByDataCenter = (
-  engines: readonly EngineView[],
-): Map<string, number> => {
-  const counts = new Map<string, number>();
-  for (const { dataCenter } of engines) {
-    counts.set(dataCenter, (counts.get(dataCenter) ?? 0) + 1);
-  }
-  return counts;
-};
--- a/packages/relay/src/roles/role-leader.test.ts
+++ b/packages/relay/src/roles/role-leader.test.ts
@@ -205,3 +205,30 @@
     );
   },
 );
+
+test.serial(
+  'a leader stops when the store is restored, and the next one sends later and with a higher token',
+  async t => {
+    const { clock, startInstance, stop, table } = setUp(t);
+    const backup = table.createBackup();
+    const one = startInstance('one', stop.signal);
+    await clock.tickAsync(12_000);
+    const [lastCommand] = one.engineControl.receivedCommands.slice(-1);
+    t.truthy(lastCommand);
+    table.restoreBackup(backup);
+    const restoredAtMs = performance.now();
+    const two = startInstance('two', stop.signal);
+    await clock.tickAsync(20_000);
+    const laterCommands = [one, two]
+      .flatMap(({ engineControl }) => engineControl.receivedCommands)
+      .filter(({ atMs }) => atMs > restoredAtMs);
+    t.true(laterCommands.length > 0);
+    for (const { atMs, command } of laterCommands) {
+      t.true(atMs >= restoredAtMs + leaseDurationMs);
+      t.true(command.fencing > (lastCommand?.command.fencing ?? 0));
+    }
+    const holders = laterCommands.map(({ command }) => command.holder);
+    t.is(new Set(holders).size, 1);
+    t.true(one.log.entries.some(({ name }) => name === 'lease_lost'));
+  },
+);
