--- a/packages/relay/src/targets/target-registry.ts
+++ b/packages/relay/src/targets/target-registry.ts
@@ -174,7 +174,9 @@
       role: record.role,
     });
     const departure = this.#departures.get(record.id);
-    const isSameIncarnation = departure?.startedAtMs === record.startedAtMs;
+    const isSameIncarnation =
+      record.startedAtMs !== undefined &&
+      departure?.startedAtMs === record.startedAtMs;
     if (departure?.wasLeaving === true && isSameIncarnation) {
       state.hasAnnouncedLeaving = true;
       this.#markLeaving(state, 'left before');
