Keep a reserve of decode engines in place of limits on their peak

Change: two fifths of the engines decode where decoding is a considerable part of the work (recent peak over a fifth of all slots); fewer are made up for at once, whatever prompts wait.

--- a/packages/relay/src/roles/queue-wait-policy.ts
+++ b/packages/relay/src/roles/queue-wait-policy.ts
@@ -46,10 +46,17 @@
 const maxDecodeUtilizationAfterRemoval = 0.55;
 
 /**
- * The same for the recent peak of running requests: a burst comes faster than an
- * engine can move back.
+ * Minimum fraction of the engines that decode, if decoding is a considerable part of
+ * the work: a burst of requests comes faster than an engine can move back, and decode
+ * engines may leave.
  */
-const maxPeakDecodeUtilization = 0.85;
+const decodeReserveFraction = 0.4;
+
+/**
+ * Fraction of the slots of all engines that the recent peak of running requests must
+ * have taken for the reserve to apply.
+ */
+const minPeakUtilizationForReserve = 0.2;
 
 /** Average prefill wait below which a prefill engine can be removed. */
 const shortPrefillWaitMs = 15;
@@ -57,12 +64,6 @@
 /** Fraction of decode slots in use above which decode takes an idle prefill engine. */
 const highDecodeUtilization = 0.6;
 
-/**
- * Fraction of decode slots in use above which decode takes a prefill engine even if
- * prompts wait: without a decode slot no request is answered, short or long.
- */
-const fullDecodeUtilization = 0.9;
-
 /** Weight of the newest sample in the exponential moving averages. */
 const smoothingFactor = 0.35;
 
@@ -80,7 +81,9 @@
   /** Wait above which another prefill engine is worth the role change. */
   readonly longPrefillWaitMs: number;
   readonly decodeUtilization: number;
-  /** Decode engines that the running requests and their recent peak need. */
+  /** Decode engines kept for bursts, whatever prompts wait. */
+  readonly decodeReserve: number;
+  /** Decode engines that the running requests need, at least the reserve. */
   readonly minDecodeEngineCount: number;
   readonly prefillEngineCount: number;
   readonly decodeEngineCount: number;
@@ -184,14 +187,21 @@
       engine => engine.running,
     );
     const slots = sumOverEngines(decodeEngines, engine => engine.slots);
-    const slotsPerEngine = Math.max(
-      1,
-      slots / Math.max(1, decodeEngines.length),
-    );
     const runningRequestPeak = this.#runningRequestPeak.addValue(
       runningRequestCount,
       view.nowMs,
     );
+    const engines = [...prefillEngines, ...decodeEngines];
+    const peakUtilization =
+      runningRequestPeak /
+      Math.max(
+        1,
+        sumOverEngines(engines, engine => engine.slots),
+      );
+    const decodeReserve =
+      peakUtilization > minPeakUtilizationForReserve
+        ? Math.ceil(decodeReserveFraction * engines.length)
+        : 1;
     const weight = this.#sampleCount === 0 ? 1 : smoothingFactor;
     this.#sampleCount += 1;
     this.#averagePrefillWaitMs +=
@@ -208,15 +218,14 @@
       longPrefillWaitMs:
         longPrefillWaitShare * this.#options.getLatencyTargetMs(),
       decodeUtilization: this.#decodeUtilization,
+      decodeReserve,
       minDecodeEngineCount: Math.max(
         1,
         Math.ceil(
           (this.#decodeUtilization * decodeEngines.length) /
             maxDecodeUtilizationAfterRemoval,
         ),
-        Math.ceil(
-          runningRequestPeak / (slotsPerEngine * maxPeakDecodeUtilization),
-        ),
+        decodeReserve,
       ),
       prefillEngineCount: prefillEngines.length,
       decodeEngineCount: decodeEngines.length,
@@ -239,14 +248,14 @@
     averagePrefillWaitMs,
     longPrefillWaitMs,
     decodeUtilization,
+    decodeReserve,
     minDecodeEngineCount,
     prefillEngineCount,
     decodeEngineCount,
     requiredPrefillEngineCount,
   } = inputs;
   if (decodeEngineCount === 0) return -1;
-  if (decodeUtilization > fullDecodeUtilization && prefillEngineCount > 1)
-    return -1;
+  if (decodeEngineCount < decodeReserve && prefillEngineCount > 1) return -1;
   const minAddedEngineCount =
     averagePrefillWaitMs > longPrefillWaitMs || prefillEngineCount === 0
       ? 1
