Log the limits that targets name, and count the requests they get then

The header is read now, events 516 and 517 say what an instance knows of it, and two metrics count new limits and the requests sent to limited targets. Nothing acts on the limit yet.

--- a/packages/core/src/shared/events.ts
+++ b/packages/core/src/shared/events.ts
@@ -262,6 +262,16 @@
     'info',
     'A target asked for a pause; this instance sends it nothing until its end.',
   ),
+  target_limited: defineEvent(
+    516,
+    'info',
+    'A target named another limit for the requests of all instances, or none any more.',
+  ),
+  limit_unreadable: defineEvent(
+    517,
+    'warn',
+    'A target named a limit that is not a number; the limit known before holds on.',
+  ),
 } as const satisfies Record<string, LogEvent>;
 
 /** Name of a log event, written to the log as the field `name`. */
--- a/packages/relay/src/metrics/relay-metrics.ts
+++ b/packages/relay/src/metrics/relay-metrics.ts
@@ -20,6 +20,7 @@
   readonly #prefillHistogram: Histogram<'service'>;
   readonly #eventGapHistogram: Histogram<'service'>;
   readonly #sendCounter: Counter<'service' | 'outcome'>;
+  readonly #limitedSendCounter: Counter<'service'>;
   readonly #routeLabels = new LabelLimiter(maxRouteLabels);
 
   constructor(registry: Registry) {
@@ -64,6 +65,12 @@
       labelNames: ['service', 'outcome'],
       registers,
     });
+    this.#limitedSendCounter = new Counter({
+      name: 'medlarlever_relay_limited_sends_total',
+      help: 'Requests to targets that had named a limit, by service',
+      labelNames: ['service'],
+      registers,
+    });
   }
 
   /**
@@ -96,4 +103,9 @@
   recordSend(service: string, outcome: string): void {
     this.#sendCounter.inc({ service, outcome });
   }
+
+  /** Records a request to a target that had named a limit. */
+  recordLimitedSend(service: string): void {
+    this.#limitedSendCounter.inc({ service });
+  }
 }
--- a/packages/relay/src/metrics/state-gauges.ts
+++ b/packages/relay/src/metrics/state-gauges.ts
@@ -92,6 +92,11 @@
     'Pauses that targets asked this instance for',
     () => options.announcements.quietPeriodCount,
   );
+  registerGauge(
+    'target_limits',
+    'New limits that targets named to this instance',
+    () => options.announcements.limitCount,
+  );
   registerTargetGauge(options, registers);
   registerRetryGauge(options, registers);
   registerWatcherGauge(options, registers);
@@ -114,6 +119,7 @@
         isAvoided,
         isChangingRole,
         remainingQuietMs,
+        limitStatement,
       } of targets.listTargets()) {
         const state = isLeaving
           ? 'leaving'
@@ -123,7 +129,9 @@
               ? 'quiet'
               : isAvoided
                 ? 'avoided'
-                : 'open';
+                : limitStatement.requestsPerSecond === undefined
+                  ? 'open'
+                  : 'limited';
         const role = record.role ?? 'service';
         this.inc({ service: record.service, role, state });
       }
--- a/packages/relay/src/relay/generation-runner.ts
+++ b/packages/relay/src/relay/generation-runner.ts
@@ -196,7 +196,7 @@
       prefillTokens,
       expectedFirstEventMs,
     );
-    const endRequest = target.startRequest();
+    const endRequest = this.startRequest(target);
     const startedAtMs = performance.now();
     const watchdog = new SendWatchdog({
       target,
@@ -279,7 +279,7 @@
     const target = placement.decodeTarget;
     const kvCacheHandle = this.#kvCacheHandle;
     const isColocated = kvCacheHandle === undefined;
-    const endRequest = target.startRequest();
+    const endRequest = this.startRequest(target);
     const endPrefill = isColocated
       ? this.#startPrefill(
           target,
--- a/packages/relay/src/relay/plain-request-runner.ts
+++ b/packages/relay/src/relay/plain-request-runner.ts
@@ -96,7 +96,7 @@
   /** Sends the request to the target; true when the request has ended. */
   async #sendToTarget(target: TargetState): Promise<boolean> {
     const { context, dependencies } = this;
-    const endRequest = target.startRequest();
+    const endRequest = this.startRequest(target);
     const startedAtMs = performance.now();
     const sink = this.#createResponseSink();
     context.recordSend();
--- a/packages/relay/src/relay/request-runner.ts
+++ b/packages/relay/src/relay/request-runner.ts
@@ -73,6 +73,13 @@
     this.context.failRequest(failure);
   }
 
+  /** Counts a request at the target; the returned function removes it. */
+  protected startRequest(target: TargetState): () => void {
+    if (target.limitStatement.requestsPerSecond !== undefined)
+      this.dependencies.metrics.recordLimitedSend(target.record.service);
+    return target.startRequest();
+  }
+
   /** Handles a failed send; true when the request has ended. */
   protected handleSendFailure(
     target: TargetState,
--- a/packages/relay/src/targets/target-announcements.ts
+++ b/packages/relay/src/targets/target-announcements.ts
@@ -1,6 +1,7 @@
 /**
- * Applies what targets say about themselves in their responses: that they leave, or
- * that they want no requests from this instance for a while.
+ * Applies what targets say about themselves in their responses: that they leave, that
+ * they want no requests from this instance for a while, or how many requests they
+ * take from all instances.
  */
 import type { Kernel, Log } from '@medlarlever/core';
 import { Right } from 'purify-ts';
@@ -10,6 +11,7 @@
 
 import type { TargetRegistry } from './target-registry.js';
 import type { TargetRecord } from './target-record.js';
+import type { TargetState } from './target-state.js';
 
 /** Peer method that tells the other instances that a target is leaving. */
 const targetLeavingMethod = 'relay.target-leaving';
@@ -45,6 +47,7 @@
   readonly #pendingNotifications = new Set<string>();
   #leavingCount = 0;
   #quietPeriodCount = 0;
+  #limitCount = 0;
 
   constructor(options: TargetAnnouncementsOptions) {
     this.#options = options;
@@ -60,6 +63,11 @@
     return this.#quietPeriodCount;
   }
 
+  /** Number of new limits that targets named to this instance. */
+  get limitCount(): number {
+    return this.#limitCount;
+  }
+
   /** Registers the peer method that reports departures. */
   registerMethods(kernel: Kernel): void {
     kernel.registerPeerMethod(targetLeavingMethod, params => {
@@ -84,10 +92,9 @@
 
   /** Records that the target wants no requests for the given time from now. */
   recordQuietPeriod(record: TargetRecord, durationMs: number): void {
-    const { targets, log } = this.#options;
-    const state = targets.findTarget(record.id);
+    const { log } = this.#options;
+    const state = this.#findIncarnation(record);
     if (state === undefined) return;
-    if (state.record.startedAtMs !== record.startedAtMs) return;
     const quietMs = Math.min(maxQuietMs, durationMs);
     if (state.remainingQuietMs >= quietMs) return;
     state.startQuietPeriod(quietMs);
@@ -99,12 +106,49 @@
     });
   }
 
+  /** Records that the target takes so many requests a second from all instances. */
+  recordLimit(record: TargetRecord, requestsPerSecond: number): void {
+    const state = this.#findIncarnation(record);
+    const nowMs = performance.now();
+    if (state?.limitStatement.recordLimit(requestsPerSecond, nowMs) !== true)
+      return;
+    this.#limitCount += 1;
+    this.#logLimit(state, 'response');
+  }
+
+  /** Records an answer without a limit to a request that was sent at `sentAtMs`. */
+  recordNoLimit(record: TargetRecord, sentAtMs: number): void {
+    const state = this.#findIncarnation(record);
+    if (state?.limitStatement.recordNoLimit(sentAtMs) === true)
+      this.#logLimit(state, 'response');
+  }
+
+  /** Records that the target named a limit that can't be read. */
+  recordUnreadableLimit({ id }: TargetRecord, value: string): void {
+    this.#options.log.writeEvent('limit_unreadable', { target: id, value });
+  }
+
   /** True while the target wants no requests from this instance. */
   isQuiet({ id }: TargetRecord): boolean {
     const state = this.#options.targets.findTarget(id);
     return state !== undefined && state.remainingQuietMs > 0;
   }
 
+  #logLimit({ record, limitStatement }: TargetState, source: string): void {
+    this.#options.log.writeEvent('target_limited', {
+      target: record.id,
+      service: record.service,
+      per_second: limitStatement.requestsPerSecond ?? null,
+      source,
+    });
+  }
+
+  /** Returns the state of the target unless another incarnation is registered. */
+  #findIncarnation({ id, startedAtMs }: TargetRecord): TargetState | undefined {
+    const state = this.#options.targets.findTarget(id);
+    return state?.record.startedAtMs === startedAtMs ? state : undefined;
+  }
+
   #notifyPeers({ id, startedAtMs }: TargetRecord): void {
     const incarnation = formatIncarnation({ id, startedAtMs });
     const state = this.#options.targets.findTarget(id);
--- a/packages/relay/src/targets/target-state.ts
+++ b/packages/relay/src/targets/target-state.ts
@@ -1,4 +1,5 @@
 /** Load, health and prefix cache of one target as known to this instance. */
+import { LimitStatement } from '../limits/limit-statement.js';
 import type { PromptSegment } from '../requests/relay-request.js';
 
 import { PrefixCacheEstimate } from './prefix-cache-estimate.js';
@@ -57,6 +58,7 @@
    */
   hasAnnouncedLeaving = false;
   readonly prefixCache: PrefixCacheEstimate;
+  readonly limitStatement = new LimitStatement();
   #pendingPrefillTokens = 0;
   #activeRequestCount = 0;
   #consecutiveFailures = 0;
@@ -246,6 +248,7 @@
     this.#avoidedUntilMs = 0;
     this.#roleChangeUntilMs = 0;
     this.#quietUntilMs = 0;
+    this.limitStatement.clear();
     this.#slowness = 1;
   }
 }
--- a/packages/soak/src/checks/run-checks.test.ts
+++ b/packages/soak/src/checks/run-checks.test.ts
@@ -44,6 +44,7 @@
   endedAtMs: 100_090,
   leftAtMs: undefined,
   announcedLeaving: false,
+  namedLimit: undefined,
   answer: 'text',
   seal: 's',
   ...change,
