Keep the limit that a target names for all instances together

Cause: nothing read the limit. More generally, a rule for all instances together was not divided among them; the retry budget was the only one that is.

Change: each instance works out its part from the names of all instances. What the target gets in 4 s is 4 s of the limit and one burst of each instance that sends, so at a low limit only few may send, chosen by a hash of target and name: 3 and one more for 2 a second. Instances that are cut off keep their part and no more; one that does not know the others assumes 16. A permit is taken by each prefill, send, copy and probe; a decode engine's permit is held while the prompt is prefilled for it, and no prompt is prefilled without one. What a target says is told to the other instances with the load reports, by age. A limit ends with an answer without it to a request sent after the limit was last heard, or with a restart. If nothing is heard of a target for 4 s, any instance may try a request, at random, about one in 2 s in all. Orders are not sent to limited engines.

Not used: equal parts with a burst of one each, which break the rule at 80 instances; turns by the clock, as clocks are 5 s apart; counting what the peers report, which a cut breaks.

--- a/packages/relay/src/change-streams/app.ts
+++ b/packages/relay/src/change-streams/app.ts
@@ -3,6 +3,7 @@
 
 import {
   crashTrackerToken,
+  limitGroupToken,
   logToken,
   loadExchangeToken,
   randomToken,
@@ -22,6 +23,7 @@
   peerTopologyToken,
 } from '../kernel/tokens.js';
 import { startOrder } from '../kernel/start-order.js';
+import { RequestLimiter } from '../limits/request-limiter.js';
 import { RouteTableHolder } from '../routes/route-table-holder.js';
 import { PrefixCacheLoader } from '../targets/prefix-cache-loader.js';
 import { TargetAnnouncements } from '../targets/target-announcements.js';
@@ -53,6 +55,12 @@
     getKvCacheTokens: service =>
       kernel.get(routesToken).currentTable?.findService(service)?.engine
         ?.kvTokens,
+    createLimiter: target =>
+      new RequestLimiter({
+        target,
+        getGroup: kernel.get(limitGroupToken),
+        random: kernel.get(randomToken),
+      }),
     onTargetAdded: record => {
       if (!isFirstStart) void cacheLoader.loadCache(record);
     },
--- a/packages/relay/src/kernel/tokens.ts
+++ b/packages/relay/src/kernel/tokens.ts
@@ -6,6 +6,7 @@
 import type { TableWatcher } from '../change-streams/table-watcher.js';
 import type { ChangeDistributor } from '../change-streams/change-distributor.js';
 import type { TableSource } from '../change-streams/table-source.js';
+import type { LimitGroup } from '../limits/limit-share.js';
 import type { InstanceDirectory } from '../peers/instance-directory.js';
 import type { LoadExchange } from '../peers/load-exchange.js';
 import type { PeerTopology } from '../peers/peer-topology.js';
@@ -93,6 +94,10 @@
 export const instanceCountToken = new InjectionToken<() => number>(
   'instance-count',
 );
+/** Returns the instances among which the limits of targets are divided. */
+export const limitGroupToken = new InjectionToken<() => LimitGroup>(
+  'limit-group',
+);
 /** Determines which peers exchange reports with this instance. */
 export const peerTopologyToken = new InjectionToken<PeerTopology>(
   'news-topology',
--- a/packages/relay/src/metrics/state-gauges.ts
+++ b/packages/relay/src/metrics/state-gauges.ts
@@ -119,7 +119,7 @@
         isAvoided,
         isChangingRole,
         remainingQuietMs,
-        limitStatement,
+        isLimited,
       } of targets.listTargets()) {
         const state = isLeaving
           ? 'leaving'
@@ -129,9 +129,9 @@
               ? 'quiet'
               : isAvoided
                 ? 'avoided'
-                : limitStatement.requestsPerSecond === undefined
-                  ? 'open'
-                  : 'limited';
+                : isLimited
+                  ? 'limited'
+                  : 'open';
         const role = record.role ?? 'service';
         this.inc({ service: record.service, role, state });
       }
--- a/packages/relay/src/peers/app.ts
+++ b/packages/relay/src/peers/app.ts
@@ -14,6 +14,7 @@
   loadExchangeToken,
   randomToken,
   instanceRegistryToken,
+  limitGroupToken,
   targetClosureBroadcasterToken,
   routesToken,
   changeDistributorToken,
@@ -26,6 +27,9 @@
   targetRegistryToken,
   peerTopologyToken,
 } from '../kernel/tokens.js';
+import { selectLimitGroup } from '../limits/limit-group.js';
+import { LimitReports } from '../limits/limit-reports.js';
+import type { LimitGroup } from '../limits/limit-share.js';
 import { startOrder } from '../kernel/start-order.js';
 import { openPeerInterface } from '../server/peer-interface.js';
 
@@ -87,6 +91,10 @@
     topology: kernel.get(peerTopologyToken),
     targets: kernel.get(targetRegistryToken),
     crashes: kernel.get(crashTrackerToken),
+    limits: new LimitReports({
+      targets: kernel.get(targetRegistryToken),
+      log: kernel.get(logToken),
+    }),
     services: kernel.get(serviceStatesToken),
     demand: kernel.get(prefillDemandToken),
     getRevision: () => kernel.get(routesToken).version,
@@ -121,6 +129,15 @@
     : Math.max(knownCount, minAssumedInstances);
 };
 
+/** Selects the instances among which the limits of targets are divided. */
+const getLimitGroup = (kernel: Kernel): LimitGroup =>
+  selectLimitGroup({
+    self: kernel.get(settingsToken).current.instance,
+    instances: kernel.get(instanceRegistryToken).listInstances(),
+    directoryNames: kernel.get(instanceDirectoryToken).instanceNames,
+    minAssumedInstances,
+  });
+
 /**
  * Requests a snapshot from a peer whenever the peer has a newer configuration or
  * this instance knows no target.
@@ -179,6 +196,7 @@
       instanceCountToken,
       resolver => () => countInstances(resolver),
     );
+    kernel.provide(limitGroupToken, resolver => () => getLimitGroup(resolver));
     kernel.provide(
       peerSnapshotsToken,
       resolver =>
--- a/packages/relay/src/peers/load-exchange.test.ts
+++ b/packages/relay/src/peers/load-exchange.test.ts
@@ -8,6 +8,7 @@
   createMemoryLog,
   createTargetRecord,
 } from '../fixtures/relay-fixtures.js';
+import { LimitReports } from '../limits/limit-reports.js';
 import { ServiceStates } from '../relay/service-state.js';
 import { CrashTracker } from '../retries/crash-tracker.js';
 import { PrefillDemand } from '../roles/prefill-demand.js';
@@ -36,6 +37,7 @@
     topology,
     targets,
     crashes,
+    limits: new LimitReports({ targets, log: createMemoryLog() }),
     services: new ServiceStates({
       windowMs: 10_000,
       getLimits: () => ({
--- a/packages/relay/src/peers/load-exchange.ts
+++ b/packages/relay/src/peers/load-exchange.ts
@@ -7,6 +7,7 @@
 import { sleep } from '@medlarlever/core';
 import type { Kernel } from '@medlarlever/core';
 
+import type { LimitReports } from '../limits/limit-reports.js';
 import type { PromptSegment } from '../requests/relay-request.js';
 import type { ServiceStates } from '../relay/service-state.js';
 import type { CrashTracker } from '../retries/crash-tracker.js';
@@ -46,6 +47,7 @@
   readonly topology: PeerTopology;
   readonly targets: TargetRegistry;
   readonly crashes: CrashTracker;
+  readonly limits: LimitReports;
   readonly services: ServiceStates;
   readonly demand: PrefillDemand;
   /** Returns the configuration version in force on this instance. */
@@ -168,6 +170,7 @@
     const hasChanged =
       serializedLoads !== this.#lastSentLoads ||
       this.#ownLoad.hasUnreportedPrefills ||
+      this.#options.limits.hasNews ||
       this.#options.crashes.hasUnreportedCrashes;
     const nowMs = performance.now();
     const needsRepetition = loads.length > 0 || reportsToAggregator;
@@ -179,7 +182,8 @@
   }
 
   #takeOwnReport(loads: LoadReport['loads']): LoadReport {
-    const { self, crashes, getRevision, services, demand } = this.#options;
+    const { self, crashes, limits, getRevision, services, demand } =
+      this.#options;
     const prefillTokenTotals = services.listAssignedPrefillTokens();
     if (!this.#isAggregatorMember)
       demand.recordTotals(self, prefillTokenTotals);
@@ -189,12 +193,13 @@
       loads,
       placed: prefillTokenTotals,
       ...this.#ownLoad.takeUnreportedEvents(),
+      limits: limits.list(),
       crashes: crashes.takeUnreportedCrashes(),
     };
   }
 
   #receiveReport(report: LoadReport): void {
-    const { targets, crashes, topology, demand } = this.#options;
+    const { targets, crashes, limits, topology, demand } = this.#options;
     topology.recordReportFrom(report.from);
     demand.recordTotals(report.from, report.placed);
     this.#peerLoads.recordLoads(report.from, report.loads);
@@ -216,6 +221,7 @@
     for (const [fingerprint, target] of report.crashes) {
       crashes.recordCrash(fingerprint, target);
     }
+    limits.apply(report.limits);
     const { getRevision, onNewerRevision } = this.#options;
     if (report.revision > getRevision())
       onNewerRevision(report.from, report.revision);
--- a/packages/relay/src/peers/load-report.ts
+++ b/packages/relay/src/peers/load-report.ts
@@ -39,6 +39,13 @@
    * of samples.
    */
   pace: z.array(z.tuple([z.string(), z.number(), z.number()])).default([]),
+  /**
+   * Target, its start time, the requests a second that it takes from all instances
+   * (null if it no longer names a limit), and the milliseconds since it said so.
+   */
+  limits: z
+    .array(z.tuple([z.string(), z.number(), z.number().nullable(), z.number()]))
+    .default([]),
   /** Request fingerprint, and the target that crashed while processing the request. */
   crashes: z.array(z.tuple([z.string(), z.string()])),
 });
--- a/packages/relay/src/peers/member-reports.ts
+++ b/packages/relay/src/peers/member-reports.ts
@@ -1,14 +1,17 @@
 /** Collects the load reports of a data centre's instances at its aggregator. */
+import { mergeLimits } from '../limits/limit-reports.js';
+
 import { loadReportTtlMs } from './load-report.js';
 import type { LoadReport } from './load-report.js';
 
 /** A member gets combined reports until this long after its last report. */
 const memberTtlMs = 3_000;
 
-/** Loads of one member with their receipt time on the monotonic clock. */
+/** Loads and limits that one member reported, with their receipt time on the monotonic clock. */
 interface MemberReport {
   readonly receivedAtMs: number;
   readonly loads: LoadReport['loads'];
+  readonly limits: LoadReport['limits'];
 }
 
 /** Collects member reports and combines them into one report. */
@@ -24,8 +27,9 @@
 
   /** Records the report of a member. */
   addReport(report: LoadReport): void {
-    const { from, loads, placed, read, pace, crashes } = report;
-    this.#reportsByMember.set(from, { receivedAtMs: performance.now(), loads });
+    const { from, loads, limits, placed, read, pace, crashes } = report;
+    const receivedAtMs = performance.now();
+    this.#reportsByMember.set(from, { receivedAtMs, loads, limits });
     this.#countPrefillTokens(from, placed);
     this.#startedPrefills.push(...read);
     this.#latencyRatios.push(...pace);
@@ -51,6 +55,10 @@
     const report = {
       ...ownReport,
       loads: this.#sumLoads(ownReport.loads),
+      limits: mergeLimits([
+        { receivedAtMs: performance.now(), limits: ownReport.limits },
+        ...this.#reportsByMember.values(),
+      ]),
       placed: [...this.#prefillTokensByService],
       read: [...ownReport.read, ...this.#startedPrefills],
       pace: [...ownReport.pace, ...this.#latencyRatios],
--- a/packages/relay/src/placement/placement.ts
+++ b/packages/relay/src/placement/placement.ts
@@ -103,7 +103,8 @@
 
 /**
  * Targets that have not failed for this request, are not changing their role and
- * have not asked this instance for a pause. Avoided and unreachable ones are returned only when there are no others.
+ * take a request from this instance now. Avoided and unreachable ones are returned
+ * only when there are no others.
  */
 const filterUsableTargets = ({
   targets,
@@ -115,9 +116,7 @@
 >): TargetState[] => {
   const allowed = targets.filter(
     target =>
-      !excluded.has(target) &&
-      !target.isChangingRole &&
-      target.remainingQuietMs === 0,
+      !excluded.has(target) && !target.isChangingRole && target.acceptsRequests,
   );
   const preferred = allowed.filter(
     target => !target.isAvoided && !unreached.has(target.record.dataCenter),
--- a/packages/relay/src/relay/generation-placer.ts
+++ b/packages/relay/src/relay/generation-placer.ts
@@ -121,6 +121,7 @@
       avoided: openTargets.filter(({ isAvoided }) => isAvoided).length,
       quiet: openTargets.filter(({ remainingQuietMs }) => remainingQuietMs > 0)
         .length,
+      limited: openTargets.filter(({ limiter }) => !limiter.hasPermit).length,
       tried: excludedTargets.size,
     });
     return new Failure(
--- a/packages/relay/src/relay/generation-runner.test.ts
+++ b/packages/relay/src/relay/generation-runner.test.ts
@@ -16,6 +16,7 @@
 } from '../fixtures/relay-fixtures.js';
 import { createTestRelay } from '../fixtures/test-relay.js';
 import type { Route } from '../routes/route-configuration.js';
+import type { TargetRegistry } from '../targets/target-registry.js';
 
 const engineRecords = [
   createTargetRecord('p1', { service: 'engines', role: 'prefill', slots: 8 }),
@@ -223,3 +224,73 @@
     t.is(caller.text, 'id: 1\n\n');
   },
 );
+
+const limitTargets = (
+  targetRegistry: TargetRegistry,
+  ids: readonly string[],
+  requestsPerSecond: number,
+): void => {
+  for (const id of ids)
+    targetRegistry
+      .findTarget(id)
+      ?.limiter.statement.recordLimit(requestsPerSecond, performance.now());
+};
+
+test.serial(
+  'no prompt is prefilled when no decode engine may be sent to, and the caller is told when to come back',
+  async t => {
+    installPausedClock(t);
+    const { serve, client, targetRegistry } = createTestRelay({
+      route: streamRoute,
+      targets: engineRecords,
+    });
+    limitTargets(targetRegistry, ['d1', 'd2'], 0.5);
+    const caller = await serve({ prompt: longPrompt });
+    t.is(caller.failure?.code, 'no_target');
+    t.is(caller.failure?.executed, 'no');
+    t.is(caller.failure?.retryAfterMs, 2_000);
+    t.is(client.prefills.length + client.sends.length, 0);
+  },
+);
+
+test.serial(
+  'a limited decode engine is kept for the request whose prompt is prefilled for it',
+  async t => {
+    const clock = installPausedClock(t);
+    const { serve, client, targetRegistry } = createTestRelay({
+      route: streamRoute,
+      targets: engineRecords,
+    });
+    limitTargets(targetRegistry, ['d1', 'd2'], 1);
+    clock.tick(1_200);
+    const callers = await Promise.all(
+      [1, 2, 3, 4].map(() => serve({ prompt: longPrompt })),
+    );
+    t.deepEqual(callers.map(({ text }) => text).sort(), ['', '', 'ok', 'ok']);
+    t.is(client.prefills.length, 2);
+    t.deepEqual(client.sends.map(({ target }) => target).sort(), ['d1', 'd2']);
+    clock.tick(1_000);
+    t.is((await serve({ prompt: longPrompt })).text, 'ok');
+  },
+);
+
+test.serial(
+  'a limited prefill engine gets no more prompts than it takes',
+  async t => {
+    const clock = installPausedClock(t);
+    const { serve, client, targetRegistry } = createTestRelay({
+      route: streamRoute,
+      targets: engineRecords,
+    });
+    limitTargets(targetRegistry, ['p1'], 1);
+    for (let i = 0; i < 10; i += 1) {
+      clock.tick(300);
+      await serve({ prompt: longPrompt });
+    }
+    const limitedCount = client.prefills.filter(
+      ({ target }) => target === 'p1',
+    ).length;
+    t.true(limitedCount <= 3, `${limitedCount} prefills`);
+    t.true(client.prefills.length > limitedCount);
+  },
+);
--- a/packages/relay/src/relay/generation-runner.ts
+++ b/packages/relay/src/relay/generation-runner.ts
@@ -114,7 +114,10 @@
       isFirstPlacement = false;
       const { prefillTarget } = placement;
       if (prefillTarget !== undefined && this.#kvCacheHandle === undefined) {
+        // No prompt is prefilled for a decode engine that may not be sent to then.
+        const returnPermit = placement.decodeTarget.limiter.holdPermit();
         const prefillResult = await this.#runPrefill(prefillTarget, placement);
+        returnPermit();
         if (prefillResult === 'ended') return;
         if (prefillResult === 'again') continue;
       }
@@ -153,7 +156,8 @@
   #releaseKvCache(): void {
     // An engine that wants no requests frees the KV cache when its time is over.
     const isQuiet = (this.#kvCacheTarget?.remainingQuietMs ?? 0) > 0;
-    if (this.#kvCacheHandle !== undefined && !isQuiet)
+    const isLimited = this.#kvCacheTarget?.isLimited === true;
+    if (this.#kvCacheHandle !== undefined && !isQuiet && !isLimited)
       this.dependencies.targetClient.releaseKvCache(this.#kvCacheHandle);
     this.#kvCacheHandle = undefined;
   }
@@ -197,6 +201,7 @@
       expectedFirstEventMs,
     );
     const endRequest = this.startRequest(target);
+    copySource?.limiter.takePermit();
     const startedAtMs = performance.now();
     const watchdog = new SendWatchdog({
       target,
@@ -280,6 +285,7 @@
     const kvCacheHandle = this.#kvCacheHandle;
     const isColocated = kvCacheHandle === undefined;
     const endRequest = this.startRequest(target);
+    if (isColocated) placement.copySource?.limiter.takePermit();
     const endPrefill = isColocated
       ? this.#startPrefill(
           target,
--- a/packages/relay/src/relay/liveness-check.ts
+++ b/packages/relay/src/relay/liveness-check.ts
@@ -9,10 +9,11 @@
   const pendingChecks = new Map<string, Promise<boolean>>();
   return (target: TargetState) => {
     const { record } = target;
-    // A probe would break the pause that the target asked for.
-    if (target.remainingQuietMs > 0) return Promise.resolve(true);
     const pendingCheck = pendingChecks.get(record.id);
     if (pendingCheck !== undefined) return pendingCheck;
+    // A probe would break the pause or the limit that the target asked for.
+    if (target.remainingQuietMs > 0 || !target.limiter.tryTakePermit())
+      return Promise.resolve(true);
     const livenessCheck = client.checkLiveness(record).finally(() => {
       pendingChecks.delete(record.id);
     });
--- a/packages/relay/src/relay/request-runner.ts
+++ b/packages/relay/src/relay/request-runner.ts
@@ -14,15 +14,16 @@
 
 /**
  * Returns the retry delay for the caller when no target can take the request: the
- * time until the first target accepts requests again if all asked for a pause.
+ * time until the first target accepts requests again if all asked for a pause or named
+ * a limit.
  */
 export const computeRetryAfterMs = (
   targets: readonly TargetState[],
   defaultRetryAfterMs: number,
 ): number => {
-  const quietMs = Math.min(...targets.map(target => target.remainingQuietMs));
-  return Number.isFinite(quietMs)
-    ? Math.max(defaultRetryAfterMs, quietMs)
+  const refusalMs = Math.min(...targets.map(target => target.refusalMs));
+  return Number.isFinite(refusalMs)
+    ? Math.max(defaultRetryAfterMs, refusalMs)
     : defaultRetryAfterMs;
 };
 
@@ -75,7 +76,7 @@
 
   /** Counts a request at the target; the returned function removes it. */
   protected startRequest(target: TargetState): () => void {
-    if (target.limitStatement.requestsPerSecond !== undefined)
+    if (target.isLimited)
       this.dependencies.metrics.recordLimitedSend(target.record.service);
     return target.startRequest();
   }
--- a/packages/relay/src/roles/role-leader.ts
+++ b/packages/relay/src/roles/role-leader.ts
@@ -176,7 +176,9 @@
       dataCenter: record.dataCenter,
       role: record.role ?? 'mixed',
       available:
-        !state.isChangingRole && !this.#changingEngineIds.has(record.id),
+        !state.isChangingRole &&
+        !state.isLimited &&
+        !this.#changingEngineIds.has(record.id),
       ageMs: 0,
       prefillTokens: state.pendingPrefillTokens,
       running: state.activeRequestCount,
@@ -217,7 +219,8 @@
     const status = (
       await engineControl.fetchStatus(state.record)
     ).unsafeCoerce();
-    if (status.busy || status.role === role) return;
+    // The answer may have named a limit, of which the change would take a part.
+    if (status.busy || status.role === role || state.isLimited) return;
     closures.closeTarget(state.record.id, roleChangeTimeoutMs);
     await sleep(closurePropagationMs);
     if (!(await this.#confirmLease(lease, state.record.id, role))) return;
@@ -281,6 +284,7 @@
     const deadlineMs = performance.now() + roleChangeTimeoutMs;
     while (performance.now() < deadlineMs && !state.isLeaving) {
       await sleep(statusPollIntervalMs);
+      if (!state.limiter.tryTakePermit()) continue;
       const status = await this.#options.engineControl.fetchStatus(
         state.record,
       );
--- a/packages/relay/src/targets/prefix-cache-loader.ts
+++ b/packages/relay/src/targets/prefix-cache-loader.ts
@@ -38,7 +38,8 @@
     if (performance.now() - this.#startedAtMs > startupWindowMs) return;
     await sleep(random() * startupJitterMs);
     const state = getTargets().findTarget(record.id);
-    if (state === undefined || state.remainingQuietMs > 0) return;
+    if (state === undefined || state.remainingQuietMs > 0 || state.isLimited)
+      return;
     const segmentsOrFailure = await client.listCachedSegments(record);
     segmentsOrFailure
       .ifLeft(failure => {
--- a/packages/relay/src/targets/target-announcements.ts
+++ b/packages/relay/src/targets/target-announcements.ts
@@ -7,6 +7,7 @@
 import { Right } from 'purify-ts';
 import { z } from 'zod';
 
+import { logTargetLimit } from '../limits/limit-reports.js';
 import type { PeerTopology } from '../peers/peer-topology.js';
 
 import type { TargetRegistry } from './target-registry.js';
@@ -110,17 +111,17 @@
   recordLimit(record: TargetRecord, requestsPerSecond: number): void {
     const state = this.#findIncarnation(record);
     const nowMs = performance.now();
-    if (state?.limitStatement.recordLimit(requestsPerSecond, nowMs) !== true)
+    if (state?.limiter.statement.recordLimit(requestsPerSecond, nowMs) !== true)
       return;
     this.#limitCount += 1;
-    this.#logLimit(state, 'response');
+    logTargetLimit(this.#options.log, state, 'response');
   }
 
   /** Records an answer without a limit to a request that was sent at `sentAtMs`. */
   recordNoLimit(record: TargetRecord, sentAtMs: number): void {
     const state = this.#findIncarnation(record);
-    if (state?.limitStatement.recordNoLimit(sentAtMs) === true)
-      this.#logLimit(state, 'response');
+    if (state?.limiter.statement.recordNoLimit(sentAtMs) === true)
+      logTargetLimit(this.#options.log, state, 'response');
   }
 
   /** Records that the target named a limit that can't be read. */
@@ -134,15 +135,6 @@
     return state !== undefined && state.remainingQuietMs > 0;
   }
 
-  #logLimit({ record, limitStatement }: TargetState, source: string): void {
-    this.#options.log.writeEvent('target_limited', {
-      target: record.id,
-      service: record.service,
-      per_second: limitStatement.requestsPerSecond ?? null,
-      source,
-    });
-  }
-
   /** Returns the state of the target unless another incarnation is registered. */
   #findIncarnation({ id, startedAtMs }: TargetRecord): TargetState | undefined {
     const state = this.#options.targets.findTarget(id);
--- a/packages/relay/src/targets/target-registry.ts
+++ b/packages/relay/src/targets/target-registry.ts
@@ -1,6 +1,8 @@
 /** Registry of all known targets and their state. */
 import type { Log } from '@medlarlever/core';
 
+import type { RequestLimiter } from '../limits/request-limiter.js';
+
 import type { TargetRecord } from './target-record.js';
 import { TargetState } from './target-state.js';
 
@@ -38,6 +40,8 @@
   readonly log: Log;
   /** Returns the cache size in tokens of an engine of the service. */
   readonly getKvCacheTokens: (service: string) => number | undefined;
+  /** Creates the limiter of a target; by default, this instance is the only one. */
+  readonly createLimiter?: (target: string) => RequestLimiter;
   /** Called after a target was added. */
   readonly onTargetAdded?: (record: TargetRecord) => void;
   /** Called when a target has restarted or was removed, with its old record. */
@@ -165,7 +169,8 @@
   #addTarget(record: TargetRecord): TargetState {
     const kvCacheTokens =
       this.#options.getKvCacheTokens(record.service) ?? defaultKvCacheTokens;
-    const state = new TargetState(record, kvCacheTokens);
+    const limiter = this.#options.createLimiter?.(record.id);
+    const state = new TargetState(record, kvCacheTokens, limiter);
     this.#states.set(record.id, state);
     this.#options.log.writeEvent('target_registered', {
       target: record.id,
--- a/packages/relay/src/targets/target-state.ts
+++ b/packages/relay/src/targets/target-state.ts
@@ -1,5 +1,5 @@
 /** Load, health and prefix cache of one target as known to this instance. */
-import { LimitStatement } from '../limits/limit-statement.js';
+import { RequestLimiter } from '../limits/request-limiter.js';
 import type { PromptSegment } from '../requests/relay-request.js';
 
 import { PrefixCacheEstimate } from './prefix-cache-estimate.js';
@@ -58,7 +58,8 @@
    */
   hasAnnouncedLeaving = false;
   readonly prefixCache: PrefixCacheEstimate;
-  readonly limitStatement = new LimitStatement();
+  /** Counts the requests to the target against the limit that it names. */
+  readonly limiter: RequestLimiter;
   #pendingPrefillTokens = 0;
   #activeRequestCount = 0;
   #consecutiveFailures = 0;
@@ -70,8 +71,13 @@
   #otherInstancesLoad: TargetLoad = zeroLoad;
   #lastSeenAtMs = performance.now();
 
-  constructor(record: TargetRecord, kvCacheTokens: number) {
+  constructor(
+    record: TargetRecord,
+    kvCacheTokens: number,
+    limiter = createSoleInstanceLimiter(record.id),
+  ) {
     this.record = record;
+    this.limiter = limiter;
     this.prefixCache = new PrefixCacheEstimate(kvCacheTokens);
   }
 
@@ -124,6 +130,21 @@
     return Math.max(0, this.#quietUntilMs - performance.now());
   }
 
+  /** True if neither a pause nor a limit of the target keeps requests back now. */
+  get acceptsRequests(): boolean {
+    return this.remainingQuietMs === 0 && this.limiter.hasPermit;
+  }
+
+  /** True while the target names a limit for the requests of all instances. */
+  get isLimited(): boolean {
+    return this.limiter.statement.requestsPerSecond !== undefined;
+  }
+
+  /** Time until the target takes requests again; 0 if it does now. */
+  get refusalMs(): number {
+    return Math.max(this.remainingQuietMs, this.limiter.waitMs);
+  }
+
   /** Sends the target nothing for the given time from now. */
   startQuietPeriod(durationMs: number): void {
     this.#quietUntilMs = Math.max(
@@ -166,6 +187,7 @@
   startRequest(): () => void {
     if (this.activeRequestCount === 0) this.recordActivity();
     this.#activeRequestCount += 1;
+    this.limiter.takePermit();
     return createOneTimeCallback(() => {
       this.#activeRequestCount -= 1;
     });
@@ -248,7 +270,7 @@
     this.#avoidedUntilMs = 0;
     this.#roleChangeUntilMs = 0;
     this.#quietUntilMs = 0;
-    this.limitStatement.clear();
+    this.limiter.clear();
     this.#slowness = 1;
   }
 }
@@ -261,3 +283,11 @@
     action();
   };
 };
+
+/** Creates the limiter of a deployment with one instance. */
+const createSoleInstanceLimiter = (target: string): RequestLimiter =>
+  new RequestLimiter({
+    target,
+    getGroup: () => ({ self: '', names: [''] }),
+    random: Math.random,
+  });
