Count a limited engine by what it still takes when roles are planned

Each data centre keeps one engine that decodes, so no other could take its place.

Change: an engine counts by the share of its work that its limit leaves, worked out from the mean size of a prefill and the mean time in a slot. A limited prefill engine takes the place of its data centre's decode engine, which then prefills. The two calls of such a change count against the limit, and none are made at less than 1 request a second.

--- a/packages/core/src/roles/role-policy.ts
+++ b/packages/core/src/roles/role-policy.ts
@@ -20,6 +20,11 @@
   readonly running: number;
   /** Number of requests that the engine can run at once. */
   readonly slots: number;
+  /**
+   * Capacity relative to that of other engines, from 0 to 1; below 1 for an engine
+   * that takes fewer requests than it could serve. Absent for a whole one.
+   */
+  readonly capacityShare?: number;
   /** Milliseconds since the last role change of the engine ended. */
   readonly inRoleMs: number;
 }
--- a/packages/relay/src/placement/event-gaps.test.ts
+++ b/packages/relay/src/placement/event-gaps.test.ts
@@ -3,7 +3,9 @@
 
 import { createEngine } from '../fixtures/relay-fixtures.js';
 
-import { EventGapAverage, EventGapMeter } from './event-gaps.js';
+import { MovingAverage } from '../shared/moving-average.js';
+
+import { EventGapMeter } from './event-gaps.js';
 
 test.serial(
   'meanGapMs is the mean time between events, undefined for two events',
@@ -28,7 +30,7 @@
 );
 
 test('a decode engine with long event gaps gets a higher slowness', t => {
-  const eventGapAverage = new EventGapAverage();
+  const eventGapAverage = new MovingAverage();
   const engines = ['d1', 'd2', 'd3', 'd4'].map(id =>
     createEngine(id, 'decode'),
   );
--- a/packages/relay/src/placement/event-gaps.ts
+++ b/packages/relay/src/placement/event-gaps.ts
@@ -3,11 +3,6 @@
  * instance.
  */
 
-/**
- * Smallest weight of a new sample in the average; the first samples weigh more.
- */
-const minSampleWeight = 0.05;
-
 /** Streams with fewer events give no usable mean gap. */
 const minEventCount = 3;
 
@@ -32,21 +27,3 @@
     );
   }
 }
-
-/** Moving average of the gaps between events over all streams of a service. */
-export class EventGapAverage {
-  #meanGapMs = 0;
-  #sampleCount = 0;
-
-  /**
-   * Adds a sample and returns the average before it; the first sample returns
-   * itself.
-   */
-  addSample(gapMs: number): number {
-    const expectedMs = this.#sampleCount === 0 ? gapMs : this.#meanGapMs;
-    this.#sampleCount += 1;
-    const weight = Math.max(minSampleWeight, 1 / this.#sampleCount);
-    this.#meanGapMs += weight * (gapMs - this.#meanGapMs);
-    return expectedMs;
-  }
-}
--- a/packages/relay/src/relay/generation-runner.ts
+++ b/packages/relay/src/relay/generation-runner.ts
@@ -201,6 +201,7 @@
       expectedFirstEventMs,
     );
     const endRequest = this.startRequest(target);
+    this.serviceState.prefillTokensAverage.addSample(prefillTokens);
     copySource?.limiter.takePermit();
     const startedAtMs = performance.now();
     const watchdog = new SendWatchdog({
@@ -297,6 +298,7 @@
       target,
       placement.expectedFirstEventMs,
     );
+    const startedAtMs = performance.now();
     const eventGapMeter = new EventGapMeter();
     this.#onEvent = () => {
       eventGapMeter.recordEvent();
@@ -329,6 +331,9 @@
     dependencies.metrics.recordSend(context.service, outcome.kind);
     if (outcome.kind === 'whole') {
       recordTargetSuccess(dependencies, target);
+      this.serviceState.decodeMsAverage.addSample(
+        performance.now() - startedAtMs,
+      );
       this.#responseSink.finish();
       context.completeRequest(outcome.status, target.record.id);
       return true;
--- a/packages/relay/src/relay/service-state.ts
+++ b/packages/relay/src/relay/service-state.ts
@@ -1,14 +1,19 @@
 /** State that the relay keeps for each service. */
-import { EventGapAverage } from '../placement/event-gaps.js';
 import { PrefillSpeed } from '../placement/prefill-speed.js';
 import { RetryBudget } from '../retries/retry-budget.js';
 import type { RetryBudgetOptions } from '../retries/retry-budget.js';
+import { MovingAverage } from '../shared/moving-average.js';
 
 /** Retry budget and measured speeds of one service. */
 export interface ServiceState {
   readonly retryBudget: RetryBudget;
   readonly prefillSpeed: PrefillSpeed;
-  readonly eventGapAverage: EventGapAverage;
+  /** Time between the events of streams, in milliseconds. */
+  readonly eventGapAverage: MovingAverage;
+  /** Prompt tokens that one dedicated prefill computes. */
+  readonly prefillTokensAverage: MovingAverage;
+  /** Time for which a request takes a slot of a decode engine, in milliseconds. */
+  readonly decodeMsAverage: MovingAverage;
   /** Prompt tokens that this instance has sent to engines since its start. */
   assignedPrefillTokens: number;
 }
@@ -37,7 +42,9 @@
     const state = {
       retryBudget: new RetryBudget(this.retryBudgetOptions),
       prefillSpeed: new PrefillSpeed(),
-      eventGapAverage: new EventGapAverage(),
+      eventGapAverage: new MovingAverage(),
+      prefillTokensAverage: new MovingAverage(),
+      decodeMsAverage: new MovingAverage(),
       assignedPrefillTokens: 0,
     };
     this.#stateByService.set(service, state);
--- a/packages/relay/src/roles/engine-selection.ts
+++ b/packages/relay/src/roles/engine-selection.ts
@@ -9,10 +9,30 @@
     (a, b) => a.running + a.prefillTokens - b.running - b.prefillTokens,
   );
 
+/** Capacity relative to that of an engine without a request limit. */
+export const getCapacityShare = ({ capacityShare = 1 }: EngineView): number =>
+  capacityShare;
+
+const isLimited = (engine: EngineView): boolean => getCapacityShare(engine) < 1;
+
+/**
+ * Returns the engines in the order in which they help most in another role: those
+ * without a request limit first, each kind in ascending order of its load.
+ */
+export const sortByUse = (
+  engines: readonly EngineView[],
+): readonly EngineView[] => {
+  const sorted = sortByLoad(engines);
+  return [
+    ...sorted.filter(engine => !isLimited(engine)),
+    ...sorted.filter(isLimited),
+  ];
+};
+
 /**
- * Selects up to `count` decode engines with the lowest load. Each data centre
- * keeps at least one, so that it still works when it is partitioned from the
- * others.
+ * Selects up to `count` decode engines with the lowest load that have no request
+ * limit. Each data centre keeps at least one engine, so that it still works when it
+ * is partitioned from the others.
  */
 export const selectSpareDecodeEngines = (
   decodeEngines: readonly EngineView[],
@@ -23,7 +43,8 @@
   for (const engine of sortByLoad(decodeEngines)) {
     const remainingCount =
       (remainingByDataCenter.get(engine.dataCenter) ?? 0) - 1;
-    if (remainingCount < 1 || selected.length >= count) continue;
+    if (isLimited(engine) || remainingCount < 1 || selected.length >= count)
+      continue;
     remainingByDataCenter.set(engine.dataCenter, remainingCount);
     selected.push(engine);
   }
@@ -46,6 +67,21 @@
   );
 };
 
+/**
+ * Finds a limited prefill engine that can take the place of its data centre's decode
+ * engine, so that this one becomes free to prefill; the list has at most one engine.
+ */
+export const findDecodeReplacement = (
+  prefillEngines: readonly EngineView[],
+  decodeEngines: readonly EngineView[],
+): readonly EngineView[] => {
+  const unlimited = decodeEngines.filter(engine => !isLimited(engine));
+  const dataCenters = new Set(unlimited.map(({ dataCenter }) => dataCenter));
+  return sortByLoad(prefillEngines)
+    .filter(engine => isLimited(engine) && dataCenters.has(engine.dataCenter))
+    .slice(0, 1);
+};
+
 const countEnginesByDataCenter = (
   engines: readonly EngineView[],
 ): Map<string, number> => {
--- a/packages/relay/src/roles/queue-wait-policy.test.ts
+++ b/packages/relay/src/roles/queue-wait-policy.test.ts
@@ -233,3 +233,55 @@
     ['decode'],
   );
 });
+
+const limited = { capacityShare: 0.3 };
+
+test('a limited prefill engine replaces the decode engine of its data centre, which then prefills', t => {
+  const { runPolicy } = setUp();
+  const before = [
+    createEngineView('p1', 'prefill', { ...withLongQueue, dataCenter: 'a' }),
+    createEngineView('d1', 'decode', { dataCenter: 'a' }),
+    createEngineView('p2', 'prefill', { ...limited, dataCenter: 'b' }),
+    createEngineView('d2', 'decode', { dataCenter: 'b' }),
+    createEngineView('p3', 'prefill', { ...limited, dataCenter: 'c' }),
+    createEngineView('d3', 'decode', { dataCenter: 'c' }),
+  ];
+  const replacements = runPolicy(before, 3_000, 60_000);
+  t.deepEqual(
+    replacements.map(({ engine, to }) => [engine, to]),
+    [['p2', 'decode']],
+  );
+  const after = before.map(engine =>
+    engine.name === 'p2' ? { ...engine, role: 'decode' as const } : engine,
+  );
+  t.deepEqual(
+    runPolicy(after, 4_000, 60_000).map(({ engine, to }) => [engine, to]),
+    [['d2', 'prefill']],
+  );
+});
+
+test('limited decode engines count for little, and a whole engine joins them', t => {
+  const { runPolicy } = setUp();
+  const engines = [
+    createEngineView('p1', 'prefill', limited),
+    createEngineView('p2', 'prefill', { prefillTokens: 100 }),
+    createEngineView('p3', 'prefill', { prefillTokens: 100 }),
+    createEngineView('d1', 'decode', { capacityShare: 0.05, running: 1 }),
+    createEngineView('d2', 'decode', { capacityShare: 0.05, running: 1 }),
+  ];
+  t.deepEqual(
+    runPolicy(engines, 3_000).map(({ engine, to }) => [engine, to]),
+    [['p2', 'decode']],
+  );
+});
+
+test('limited engines that are enough for the work keep their roles', t => {
+  const { runPolicy } = setUp();
+  const engines = [
+    createEngineView('p1', 'prefill', limited),
+    createEngineView('p2', 'prefill'),
+    createEngineView('d1', 'decode', limited),
+    createEngineView('d2', 'decode'),
+  ];
+  t.deepEqual(runPolicy(engines, 10_000, 15_000), []);
+});
--- a/packages/relay/src/roles/queue-wait-policy.ts
+++ b/packages/relay/src/roles/queue-wait-policy.ts
@@ -9,9 +9,11 @@
 
 import { DecayingPeak } from './decaying-peak.js';
 import {
+  findDecodeReplacement,
   findEngineForMissingDecode,
+  getCapacityShare,
   selectSpareDecodeEngines,
-  sortByLoad,
+  sortByUse,
 } from './engine-selection.js';
 
 /** Parameters of {@link QueueWaitPolicy}. */
@@ -85,7 +87,9 @@
   readonly decodeReserve: number;
   /** Decode engines that the running requests need, at least the reserve. */
   readonly minDecodeEngineCount: number;
+  /** Prefill engines, each counted by its capacity share. */
   readonly prefillEngineCount: number;
+  /** Decode engines, each counted by its capacity share. */
   readonly decodeEngineCount: number;
   /** Number of prefill engines needed to handle the prompt token rate. */
   readonly requiredPrefillEngineCount: number;
@@ -158,15 +162,20 @@
     if (prefillEngineDelta < 0) {
       return {
         newPrefillEngines: [],
-        newDecodeEngines: sortByLoad(prefillEngines).slice(0, 1),
+        newDecodeEngines: sortByUse(prefillEngines).slice(0, 1),
       };
     }
+    const newPrefillEngines = selectSpareDecodeEngines(
+      decodeEngines,
+      Math.min(maxChangeCount, prefillEngineDelta),
+    );
+    const needsReplacement =
+      prefillEngineDelta > 0 && newPrefillEngines.length === 0;
     return {
-      newPrefillEngines: selectSpareDecodeEngines(
-        decodeEngines,
-        Math.min(maxChangeCount, prefillEngineDelta),
-      ),
-      newDecodeEngines: [],
+      newPrefillEngines,
+      newDecodeEngines: needsReplacement
+        ? findDecodeReplacement(prefillEngines, decodeEngines)
+        : [],
     };
   }
 
@@ -180,13 +189,18 @@
       prefillEngines,
       engine => engine.prefillTokens,
     );
+    const prefillEngineCount = sumOverEngines(prefillEngines, getCapacityShare);
+    const decodeEngineCount = sumOverEngines(decodeEngines, getCapacityShare);
     const waitMs =
-      prefillTokens / Math.max(1, prefillEngines.length) / prefillTokensPerMs;
+      prefillTokens / Math.max(1, prefillEngineCount) / prefillTokensPerMs;
     const runningRequestCount = sumOverEngines(
       decodeEngines,
       engine => engine.running,
     );
-    const slots = sumOverEngines(decodeEngines, engine => engine.slots);
+    const slots = sumOverEngines(
+      decodeEngines,
+      engine => engine.slots * getCapacityShare(engine),
+    );
     const runningRequestPeak = this.#runningRequestPeak.addValue(
       runningRequestCount,
       view.nowMs,
@@ -200,7 +214,9 @@
       );
     const decodeReserve =
       peakUtilization > minPeakUtilizationForReserve
-        ? Math.ceil(decodeReserveFraction * engines.length)
+        ? Math.ceil(
+            decodeReserveFraction * (prefillEngineCount + decodeEngineCount),
+          )
         : 1;
     const weight = this.#sampleCount === 0 ? 1 : smoothingFactor;
     this.#sampleCount += 1;
@@ -222,13 +238,13 @@
       minDecodeEngineCount: Math.max(
         1,
         Math.ceil(
-          (this.#decodeUtilization * decodeEngines.length) /
+          (this.#decodeUtilization * decodeEngineCount) /
             maxDecodeUtilizationAfterRemoval,
         ),
         decodeReserve,
       ),
-      prefillEngineCount: prefillEngines.length,
-      decodeEngineCount: decodeEngines.length,
+      prefillEngineCount,
+      decodeEngineCount,
       requiredPrefillEngineCount: Math.ceil(
         demandTokensPerMs / (prefillTokensPerMs * targetPrefillUtilization),
       ),
@@ -261,13 +277,16 @@
       ? 1
       : 0;
   const addedCount = Math.max(
-    requiredPrefillEngineCount - prefillEngineCount,
+    Math.ceil(requiredPrefillEngineCount - prefillEngineCount),
     minAddedEngineCount,
   );
   if (addedCount > 0)
     return Math.max(
       0,
-      Math.min(addedCount, decodeEngineCount - minDecodeEngineCount),
+      Math.min(
+        addedCount,
+        Math.floor(decodeEngineCount - minDecodeEngineCount),
+      ),
     );
   const hasSparePrefillEngine =
     prefillEngineCount > 1 &&
@@ -278,10 +297,13 @@
     : 0;
 };
 
+/** A count with one decimal, if it is not whole. */
+const formatCount = (count: number): string => String(Number(count.toFixed(1)));
+
 const formatExplanation = (inputs: PolicyInputs): string =>
   `prefill wait ${Math.round(inputs.averagePrefillWaitMs)} ms, ` +
   `decode slots used ${inputs.decodeUtilization.toFixed(2)}, ` +
-  `${inputs.prefillEngineCount} prefill and ${inputs.decodeEngineCount} decode engines, ` +
+  `${formatCount(inputs.prefillEngineCount)} prefill and ${formatCount(inputs.decodeEngineCount)} decode engines, ` +
   `${inputs.requiredPrefillEngineCount} prefill and ${inputs.minDecodeEngineCount} decode engines required`;
 
 const sumOverEngines = (
--- a/packages/relay/src/roles/role-leader.ts
+++ b/packages/relay/src/roles/role-leader.ts
@@ -23,6 +23,7 @@
 import type { TargetRole } from '../targets/target-record.js';
 import type { TargetState } from '../targets/target-state.js';
 
+import { estimateCapacityShare } from './capacity-share.js';
 import type { EngineControlClient } from './engine-control-client.js';
 import type { PrefillDemand } from './prefill-demand.js';
 import type { TargetClosureBroadcaster } from './target-closure-broadcaster.js';
@@ -49,6 +50,12 @@
 const roleChangeTimeoutMs = 9_000;
 const statusPollIntervalMs = 700;
 
+/**
+ * Lowest limit, in requests a second, at which the two calls of a role change are
+ * within what an engine takes beside the requests.
+ */
+const minLimitForChange = 1;
+
 /** Latency target assumed for a service to which no route leads yet. */
 const defaultLatencyTargetMs = 1_500;
 
@@ -176,17 +183,33 @@
       dataCenter: record.dataCenter,
       role: record.role ?? 'mixed',
       available:
-        !state.isChangingRole &&
-        !state.isLimited &&
-        !this.#changingEngineIds.has(record.id),
+        !state.isChangingRole && !this.#changingEngineIds.has(record.id),
       ageMs: 0,
       prefillTokens: state.pendingPrefillTokens,
       running: state.activeRequestCount,
       slots: record.slots,
+      capacityShare: this.#estimateCapacityShare(state),
       inRoleMs: 0,
     };
   }
 
+  #estimateCapacityShare({ record, limiter }: TargetState): number {
+    const { sendRate } = limiter;
+    if (sendRate === undefined || record.role === undefined) return 1;
+    const { prefillSpeed, prefillTokensAverage, decodeMsAverage } =
+      this.#options.services.getState(record.service);
+    return estimateCapacityShare({
+      role: record.role,
+      requestsPerSecond: sendRate,
+      slots: record.slots,
+      prefillTokensPerMs: prefillSpeed.tokensPerMs,
+      sizes: {
+        prefillTokens: prefillTokensAverage.value,
+        decodeMs: decodeMsAverage.value,
+      },
+    });
+  }
+
   async #executeRoleChange(
     change: RoleChange,
     service: Service,
@@ -216,14 +239,16 @@
     lease: Lease,
   ): Promise<void> {
     const { engineControl, closures, registry, log } = this.#options;
+    if ((state.limiter.sendRate ?? Infinity) < minLimitForChange) return;
+    state.limiter.takePermit();
     const status = (
       await engineControl.fetchStatus(state.record)
     ).unsafeCoerce();
-    // The answer may have named a limit, of which the change would take a part.
-    if (status.busy || status.role === role || state.isLimited) return;
+    if (status.busy || status.role === role) return;
     closures.closeTarget(state.record.id, roleChangeTimeoutMs);
     await sleep(closurePropagationMs);
     if (!(await this.#confirmLease(lease, state.record.id, role))) return;
+    state.limiter.takePermit();
     const pendingResult = engineControl.changeRole(state.record, {
       role,
       holder: registry.self.name,
@@ -284,7 +309,11 @@
     const deadlineMs = performance.now() + roleChangeTimeoutMs;
     while (performance.now() < deadlineMs && !state.isLeaving) {
       await sleep(statusPollIntervalMs);
-      if (!state.limiter.tryTakePermit()) continue;
+      if (!state.limiter.tryTakePermit()) {
+        // The registration tells the role too, at no cost to a limited engine.
+        if (state.record.role === role) return;
+        continue;
+      }
       const status = await this.#options.engineControl.fetchStatus(
         state.record,
       );
