--- a/packages/soak/src/checks/run-checks.test.ts
+++ b/packages/soak/src/checks/run-checks.test.ts
@@ -58,6 +58,7 @@
   arrivals: [createArrival('a')],
   orders: [],
   pauseRequests: [],
+  limitPeriods: [],
   configurations: [],
   targetDepartures: [],
   exits: [],
@@ -359,3 +360,32 @@
   t.true(listBroken(2_000).includes(promise));
   t.false(listBroken(1_500).includes(promise));
 });
+
+test('more requests than the limit that a target names are a violation', t => {
+  const promise = 'a target gets no more requests than the limit that it names';
+  const listBroken = (count: number, change: Partial<RunRecord> = {}) => {
+    const ids = Array.from({ length: count }, (_, i) => String(i));
+    const atMs = (i: number) => 100_000 + (i === 0 ? 0 : 4_000 + i);
+    const attempts = ids.map((id, i) =>
+      createAttempt(id, { sentAtMs: atMs(i), endedAtMs: atMs(i) + 10 }),
+    );
+    const arrivals = ids.map((id, i) =>
+      createArrival(id, { atMs: atMs(i), namedLimit: '2' }),
+    );
+    const limitPeriods = [
+      { target: 't1', requestsPerSecond: 2, fromMs: 99_000, toMs: Infinity },
+    ];
+    return listBrokenPromises({
+      attempts,
+      arrivals,
+      limitPeriods,
+      ...change,
+    }).includes(promise);
+  };
+  t.false(listBroken(18));
+  t.true(listBroken(19));
+  const limitPeriods = [
+    { target: 't1', requestsPerSecond: 2, fromMs: 102_000, toMs: Infinity },
+  ];
+  t.false(listBroken(19, { limitPeriods }));
+});
--- a/packages/soak/src/checks/run-checks.ts
+++ b/packages/soak/src/checks/run-checks.ts
@@ -13,6 +13,7 @@
   checkAnnouncedDepartures,
   checkPauses,
 } from './announcement-checks.js';
+import { checkRequestLimits } from './limit-checks.js';
 import type { Check, Violation } from './check.js';
 import {
   checkConfigurationInForce,
@@ -42,6 +43,7 @@
   checkLeavingTargets,
   checkAnnouncedDepartures,
   checkPauses,
+  checkRequestLimits,
   checkDisconnectedCallers,
   checkWorkCancellation,
   checkRetryBudget,
--- a/packages/soak/src/faults/fault-plan.ts
+++ b/packages/soak/src/faults/fault-plan.ts
@@ -24,6 +24,7 @@
 import {
   DepartureByResponse,
   TargetCrash,
+  TargetLimit,
   TargetPause,
   TargetGrayFailure,
   TargetReplacement,
@@ -59,6 +60,7 @@
   new TargetGrayFailure(),
   new DepartureByResponse(),
   new TargetPause(),
+  new TargetLimit(),
   new RouteChange(),
 ];
 
--- a/packages/soak/src/faults/target-faults.ts
+++ b/packages/soak/src/faults/target-faults.ts
@@ -104,3 +104,25 @@
     target.pauseMs = 0;
   }
 }
+
+/** Values of a limit that no instance can read; they leave the last one in force. */
+const unreadableLimits: readonly string[] = ['-1', 'many', '2 3'];
+
+/** Makes a target name a limit for all instances, which may change in between. */
+export class TargetLimit extends Fault {
+  readonly name = 'limit of a target';
+
+  async inject(run: SoakRun, random: SeededRandom): Promise<void> {
+    const target = random.pickItem(run.targetFleet.listTargets());
+    target.requestLimit = random.nextBetween(0, 4).toFixed(1);
+    await waitBetweenSeconds(random, 5, 9);
+    const next = random.nextBoolean(0.2)
+      ? random.pickItem(unreadableLimits)
+      : random.nextBetween(0, 8).toFixed(2);
+    if (random.nextBoolean(0.5)) {
+      target.requestLimit = next;
+      await waitBetweenSeconds(random, 4, 8);
+    }
+    target.requestLimit = undefined;
+  }
+}
--- a/packages/soak/src/run/run-record.ts
+++ b/packages/soak/src/run/run-record.ts
@@ -5,6 +5,7 @@
 import type {
   Arrival,
   AttemptOutcome,
+  LimitPeriod,
   PauseRequest,
   ReceivedOrder,
 } from '@medlarlever/platform/stand-ins';
@@ -55,6 +56,7 @@
   readonly arrivals: readonly Arrival[];
   readonly orders: readonly ReceivedOrder[];
   readonly pauseRequests: readonly PauseRequest[];
+  readonly limitPeriods: readonly LimitPeriod[];
   readonly configurations: ConfigurationChange[];
   readonly targetDepartures: TargetDeparture[];
   readonly exits: InstanceExit[];
--- a/packages/soak/src/run/soak-run.ts
+++ b/packages/soak/src/run/soak-run.ts
@@ -217,12 +217,14 @@
     faultFreeSinceMs: number,
     longestStallMs: number,
   ): RunRecord {
-    const { arrivals, orders, pauseRequests } = this.targetFleet.records;
+    const { arrivals, orders, pauseRequests, limitPeriods } =
+      this.targetFleet.records;
     return {
       attempts: this.#attempts,
       arrivals,
       orders,
       pauseRequests,
+      limitPeriods,
       configurations: this.#configurations,
       targetDepartures: this.targetFleet.departures,
       unreadyInstances: this.#unreadyInstances,
