--- a/packages/relay/src/relay/generation-runner.ts
+++ b/packages/relay/src/relay/generation-runner.ts
@@ -13,6 +13,7 @@
 import { computeUrgency } from '../placement/urgency.js';
 import type { Prompt } from '../requests/relay-request.js';
 import type { EngineSettings } from '../routes/route-configuration.js';
+import type { TargetRecord } from '../targets/target-record.js';
 import type { TargetState } from '../targets/target-state.js';
 
 import { StreamingResponseSink } from './response-sinks.js';
@@ -283,6 +284,7 @@
   async #sendToTarget(placement: Placement): Promise<boolean> {
     const { context, dependencies } = this;
     const target = placement.decodeTarget;
+    const { record } = target;
     const kvCacheHandle = this.#kvCacheHandle;
     const isColocated = kvCacheHandle === undefined;
     const endRequest = this.startRequest(target);
@@ -308,7 +310,7 @@
     };
     context.recordSend();
     const outcome = await dependencies.targetClient.send(
-      target.record,
+      record,
       context.request,
       {
         remainingMs: context.remainingMs,
@@ -335,10 +337,10 @@
         performance.now() - startedAtMs,
       );
       this.#responseSink.finish();
-      context.completeRequest(outcome.status, target.record.id);
+      context.completeRequest(outcome.status, record);
       return true;
     }
-    return this.#handleStreamFailure(target, outcome);
+    return this.#handleStreamFailure(target, record, outcome);
   }
 
   #recordEventGap(target: TargetState, { meanGapMs }: EventGapMeter): void {
@@ -372,11 +374,13 @@
 
   #handleStreamFailure(
     target: TargetState,
+    { id, softwareVersion }: TargetRecord,
     outcome: Exclude<SendOutcome, { kind: 'whole' }>,
   ): boolean {
     const { context } = this;
     context.logEvent('attempt_failed', {
-      target: target.record.id,
+      target: id,
+      version: softwareVersion,
       attempt: context.sendCount,
       events: this.#responseSink.writeCount,
       handover: this.#kvCacheHandle?.address,
--- a/packages/relay/src/relay/plain-request-runner.ts
+++ b/packages/relay/src/relay/plain-request-runner.ts
@@ -96,13 +96,14 @@
   /** Sends the request to the target; true when the request has ended. */
   async #sendToTarget(target: TargetState): Promise<boolean> {
     const { context, dependencies } = this;
+    const { record } = target;
     const endRequest = this.startRequest(target);
     const startedAtMs = performance.now();
     const sink = this.#createResponseSink();
     context.recordSend();
     const watchdog = this.#createSendWatchdog(target);
     const outcome = await dependencies.targetClient.send(
-      target.record,
+      record,
       context.request,
       {
         remainingMs: context.remainingMs,
@@ -120,7 +121,7 @@
         expectedPlainRequestMs,
       );
       sink.finish();
-      context.completeRequest(outcome.status, target.record.id);
+      context.completeRequest(outcome.status, record);
       return true;
     }
     context.logEvent('attempt_failed', {
--- a/packages/relay/src/relay/request-context.ts
+++ b/packages/relay/src/relay/request-context.ts
@@ -4,6 +4,7 @@
 
 import type { Caller, RelayRequest } from '../requests/relay-request.js';
 import type { Route } from '../routes/route-configuration.js';
+import type { TargetRecord } from '../targets/target-record.js';
 import type { RelayMetrics } from '../metrics/relay-metrics.js';
 
 /** The request, its route and the log and metrics for its outcome. */
@@ -110,8 +111,13 @@
   }
 
   /** Ends the request after its complete answer was sent to the caller. */
-  completeRequest(status: number, target: string): void {
-    this.#endRequest('answered', { status, target });
+  completeRequest(status: number, target: TargetRecord): void {
+    const { id, softwareVersion } = target;
+    this.#endRequest('answered', {
+      status,
+      target: id,
+      version: softwareVersion,
+    });
   }
 
   /**
@@ -168,6 +174,8 @@
         total_ms: totalMs,
         sends: this.#sendCount,
         revision,
+        resumes: this.request.resumedRequestId,
+        after_event: this.request.resumeAfterEventId,
         ...this.#logFields,
         ...fields,
       },
--- a/packages/relay/src/requests/relay-request.ts
+++ b/packages/relay/src/requests/relay-request.ts
@@ -46,6 +46,11 @@
   readonly arrivedAtMs: number;
   /** Milliseconds that the caller waits for the answer, from `arrivedAtMs`. */
   readonly callerTimeoutMs: number | undefined;
+  /**
+   * Id of the request that brought the first event of the stream that the caller takes
+   * up again; undefined for a new stream.
+   */
+  readonly resumedRequestId: string | undefined;
   /** Absent when the request is not a generation. */
   readonly prompt: Prompt | undefined;
   /** Id of the event after which the caller resumes its stream. */
--- a/packages/relay/src/targets/target-record.ts
+++ b/packages/relay/src/targets/target-record.ts
@@ -23,6 +23,8 @@
   leaving: z.boolean(),
   /** Absent for targets that are not engines. */
   role: targetRoleSchema.optional(),
+  /** Version of the software, without an order; absent if it is not registered. */
+  softwareVersion: z.string().optional(),
   /** Start time of the process, in epoch milliseconds of the target's clock. */
   startedAtMs: z.number().optional(),
 });
--- a/packages/soak/src/checks/run-checks.test.ts
+++ b/packages/soak/src/checks/run-checks.test.ts
@@ -33,6 +33,7 @@
   attempt,
   target: 't1',
   service: 'api',
+  softwareVersion: 'v1',
   method: 'POST',
   path: `/book/${attempt}`,
   body: 'b',
