Let a stream go on only at the software version that began it

Cause: no choice of a target looked at the version of its software. The class of fault: a request that goes on at another place was placed like a new one. It concerns the second send within an answer and a stream that its caller takes up again, at any instance.

Change: one filter for all targets that answer. Within an answer the first event fixes the version, that of the registration to which the request was sent. Each instance tells the others, in the load report that is due 8 ms after a prefill begins, at which service and version a resumable stream begins, before its first event; in large deployments only the aggregators keep that. An instance that was not told asks (150 ms); where there was only one version for 15 s and all registrations were known, it is that one. Otherwise the request is refused at once, unrun. A route that is split sends a stream on to the service that began it. Prefills and copies may be of any version: a KV cache depends on the weights.

Weighed: a choice of version that can be worked out from the request's id needs no messages, but is wrong when instances see different versions, and gives a version with one engine as many streams as one with six; a row in the store for each stream is priced.

--- a/packages/relay/src/change-streams/table-watcher.ts
+++ b/packages/relay/src/change-streams/table-watcher.ts
@@ -61,6 +61,8 @@
   #lastPosition: StreamPosition | undefined;
   #consecutiveFailures = 0;
   #hasConnected = false;
+  /** Monotonic time since which no query has failed; undefined while they fail. */
+  #connectedSinceMs: number | undefined;
 
   constructor(options: TableWatcherOptions) {
     this.#options = options;
@@ -76,6 +78,12 @@
     return this.#consecutiveFailures === 0 && this.#lastPosition !== undefined;
   }
 
+  /** Time for which all changes of the table have been known; 0 while they are not. */
+  get knownForMs(): number {
+    if (this.#connectedSinceMs === undefined || !this.isConnected) return 0;
+    return performance.now() - this.#connectedSinceMs;
+  }
+
   /** Position up to which the changes are known; undefined before the first read. */
   get lastPosition(): StreamPosition | undefined {
     return this.#lastPosition;
@@ -156,6 +164,8 @@
   #beginEra(era: number): boolean {
     if (this.#era === era) return false;
     const isFirstEra = this.#era === undefined;
+    // A restored table lacks the latest changes until they are written again.
+    this.#connectedSinceMs = performance.now();
     this.#era = era;
     this.#versionsByKey.clear();
     this.#removedKeys.clear();
@@ -180,6 +190,7 @@
   }
 
   #recordFailure(failure: Failure): void {
+    this.#connectedSinceMs = undefined;
     this.#consecutiveFailures += 1;
     if (this.#consecutiveFailures > 1) return;
     this.#options.log.writeEvent('platform_down', {
@@ -189,6 +200,7 @@
   }
 
   #recordSuccess(): void {
+    this.#connectedSinceMs ??= performance.now();
     if (this.#consecutiveFailures > 0 || !this.#hasConnected) {
       this.#hasConnected = true;
       this.#options.log.writeEvent('platform_up', {
--- a/packages/relay/src/kernel/tokens.ts
+++ b/packages/relay/src/kernel/tokens.ts
@@ -7,6 +7,8 @@
 import type { ChangeDistributor } from '../change-streams/change-distributor.js';
 import type { TableSource } from '../change-streams/table-source.js';
 import type { LimitGroup } from '../limits/limit-share.js';
+import type { StreamOriginFinder } from '../origins/stream-origin-finder.js';
+import type { StreamOrigins } from '../origins/stream-origins.js';
 import type { InstanceDirectory } from '../peers/instance-directory.js';
 import type { LoadExchange } from '../peers/load-exchange.js';
 import type { PeerTopology } from '../peers/peer-topology.js';
@@ -103,6 +105,12 @@
   'news-topology',
 );
 export const loadExchangeToken = new InjectionToken<LoadExchange>('news');
+export const streamOriginsToken = new InjectionToken<StreamOrigins>(
+  'stream-origins',
+);
+export const streamOriginFinderToken = new InjectionToken<StreamOriginFinder>(
+  'stream-origin-finder',
+);
 export const peerSnapshotsToken = new InjectionToken<PeerSnapshots>(
   'snapshots',
 );
--- a/packages/relay/src/metrics/relay-metrics.ts
+++ b/packages/relay/src/metrics/relay-metrics.ts
@@ -21,6 +21,7 @@
   readonly #eventGapHistogram: Histogram<'service'>;
   readonly #sendCounter: Counter<'service' | 'outcome'>;
   readonly #limitedSendCounter: Counter<'service'>;
+  readonly #resumptionCounter: Counter<'service' | 'origin'>;
   readonly #routeLabels = new LabelLimiter(maxRouteLabels);
 
   constructor(registry: Registry) {
@@ -65,6 +66,12 @@
       labelNames: ['service', 'outcome'],
       registers,
     });
+    this.#resumptionCounter = new Counter({
+      name: 'medlarlever_relay_resumptions_total',
+      help: 'Streams that callers took up again, by how it is known where they began',
+      labelNames: ['service', 'origin'],
+      registers,
+    });
     this.#limitedSendCounter = new Counter({
       name: 'medlarlever_relay_limited_sends_total',
       help: 'Requests to targets that had named a limit, by service',
@@ -73,6 +80,11 @@
     });
   }
 
+  /** Records a stream that a caller takes up again, by how its origin is known. */
+  recordResumption(service: string, origin: string): void {
+    this.#resumptionCounter.inc({ service, origin });
+  }
+
   /**
    * Records the end of a request. `firstMs` and `totalMs` are the times to the
    * first byte and to the end of the response.
--- a/packages/relay/src/peers/app.ts
+++ b/packages/relay/src/peers/app.ts
@@ -1,6 +1,7 @@
 /** Plugin for the exchange of data between instances and the peer interface. */
 import { InstanceRegistry, JsonRpcPeer, PeerMesh } from '@medlarlever/core';
-import type { Kernel, Plugin } from '@medlarlever/core';
+import type { Kernel, Peer, Plugin } from '@medlarlever/core';
+import { Maybe } from 'purify-ts';
 
 import { awaitCloseOrTimeout } from '../kernel/close-timeout.js';
 import {
@@ -22,14 +23,19 @@
   settingsToken,
   peerSnapshotsToken,
   servingEndControllerToken,
+  streamOriginFinderToken,
+  streamOriginsToken,
   tableToken,
   targetAnnouncementsToken,
   targetRegistryToken,
+  targetWatcherToken,
   peerTopologyToken,
 } from '../kernel/tokens.js';
 import { selectLimitGroup } from '../limits/limit-group.js';
 import { LimitReports } from '../limits/limit-reports.js';
 import type { LimitGroup } from '../limits/limit-share.js';
+import { StreamOriginFinder } from '../origins/stream-origin-finder.js';
+import { StreamOrigins } from '../origins/stream-origins.js';
 import { startOrder } from '../kernel/start-order.js';
 import { openPeerInterface } from '../server/peer-interface.js';
 
@@ -97,6 +103,7 @@
     }),
     services: kernel.get(serviceStatesToken),
     demand: kernel.get(prefillDemandToken),
+    origins: kernel.get(streamOriginsToken),
     getRevision: () => kernel.get(routesToken).version,
     onNewerRevision: from => {
       void kernel.get(peerSnapshotsToken).requestSnapshot(from);
@@ -129,6 +136,36 @@
     : Math.max(knownCount, minAssumedInstances);
 };
 
+/**
+ * Lists the peers that keep the origins of streams: all that are live, or in a large
+ * deployment the aggregators.
+ */
+const listOriginKeepers = (kernel: Kernel): Peer[] => {
+  const topology = kernel.get(peerTopologyToken);
+  const registry = kernel.get(instanceRegistryToken);
+  const names = topology.usesAggregators
+    ? [topology.getAggregator(), ...topology.listRemoteAggregators()]
+    : registry
+        .listInstances()
+        .filter(({ state }) => state !== 'suspected')
+        .map(({ name }) => name);
+  return Maybe.catMaybes(
+    names
+      .filter(name => name !== registry.self.name)
+      .map(name => kernel.get(peerMeshToken).getPeer(name)),
+  );
+};
+
+const createStreamOriginFinder = (kernel: Kernel): StreamOriginFinder =>
+  new StreamOriginFinder({
+    origins: kernel.get(streamOriginsToken),
+    listPeers: () => listOriginKeepers(kernel),
+    findOnlyVersion: service =>
+      kernel
+        .get(targetRegistryToken)
+        .findOnlyVersion(service, kernel.get(targetWatcherToken).knownForMs),
+  });
+
 /** Selects the instances among which the limits of targets are divided. */
 const getLimitGroup = (kernel: Kernel): LimitGroup =>
   selectLimitGroup({
@@ -163,6 +200,7 @@
   kernel.get(targetClosureBroadcasterToken).registerMethods(kernel);
   kernel.get(changeDistributorToken).registerMethods(kernel);
   kernel.get(targetAnnouncementsToken).registerMethods(kernel);
+  kernel.get(streamOriginFinderToken).registerMethods(kernel);
   const close = await openPeerInterface({
     kernel,
     log: kernel.get(logToken),
@@ -196,6 +234,8 @@
       instanceCountToken,
       resolver => () => countInstances(resolver),
     );
+    kernel.provide(streamOriginsToken, () => new StreamOrigins());
+    kernel.provide(streamOriginFinderToken, createStreamOriginFinder);
     kernel.provide(limitGroupToken, resolver => () => getLimitGroup(resolver));
     kernel.provide(
       peerSnapshotsToken,
--- a/packages/relay/src/peers/load-aggregator.ts
+++ b/packages/relay/src/peers/load-aggregator.ts
@@ -14,11 +14,12 @@
 /** Creates an empty collection of events, each of which is reported once. */
 const createEmptyPendingReport = (): Pick<
   LoadReport,
-  'read' | 'pace' | 'crashes'
+  'read' | 'pace' | 'crashes' | 'begun'
 > => ({
   read: [],
   pace: [],
   crashes: [],
+  begun: [],
 });
 
 /** Dependencies of {@link LoadAggregator}. */
@@ -56,11 +57,15 @@
     this.#memberReports.addReport(report);
   }
 
-  /** Sends the report to all members. */
+  /**
+   * Sends the report to all members. Aggregators alone keep the origins of streams:
+   * few callers take one up again, and then the members ask.
+   */
   notifyMembers(report: LoadReport): void {
     const { topology } = this.#options;
+    const memberReport: LoadReport = { ...report, begun: [] };
     for (const member of this.listMembers()) {
-      topology.notifyInstance(member, loadReportMethod, report);
+      topology.notifyInstance(member, loadReportMethod, memberReport);
     }
   }
 
@@ -78,6 +83,7 @@
     this.#pendingRemoteReport.read.push(...report.read);
     this.#pendingRemoteReport.pace.push(...report.pace);
     this.#pendingRemoteReport.crashes.push(...report.crashes);
+    this.#pendingRemoteReport.begun.push(...report.begun);
     this.#publishCount += 1;
     if (this.#publishCount % remotePublishInterval !== 0) return;
     for (const aggregator of topology.listRemoteAggregators()) {
--- a/packages/relay/src/peers/load-exchange.test.ts
+++ b/packages/relay/src/peers/load-exchange.test.ts
@@ -9,6 +9,7 @@
   createTargetRecord,
 } from '../fixtures/relay-fixtures.js';
 import { LimitReports } from '../limits/limit-reports.js';
+import { StreamOrigins } from '../origins/stream-origins.js';
 import { ServiceStates } from '../relay/service-state.js';
 import { CrashTracker } from '../retries/crash-tracker.js';
 import { PrefillDemand } from '../roles/prefill-demand.js';
@@ -29,6 +30,7 @@
   });
   targets.registerTarget(createTargetRecord('t1'));
   const crashes = new CrashTracker();
+  const origins = new StreamOrigins();
   const demand = new PrefillDemand();
   const newerRevisions: number[] = [];
   const config = { revision: 1 };
@@ -38,6 +40,7 @@
     targets,
     crashes,
     limits: new LimitReports({ targets, log: createMemoryLog() }),
+    origins,
     services: new ServiceStates({
       windowMs: 10_000,
       getLimits: () => ({
@@ -59,6 +62,7 @@
     demand,
     targets,
     crashes,
+    origins,
     exchange,
     kernel,
     newerRevisions,
@@ -229,3 +233,39 @@
     await kernel.peerMethods.get(loadReportMethod)?.({ from: 1 }, 'peer');
   });
 });
+
+test.serial(
+  'the peers are told where a stream begins before its first event',
+  async t => {
+    const { clock, one, two } = setUp(t);
+    const origin = { service: 'engines', softwareVersion: 'v1' };
+    one.origins.record('a1', origin);
+    one.exchange.scheduleReport();
+    await clock.tickAsync(10);
+    t.deepEqual(two.origins.find('a1'), origin);
+  },
+);
+
+test.serial(
+  'in a large deployment all aggregators keep the origins of streams, and the members learn of limits',
+  async t => {
+    const { clock, addInstance, one, two } = setUp(t);
+    const far = addInstance('far');
+    const farMember = addInstance('far member');
+    for (const { topology } of [one, two]) topology.setAggregator('one');
+    for (const { topology } of [far, farMember]) topology.setAggregator('far');
+    one.topology.remoteAggregators = ['far'];
+    far.topology.remoteAggregators = ['one'];
+    await clock.tickAsync(1_500);
+    const origin = { service: 'engines', softwareVersion: 'v1' };
+    two.origins.record('a1', origin);
+    two.targets
+      .findTarget('t1')
+      ?.limiter.statement.recordLimit(2, performance.now());
+    await clock.tickAsync(1_500);
+    t.deepEqual(one.origins.find('a1'), origin);
+    t.deepEqual(far.origins.find('a1'), origin);
+    t.is(farMember.origins.find('a1'), undefined);
+    t.true(farMember.targets.findTarget('t1')?.isLimited);
+  },
+);
--- a/packages/relay/src/peers/load-exchange.ts
+++ b/packages/relay/src/peers/load-exchange.ts
@@ -8,6 +8,7 @@
 import type { Kernel } from '@medlarlever/core';
 
 import type { LimitReports } from '../limits/limit-reports.js';
+import type { StreamOrigins } from '../origins/stream-origins.js';
 import type { PromptSegment } from '../requests/relay-request.js';
 import type { ServiceStates } from '../relay/service-state.js';
 import type { CrashTracker } from '../retries/crash-tracker.js';
@@ -48,6 +49,7 @@
   readonly targets: TargetRegistry;
   readonly crashes: CrashTracker;
   readonly limits: LimitReports;
+  readonly origins: StreamOrigins;
   readonly services: ServiceStates;
   readonly demand: PrefillDemand;
   /** Returns the configuration version in force on this instance. */
@@ -86,6 +88,11 @@
   ): void {
     if (segments.length === 0) return;
     this.#ownLoad.recordPrefillStart(target, segments, expectedMs);
+    this.scheduleReport();
+  }
+
+  /** Schedules a report of what has just begun. Aggregators are told at intervals. */
+  scheduleReport(): void {
     if (this.#hasScheduledReport || this.#options.topology.usesAggregators)
       return;
     this.#hasScheduledReport = true;
@@ -171,6 +178,7 @@
       serializedLoads !== this.#lastSentLoads ||
       this.#ownLoad.hasUnreportedPrefills ||
       this.#options.limits.hasNews ||
+      this.#options.origins.hasUnreported ||
       this.#options.crashes.hasUnreportedCrashes;
     const nowMs = performance.now();
     const needsRepetition = loads.length > 0 || reportsToAggregator;
@@ -182,7 +190,7 @@
   }
 
   #takeOwnReport(loads: LoadReport['loads']): LoadReport {
-    const { self, crashes, limits, getRevision, services, demand } =
+    const { self, crashes, limits, origins, getRevision, services, demand } =
       this.#options;
     const prefillTokenTotals = services.listAssignedPrefillTokens();
     if (!this.#isAggregatorMember)
@@ -194,12 +202,14 @@
       placed: prefillTokenTotals,
       ...this.#ownLoad.takeUnreportedEvents(),
       limits: limits.list(),
+      begun: origins.takeUnreported(),
       crashes: crashes.takeUnreportedCrashes(),
     };
   }
 
   #receiveReport(report: LoadReport): void {
-    const { targets, crashes, limits, topology, demand } = this.#options;
+    const { targets, crashes, limits, origins, topology, demand } =
+      this.#options;
     topology.recordReportFrom(report.from);
     demand.recordTotals(report.from, report.placed);
     this.#peerLoads.recordLoads(report.from, report.loads);
@@ -222,6 +232,7 @@
       crashes.recordCrash(fingerprint, target);
     }
     limits.apply(report.limits);
+    origins.apply(report.begun);
     const { getRevision, onNewerRevision } = this.#options;
     if (report.revision > getRevision())
       onNewerRevision(report.from, report.revision);
--- a/packages/relay/src/peers/load-report.ts
+++ b/packages/relay/src/peers/load-report.ts
@@ -46,6 +46,11 @@
   limits: z
     .array(z.tuple([z.string(), z.number(), z.number().nullable(), z.number()]))
     .default([]),
+  /**
+   * Request that begins a stream, and the service and software version of the target
+   * (empty if its registration names none).
+   */
+  begun: z.array(z.tuple([z.string(), z.string(), z.string()])).default([]),
   /** Request fingerprint, and the target that crashed while processing the request. */
   crashes: z.array(z.tuple([z.string(), z.string()])),
 });
--- a/packages/relay/src/peers/member-reports.ts
+++ b/packages/relay/src/peers/member-reports.ts
@@ -24,16 +24,18 @@
   #startedPrefills: LoadReport['read'] = [];
   #latencyRatios: LoadReport['pace'] = [];
   #crashes: LoadReport['crashes'] = [];
+  #begunStreams: LoadReport['begun'] = [];
 
   /** Records the report of a member. */
   addReport(report: LoadReport): void {
-    const { from, loads, limits, placed, read, pace, crashes } = report;
+    const { from, loads, limits, placed, read, pace, crashes, begun } = report;
     const receivedAtMs = performance.now();
     this.#reportsByMember.set(from, { receivedAtMs, loads, limits });
     this.#countPrefillTokens(from, placed);
     this.#startedPrefills.push(...read);
     this.#latencyRatios.push(...pace);
     this.#crashes.push(...crashes);
+    this.#begunStreams.push(...begun);
   }
 
   /** Lists the members that receive combined reports; drops expired members. */
@@ -48,7 +50,7 @@
 
   /**
    * Combines this instance's report with the collected ones. Clears the events
-   * (`read`, `pace`, `crashes`), because each event is reported once.
+   * (`read`, `pace`, `crashes`, `begun`), because each event is reported once.
    */
   takeCombinedReport(ownReport: LoadReport): LoadReport {
     this.#countPrefillTokens(ownReport.from, ownReport.placed);
@@ -63,10 +65,12 @@
       read: [...ownReport.read, ...this.#startedPrefills],
       pace: [...ownReport.pace, ...this.#latencyRatios],
       crashes: [...ownReport.crashes, ...this.#crashes],
+      begun: [...ownReport.begun, ...this.#begunStreams],
     };
     this.#startedPrefills = [];
     this.#latencyRatios = [];
     this.#crashes = [];
+    this.#begunStreams = [];
     return report;
   }
 
--- a/packages/relay/src/placement/placement.test.ts
+++ b/packages/relay/src/placement/placement.test.ts
@@ -8,7 +8,11 @@
 import { TargetState } from '../targets/target-state.js';
 
 import { checkAdmission } from './admission.js';
-import { selectPlainTarget, placeGeneration } from './placement.js';
+import {
+  selectPlainTarget,
+  chooseDecodeTarget,
+  placeGeneration,
+} from './placement.js';
 import type { PlacementOptions } from './placement.js';
 import { PrefillSpeed } from './prefill-speed.js';
 
@@ -24,6 +28,7 @@
   dataCenter: 'a',
   excluded: new Set(),
   unreached: new Set(),
+  origin: undefined,
   random: undefined,
   ...overrides,
 });
@@ -168,6 +173,7 @@
       targets: [remoteTarget, localTarget],
       excluded: new Set(),
       unreached: new Set(),
+      origin: undefined,
       dataCenter: 'a',
     });
   t.is(place(), localTarget);
@@ -199,6 +205,7 @@
       targets,
       excluded: new Set(),
       unreached: new Set(['b']),
+      origin: undefined,
       dataCenter: 'a',
     });
   t.is(place([localTarget, remoteTarget]), localTarget);
@@ -241,3 +248,40 @@
   t.is(placement?.prefillTokens, 500);
   t.is(placement?.prefillTarget?.record.id, 'p2');
 });
+
+test('a stream that goes on is decoded at the version that began it, however busy', t => {
+  const old = createEngine('d1', 'decode', { softwareVersion: 'v1' });
+  const others = [
+    createEngine('d2', 'decode', { softwareVersion: 'v2' }),
+    createEngine('d3', 'decode'),
+    createEngine('p1', 'prefill', { softwareVersion: 'v2' }),
+  ];
+  for (let i = 0; i < 20; i += 1) old.startRequest();
+  const options = createOptions({ targets: [old, ...others] });
+  const origin = { service: 'engines', softwareVersion: 'v1' };
+  t.not(placeGeneration(options)?.decodeTarget, old);
+  t.is(placeGeneration({ ...options, origin })?.decodeTarget, old);
+  t.is(chooseDecodeTarget({ ...options, origin }), old);
+  const gone = { service: 'engines', softwareVersion: 'v0' };
+  t.is(placeGeneration({ ...options, origin: gone }), undefined);
+});
+
+test('a stream of a plain service goes on at the version that began it', t => {
+  const targets = ['v1', 'v2'].map(
+    softwareVersion =>
+      new TargetState(
+        createTargetRecord(softwareVersion, { softwareVersion }),
+        0,
+      ),
+  );
+  targets[0]?.startRequest();
+  const origin = { service: 'api', softwareVersion: 'v1' };
+  const target = selectPlainTarget({
+    targets,
+    excluded: new Set(),
+    unreached: new Set(),
+    origin,
+    dataCenter: 'a',
+  });
+  t.is(target, targets[0]);
+});
--- a/packages/relay/src/placement/placement.ts
+++ b/packages/relay/src/placement/placement.ts
@@ -1,4 +1,6 @@
 /** Chooses the targets of a request by their load and prefix caches. */
+import { canContinueStream } from '../origins/stream-origin.js';
+import type { StreamOrigin } from '../origins/stream-origin.js';
 import type { Prompt } from '../requests/relay-request.js';
 import type { TargetState } from '../targets/target-state.js';
 
@@ -83,6 +85,12 @@
   readonly excluded: ReadonlySet<TargetState>;
   /** Data centres to which connections currently fail. */
   readonly unreached: ReadonlySet<string>;
+  /**
+   * Where the stream began that is to go on; undefined for a new one. Only targets of
+   * the same software version can continue it. KV caches depend on the weights alone,
+   * so any version may prefill.
+   */
+  readonly origin: StreamOrigin | undefined;
 }
 
 /** A possible prefill engine with the cost of its use in milliseconds. */
@@ -124,6 +132,20 @@
   return preferred.length > 0 ? preferred : allowed;
 };
 
+/** Usable targets that can make the events of the request's answer. */
+const filterAnsweringTargets = (
+  options: Pick<
+    PlacementOptions,
+    'targets' | 'excluded' | 'unreached' | 'origin'
+  >,
+): TargetState[] => {
+  const { targets, origin } = options;
+  return filterUsableTargets({
+    ...options,
+    targets: targets.filter(({ record }) => canContinueStream(record, origin)),
+  });
+};
+
 const findCheapest = <T extends { readonly cost: number }>(
   candidates: readonly T[],
 ): T | undefined => {
@@ -262,10 +284,9 @@
 
 /** Decode engines with a free slot, or all of them when every one is full. */
 const listDecodeTargets = (
-  targets: readonly TargetState[],
   options: PlacementOptions,
 ): readonly TargetState[] => {
-  const decodeTargets = targets.filter(
+  const decodeTargets = filterAnsweringTargets(options).filter(
     ({ record }) => record.role !== 'prefill',
   );
   const freeTargets = decodeTargets.filter(target =>
@@ -293,10 +314,7 @@
   options: PlacementOptions,
 ): TargetState | undefined =>
   findLeastLoadedDecodeTarget(
-    sampleTargets(
-      listDecodeTargets(filterUsableTargets(options), options),
-      options,
-    ),
+    sampleTargets(listDecodeTargets(options), options),
     options,
   );
 
@@ -335,10 +353,7 @@
   options: PlacementOptions,
 ): Placement | undefined => {
   const targets = filterUsableTargets(options);
-  const decodeTargets = sampleTargets(
-    listDecodeTargets(targets, options),
-    options,
-  );
+  const decodeTargets = sampleTargets(listDecodeTargets(options), options);
   const dedicated = findDedicatedPrefill(targets, options);
   const colocated = findColocatedPrefill(decodeTargets, options);
   const decodeTarget = findLeastLoadedDecodeTarget(decodeTargets, options);
@@ -372,10 +387,10 @@
 export const selectPlainTarget = (
   options: Pick<
     PlacementOptions,
-    'targets' | 'excluded' | 'unreached' | 'dataCenter'
+    'targets' | 'excluded' | 'unreached' | 'dataCenter' | 'origin'
   >,
 ): TargetState | undefined => {
-  const candidates = filterUsableTargets(options).map(target => {
+  const candidates = filterAnsweringTargets(options).map(target => {
     const utilization = (target.activeRequestCount + 1) / target.record.slots;
     const isRemote = target.record.dataCenter !== options.dataCenter;
     return {
--- a/packages/relay/src/placement/target-sampling.test.ts
+++ b/packages/relay/src/placement/target-sampling.test.ts
@@ -36,6 +36,7 @@
     dataCenter: 'a',
     excluded: new Set(),
     unreached: new Set(),
+    origin: undefined,
     random,
   });
 
--- a/packages/relay/src/relay/app.ts
+++ b/packages/relay/src/relay/app.ts
@@ -14,6 +14,8 @@
   routesToken,
   serviceStatesToken,
   settingsToken,
+  streamOriginFinderToken,
+  streamOriginsToken,
   targetClientToken,
   targetRegistryToken,
   peerTopologyToken,
@@ -60,6 +62,11 @@
         getEventLoopDelayMs: () =>
           resolver.get(eventLoopDelayMonitorToken).currentDelayMs,
         getRemainingMs: () => resolver.get(requestDrainerToken).remainingMs,
+        originFinder: resolver.get(streamOriginFinderToken),
+        onStreamBegin: (request, origin) => {
+          resolver.get(streamOriginsToken).record(request, origin);
+          resolver.get(loadExchangeToken).scheduleReport();
+        },
         onPrefillStart: (target, segments, expectedMs) => {
           resolver
             .get(loadExchangeToken)
--- a/packages/relay/src/relay/generation-placer.ts
+++ b/packages/relay/src/relay/generation-placer.ts
@@ -12,7 +12,12 @@
 
 import type { RequestContext } from './request-context.js';
 import type { RelayDependencies } from './relay.js';
-import { computeRetryAfterMs, noTargetRetryAfterMs } from './request-runner.js';
+import {
+  canBeContinued,
+  computeRetryAfterMs,
+  createVersionGoneFailure,
+  noTargetRetryAfterMs,
+} from './request-runner.js';
 
 /**
  * Retry delay for the caller when there is no decode engine: one must first change
@@ -102,6 +107,7 @@
       transferMsPerToken: engineSettings.transferMsPerToken,
       dataCenter,
       excluded: excludedTargets,
+      origin: context.origin,
       unreached: dataCenterReachability.takeUnreachableDataCenters(),
       random: dependencies.isLargeDeployment() ? random : undefined,
     };
@@ -124,6 +130,8 @@
       limited: openTargets.filter(({ limiter }) => !limiter.hasPermit).length,
       tried: excludedTargets.size,
     });
+    if (!canBeContinued(context.origin, openTargets))
+      return createVersionGoneFailure(context);
     return new Failure(
       'no_target',
       'no engine of the service can take the request now; retry later',
--- a/packages/relay/src/relay/generation-runner.test.ts
+++ b/packages/relay/src/relay/generation-runner.test.ts
@@ -294,3 +294,105 @@
     t.true(client.prefills.length > limitedCount);
   },
 );
+
+const versionedRecords = [
+  createTargetRecord('d1', {
+    service: 'engines',
+    role: 'decode',
+    slots: 8,
+    softwareVersion: 'v1',
+  }),
+  createTargetRecord('d2', {
+    service: 'engines',
+    role: 'decode',
+    slots: 8,
+    softwareVersion: 'v2',
+  }),
+];
+
+const resumableRoute = { ...streamRoute, resumable: true, maxAttempts: 3 };
+
+test('a stream that broke before its first event may begin at another version', async t => {
+  const { serve, client, origins } = createTestRelay({
+    route: resumableRoute,
+    targets: versionedRecords,
+  });
+  client.onSend = (_target, _options, sink) =>
+    Promise.resolve(
+      client.sends.length === 1
+        ? sendIncompleteResponse(sink, 'id: 1')
+        : sendCompleteResponse(sink, 'id: 1\n\n'),
+    );
+  const caller = await serve({ id: 'a1', prompt: longPrompt });
+  t.is(caller.text, 'id: 1\n\n');
+  t.deepEqual(origins.find('a1'), {
+    service: 'engines',
+    softwareVersion: 'v2',
+  });
+});
+
+test('a stream ends if no other target of its version is left', async t => {
+  const { serve, client } = createTestRelay({
+    route: resumableRoute,
+    targets: versionedRecords,
+  });
+  client.onSend = (_target, _options, sink) =>
+    Promise.resolve(sendIncompleteResponse(sink, 'id: 1\n\n'));
+  const caller = await serve({ id: 'a1', prompt: longPrompt });
+  t.is(client.sends.length, 1);
+  t.true(caller.isAborted);
+});
+
+test('a stream that is taken up goes on at the version that began it', async t => {
+  const { serve, client, origins } = createTestRelay({
+    route: resumableRoute,
+    targets: versionedRecords,
+  });
+  origins.record('a1', { service: 'engines', softwareVersion: 'v2' });
+  const resumption = {
+    prompt: longPrompt,
+    resumedRequestId: 'a1',
+    resumeAfterEventId: '2',
+  };
+  for (const id of ['a2', 'a3']) await serve({ ...resumption, id });
+  t.deepEqual(
+    client.sends.map(({ target }) => target),
+    ['d2', 'd2'],
+  );
+});
+
+test('a stream whose version is not known is refused at once, and so is one whose version is gone', async t => {
+  const { serve, client, origins } = createTestRelay({
+    route: resumableRoute,
+    targets: versionedRecords,
+  });
+  const resumption = {
+    prompt: longPrompt,
+    resumedRequestId: 'a1',
+    resumeAfterEventId: '2',
+  };
+  const unknown = await serve(resumption);
+  t.is(unknown.failure?.code, 'stream_origin_unknown');
+  t.is(unknown.failure?.executed, 'no');
+  t.true((unknown.failure?.retryAfterMs ?? 0) > 0);
+  origins.record('a1', { service: 'engines', softwareVersion: 'v0' });
+  const gone = await serve(resumption);
+  t.is(gone.failure?.code, 'stream_version_gone');
+  t.is(gone.failure?.executed, 'no');
+  origins.record('a1', { service: 'other', softwareVersion: 'v1' });
+  t.is((await serve(resumption)).failure?.code, 'stream_version_gone');
+  t.is(client.sends.length + client.prefills.length, 0);
+});
+
+test('a caller that does not name its stream goes on where there was one version', async t => {
+  const { serve, client } = createTestRelay({
+    route: resumableRoute,
+    targets: versionedRecords,
+    onlyVersion: 'v1',
+  });
+  await serve({ prompt: longPrompt, resumeAfterEventId: '2' });
+  t.deepEqual(
+    client.sends.map(({ target }) => target),
+    ['d1'],
+  );
+});
--- a/packages/relay/src/relay/generation-runner.ts
+++ b/packages/relay/src/relay/generation-runner.ts
@@ -289,6 +289,7 @@
     const isColocated = kvCacheHandle === undefined;
     const endRequest = this.startRequest(target);
     if (isColocated) placement.copySource?.limiter.takePermit();
+    this.recordOrigin(record);
     const endPrefill = isColocated
       ? this.#startPrefill(
           target,
@@ -303,6 +304,8 @@
     const startedAtMs = performance.now();
     const eventGapMeter = new EventGapMeter();
     this.#onEvent = () => {
+      const { service, softwareVersion } = record;
+      context.origin ??= { service, softwareVersion };
       eventGapMeter.recordEvent();
       endPrefill();
       target.recordActivity();
--- a/packages/relay/src/relay/plain-request-runner.ts
+++ b/packages/relay/src/relay/plain-request-runner.ts
@@ -13,7 +13,9 @@
 } from './response-sinks.js';
 import {
   RequestRunner,
+  canBeContinued,
   computeRetryAfterMs,
+  createVersionGoneFailure,
   minServerErrorStatus,
   noTargetRetryAfterMs,
 } from './request-runner.js';
@@ -75,20 +77,24 @@
       targets: targetsWithCapacity,
       excluded: this.excludedTargets,
       unreached: dataCenterReachability.takeUnreachableDataCenters(),
+      origin: this.context.origin,
       dataCenter,
     });
   }
 
   #createNoTargetFailure(): Failure {
+    const { context } = this;
+    const openTargets = this.dependencies.targets.listOpenTargets(
+      context.service,
+    );
+    if (!canBeContinued(context.origin, openTargets))
+      return createVersionGoneFailure(context);
     return new Failure(
       'no_target',
       'no target of the service can take the request now; retry later',
       {
-        executed: this.context.mayHaveExecuted ? 'unknown' : 'no',
-        retryAfterMs: computeRetryAfterMs(
-          this.dependencies.targets.listOpenTargets(this.context.service),
-          noTargetRetryAfterMs,
-        ),
+        executed: context.mayHaveExecuted ? 'unknown' : 'no',
+        retryAfterMs: computeRetryAfterMs(openTargets, noTargetRetryAfterMs),
       },
     );
   }
@@ -98,6 +104,7 @@
     const { context, dependencies } = this;
     const { record } = target;
     const endRequest = this.startRequest(target);
+    this.recordOrigin(record);
     const startedAtMs = performance.now();
     const sink = this.#createResponseSink();
     context.recordSend();
--- a/packages/relay/src/relay/relay.ts
+++ b/packages/relay/src/relay/relay.ts
@@ -2,6 +2,11 @@
 import { Failure, toFailure } from '@medlarlever/core';
 import type { Log } from '@medlarlever/core';
 
+import type { StreamOrigin } from '../origins/stream-origin.js';
+import type {
+  FoundOrigin,
+  StreamOriginFinder,
+} from '../origins/stream-origin-finder.js';
 import type { RelayMetrics } from '../metrics/relay-metrics.js';
 import type {
   Caller,
@@ -9,6 +14,7 @@
   RelayRequest,
 } from '../requests/relay-request.js';
 import type { CrashTracker } from '../retries/crash-tracker.js';
+import type { Route } from '../routes/route-configuration.js';
 import { pickService } from '../routes/route-table.js';
 import type { RouteTableHolder } from '../routes/route-table-holder.js';
 import type { DataCenterReachability } from '../targets/data-center-reachability.js';
@@ -33,6 +39,31 @@
  */
 const maxEventLoopDelayMs = 500;
 
+/** True if the caller takes up a stream that an earlier request began. */
+const isResumption = (
+  { resumedRequestId, resumeAfterEventId }: RelayRequest,
+  { kind }: Route,
+): boolean =>
+  kind === 'stream' &&
+  (resumedRequestId !== undefined || resumeAfterEventId !== undefined);
+
+/** Retry delay for the caller of a stream of which another instance may know more. */
+const originUnknownRetryAfterMs = 100;
+
+const createOriginUnknownFailure = (
+  origin: StreamOrigin | undefined,
+): Failure =>
+  origin === undefined
+    ? new Failure(
+        'stream_origin_unknown',
+        'no instance in reach knows at which software version the stream began; take it up again later, or begin it anew',
+        { retryAfterMs: originUnknownRetryAfterMs },
+      )
+    : new Failure(
+        'stream_version_gone',
+        'the route no longer leads to the service that began the stream; begin it anew',
+      );
+
 /** Components and settings that the relay and its request runners use. */
 export interface RelayDependencies {
   readonly routes: RouteTableHolder;
@@ -57,6 +88,9 @@
   readonly getEventLoopDelayMs: () => number;
   /** Longest time that a new request may still run before the shutdown. */
   readonly getRemainingMs: () => number;
+  readonly originFinder: StreamOriginFinder;
+  /** Called before a request that begins a resumable stream is sent to a target. */
+  readonly onStreamBegin: (request: string, origin: StreamOrigin) => void;
   /** Called when a prefill of prompt segments is sent to an engine. */
   readonly onPrefillStart: (
     target: string,
@@ -94,17 +128,25 @@
       this.#rejectUnroutedRequest(request, caller);
       return;
     }
-    const service = pickService(route, random());
+    const found = isResumption(request, route)
+      ? await this.dependencies.originFinder.find(
+          request.resumedRequestId,
+          route.services.map(({ name }) => name),
+        )
+      : undefined;
+    const service = found?.origin?.service ?? pickService(route, random());
     const context = new RequestContext({
       request,
       caller,
       route,
       service,
+      origin: found?.origin,
       revision: routeTable.version,
       log,
       metrics,
     });
     try {
+      if (found !== undefined) this.#recordResumption(context, found);
       await this.#runRequest(context);
     } catch (error) {
       log.writeEvent('defect', { request: request.id, error: String(error) });
@@ -112,7 +154,25 @@
     }
   }
 
+  #recordResumption(
+    context: RequestContext,
+    { origin, source }: FoundOrigin,
+  ): void {
+    this.dependencies.metrics.recordResumption(context.service, source);
+    context.addLogFields({
+      origin: source,
+      began_at: origin?.softwareVersion,
+    });
+    const { services } = context.route;
+    const leadsToService = services.some(
+      ({ name }) => name === origin?.service,
+    );
+    if (!leadsToService)
+      context.failRequest(createOriginUnknownFailure(origin));
+  }
+
   async #runRequest(context: RequestContext): Promise<void> {
+    if (context.hasEnded) return;
     const { crashTracker, serviceStates, routes } = this.dependencies;
     const { request, service } = context;
     if (crashTracker.isPoisonRequest(request.fingerprint)) {
--- a/packages/relay/src/relay/request-context.ts
+++ b/packages/relay/src/relay/request-context.ts
@@ -2,6 +2,7 @@
 import { Failure } from '@medlarlever/core';
 import type { Log } from '@medlarlever/core';
 
+import type { StreamOrigin } from '../origins/stream-origin.js';
 import type { Caller, RelayRequest } from '../requests/relay-request.js';
 import type { Route } from '../routes/route-configuration.js';
 import type { TargetRecord } from '../targets/target-record.js';
@@ -14,6 +15,8 @@
   readonly route: Route;
   /** Name of the service that was picked for the request. */
   readonly service: string;
+  /** Where the stream began that the caller takes up again. */
+  readonly origin?: StreamOrigin;
   /** Version of the configuration under which the request was admitted. */
   readonly revision: number;
   readonly log: Log;
@@ -38,6 +41,8 @@
   #hasEnded = false;
   /** True once a target may have begun to run the request. */
   mayHaveExecuted = false;
+  /** Where the stream began, once that is fixed; undefined for a new stream. */
+  origin: StreamOrigin | undefined;
 
   constructor(options: RequestContextOptions) {
     const { request, caller, route } = options;
@@ -46,6 +51,7 @@
     this.caller = caller;
     this.route = route;
     this.service = options.service;
+    this.origin = options.origin;
     const timeoutMs = Math.min(
       request.callerTimeoutMs ?? Infinity,
       route.timeoutMs,
@@ -82,6 +88,11 @@
     return performance.now() - this.request.arrivedAtMs;
   }
 
+  /** True once the request has been answered or has failed. */
+  get hasEnded(): boolean {
+    return this.#hasEnded;
+  }
+
   /** Number of sends to targets so far, without prefills. */
   get sendCount(): number {
     return this.#sendCount;
--- a/packages/relay/src/relay/request-runner.ts
+++ b/packages/relay/src/relay/request-runner.ts
@@ -1,6 +1,9 @@
 /** Attempts and failure handling shared by plain requests and generations. */
 import { Failure } from '@medlarlever/core';
 
+import { canContinueStream } from '../origins/stream-origin.js';
+import type { StreamOrigin } from '../origins/stream-origin.js';
+import type { TargetRecord } from '../targets/target-record.js';
 import type { TargetState } from '../targets/target-state.js';
 
 import type { RequestContext } from './request-context.js';
@@ -27,6 +30,25 @@
     : defaultRetryAfterMs;
 };
 
+/** True if one of the targets can continue a stream with the origin. */
+export const canBeContinued = (
+  origin: StreamOrigin | undefined,
+  targets: readonly TargetState[],
+): boolean =>
+  origin === undefined ||
+  targets.some(({ record }) => canContinueStream(record, origin));
+
+/** Creates the failure of a stream that cannot go on anywhere. */
+export const createVersionGoneFailure = ({
+  mayHaveExecuted,
+  origin,
+}: RequestContext): Failure =>
+  new Failure(
+    'stream_version_gone',
+    `no target of software version ${origin?.softwareVersion ?? 'unnamed'}, which began the stream, is left; begin it anew`,
+    { executed: mayHaveExecuted ? 'unknown' : 'no' },
+  );
+
 /** Lowest response status after which a retryable request is retried. */
 export const minServerErrorStatus = 500;
 
@@ -74,6 +96,17 @@
     this.context.failRequest(failure);
   }
 
+  /**
+   * Tells the other instances where the stream begins, before its first event, so that
+   * its caller can take it up again at any of them.
+   */
+  protected recordOrigin({ service, softwareVersion }: TargetRecord): void {
+    const { request, route } = this.context;
+    if (route.kind !== 'stream' || !route.resumable) return;
+    const firstRequest = request.resumedRequestId ?? request.id;
+    this.dependencies.onStreamBegin(firstRequest, { service, softwareVersion });
+  }
+
   /** Counts a request at the target; the returned function removes it. */
   protected startRequest(target: TargetState): () => void {
     if (target.isLimited)
--- a/packages/relay/src/targets/target-registry.ts
+++ b/packages/relay/src/targets/target-registry.ts
@@ -4,6 +4,7 @@
 import type { RequestLimiter } from '../limits/request-limiter.js';
 
 import type { TargetRecord } from './target-record.js';
+import { SoftwareVersions } from './software-versions.js';
 import { TargetState } from './target-state.js';
 
 /**
@@ -53,6 +54,7 @@
   readonly #states = new Map<string, TargetState>();
   /** Last removed incarnation by target id, oldest removal first. */
   readonly #departures = new Map<string, Departure>();
+  readonly #softwareVersions = new SoftwareVersions();
   readonly #options: TargetRegistryOptions;
 
   constructor(options: TargetRegistryOptions) {
@@ -78,6 +80,15 @@
     );
   }
 
+  /**
+   * Returns the software version at which every stream of the service began, if there
+   * was only one. `knownForMs` is the time for which the registrations were all known.
+   */
+  findOnlyVersion(service: string, knownForMs: number): string | undefined {
+    const records = this.listTargets().map(({ record }) => record);
+    return this.#softwareVersions.findOnlyVersion(service, records, knownForMs);
+  }
+
   /** Engines that began to leave so recently that they can still be copied from. */
   listRecentlyLeavingTargets(service: string): TargetState[] {
     const sinceMs = performance.now() - leavingCopyWindowMs;
@@ -139,6 +150,7 @@
       state.record.startedAtMs !== record.startedAtMs ||
       state.record.address !== record.address;
     if (hasRestarted) {
+      this.#softwareVersions.recordRemoval(state.record);
       this.#options.onIncarnationEnded?.(state.record);
       state.resetAfterRestart(record);
     } else {
@@ -154,6 +166,7 @@
     this.#rememberDeparture(state);
     this.#markLeaving(state, reason);
     this.#states.delete(id);
+    this.#softwareVersions.recordRemoval(state.record);
     this.#options.onIncarnationEnded?.(state.record);
   }
 
