Play several software versions in the soak, and callers that take streams up

Engines of two versions decode side by side, and each event names the version that made it. A caller whose stream breaks takes it up again at other instances, up to three times, naming its first request. Two checks: no more than two streams hold events of two versions, and streams that are taken up while two engines of their version serve go on at least half as often as new ones begin.

--- a/packages/soak/src/checks/run-checks.test.ts
+++ b/packages/soak/src/checks/run-checks.test.ts
@@ -390,3 +390,47 @@
   ];
   t.false(listBroken(19, { limitPeriods }));
 });
+
+const createStream = (
+  id: string,
+  body: string,
+  change: Partial<Attempt> = {},
+): Attempt =>
+  createAttempt(id, {
+    kind: 'stream',
+    path: '/ask/2',
+    end: { ...completeEnd, whole: false, body },
+    ...change,
+  });
+
+test('streams with events of two versions are a violation from the third on', t => {
+  const promise = 'a stream holds events of one software version';
+  const createTries = (first: string) => [
+    createStream(first, `id: 1\ndata: ${first} 1\n: version v1\n\n`),
+    createStream(`${first}2`, `id: 2\ndata: ${first} 2\n: version v2\n\n`, {
+      resumption: { firstAttempt: first, lastEventId: 1 },
+    }),
+  ];
+  const two = [...createTries('a'), ...createTries('b')];
+  t.false(listBrokenPromises({ attempts: two }).includes(promise));
+  const three = [...two, ...createTries('c')];
+  t.true(listBrokenPromises({ attempts: three }).includes(promise));
+});
+
+test('streams that are taken up and do not go on are a violation', t => {
+  const promise = 'streams that are taken up again go on';
+  const createStreams = (goingOn: number, servingOfVersion = 2) => [
+    createStream('new', 'id: 1\n\n'),
+    ...Array.from({ length: 12 }, (_, i) =>
+      createStream(String(i), i < goingOn ? 'id: 2\n\n' : '', {
+        resumption: { firstAttempt: 'new', lastEventId: 1 },
+        servingOfVersion,
+      }),
+    ),
+  ];
+  const isBroken = (attempts: Attempt[]) =>
+    listBrokenPromises({ attempts }).includes(promise);
+  t.true(isBroken(createStreams(5)));
+  t.false(isBroken(createStreams(6)));
+  t.false(isBroken(createStreams(0, 1)));
+});
--- a/packages/soak/src/checks/run-checks.ts
+++ b/packages/soak/src/checks/run-checks.ts
@@ -31,6 +31,7 @@
   checkSingleLeaseHolder,
   checkRetryBudget,
 } from './target-checks.js';
+import { checkResumptions, checkStreamVersions } from './version-checks.js';
 
 const allChecks: readonly Check[] = [
   checkSoakStalls,
@@ -44,6 +45,8 @@
   checkAnnouncedDepartures,
   checkPauses,
   checkRequestLimits,
+  checkStreamVersions,
+  checkResumptions,
   checkDisconnectedCallers,
   checkWorkCancellation,
   checkRetryBudget,
--- a/packages/soak/src/run/caller.ts
+++ b/packages/soak/src/run/caller.ts
@@ -5,11 +5,13 @@
 import { randomUUID } from 'node:crypto';
 
 import { sendAttempt } from '@medlarlever/platform/stand-ins';
+import type { StreamResumption } from '@medlarlever/platform/stand-ins';
 import { Client } from 'undici';
 
 import type { InstanceProcess } from '../processes/instance-process.js';
 import type { SeededRandom } from '../shared/seeded-random.js';
 
+import { listEventVersions } from './event-versions.js';
 import type { Attempt, RequestKind } from './run-record.js';
 import {
   routeHost,
@@ -47,6 +49,33 @@
 const sharedPrefixTokens = 1_200;
 const uniqueSuffixTokens = 150;
 
+const okStatus = 200;
+
+/** Times that a caller takes a broken stream up again. */
+const maxResumptions = 3;
+
+/** Returns the id of the last event in the answer; 0 if there is none. */
+const readLastEventId = ({ end }: Attempt): number =>
+  Number(
+    [...(end?.body ?? '').matchAll(/^id: (\d+)\n[^]*?\n\n/gm)].at(-1)?.[1] ?? 0,
+  );
+
+/** Returns how to go on after the last attempt of the stream that the first began. */
+const createResumption = (
+  first: Attempt,
+  last: Attempt,
+): StreamResumption | undefined => {
+  const isBroken =
+    first.kind === 'stream' &&
+    first.leftAtMs === undefined &&
+    last.leftAtMs === undefined;
+  const lastEventId = readLastEventId(last);
+  const eventCount = Number(first.path.split('/').at(-1));
+  return isBroken && lastEventId > 0 && lastEventId < eventCount
+    ? { firstAttempt: first.id, lastEventId }
+    : undefined;
+};
+
 /**
  * Instances to call, source of random choices, and the list that receives the
  * attempts.
@@ -55,6 +84,8 @@
   readonly instances: readonly InstanceProcess[];
   readonly random: SeededRandom;
   readonly attempts: Attempt[];
+  /** Counts the decode engines of a software version that serve. */
+  readonly countServing: (softwareVersion: string) => number;
 }
 
 /** Sends random requests of all kinds. */
@@ -73,15 +104,36 @@
     while (!signal.aborted) {
       const thinkMs = random.nextBetween(0, maxThinkTimeMs);
       await new Promise(resolve => setTimeout(resolve, thinkMs));
-      const attempt = await this.#sendRequest();
-      if (attempt.end?.whole !== true) this.#switchInstance();
+      const attempt = await this.#sendRequest(this.#createAttempt());
+      if (attempt.end?.whole === true) continue;
+      this.#switchInstance();
+      await this.#takeUpStream(attempt);
     }
     await this.#client.destroy();
   }
 
-  async #sendRequest(): Promise<Attempt> {
+  /** Takes a broken stream up again, each time at another instance. */
+  async #takeUpStream(first: Attempt): Promise<void> {
+    let last = first;
+    for (let i = 0; i < maxResumptions; i += 1) {
+      const resumption = createResumption(first, last);
+      if (resumption === undefined) return;
+      const [softwareVersion] = listEventVersions(first);
+      const attempt = {
+        ...this.#createAttempt('stream', first.path),
+        body: first.body,
+        resumption,
+        servingOfVersion: this.options.countServing(softwareVersion ?? ''),
+      };
+      const { end } = await this.#sendRequest(attempt);
+      if (end?.whole === true && end.status === okStatus) return;
+      if (readLastEventId(attempt) > 0) last = attempt;
+      this.#switchInstance();
+    }
+  }
+
+  async #sendRequest(attempt: Attempt): Promise<Attempt> {
     const { random, attempts } = this.options;
-    const attempt = this.#createAttempt();
     attempts.push(attempt);
     const disconnectController = new AbortController();
     const shouldDisconnect = random.nextBoolean(disconnectProbability);
@@ -101,6 +153,7 @@
       parts:
         attempt.kind === 'stream' ? this.#createPromptBlocks(attempt.id) : [],
       deadlineMs: requestTimeoutMs,
+      resumption: attempt.resumption,
     } as const;
     attempt.end = await sendAttempt(
       this.#client,
@@ -112,10 +165,13 @@
     return attempt;
   }
 
-  #createAttempt(): Attempt {
+  #createAttempt(fixedKind?: RequestKind, path?: string): Attempt {
     const { random } = this.options;
-    const usesMovingRoute = random.nextBoolean(movingRouteProbability);
-    const kind = usesMovingRoute ? 'idempotent' : random.pickItem(requestKinds);
+    const usesMovingRoute =
+      fixedKind === undefined && random.nextBoolean(movingRouteProbability);
+    const kind =
+      fixedKind ??
+      (usesMovingRoute ? 'idempotent' : random.pickItem(requestKinds));
     const id = randomUUID().replaceAll('-', '').slice(0, 16);
     const eventCount = Math.ceil(random.nextBetween(1, maxEvents));
     const lastSegment = kind === 'stream' ? String(eventCount) : id;
@@ -123,7 +179,9 @@
       id,
       kind,
       method: kind === 'idempotent' ? 'GET' : 'POST',
-      path: `${usesMovingRoute ? movingRoutePrefix : routePrefixes[kind]}${lastSegment}`,
+      path:
+        path ??
+        `${usesMovingRoute ? movingRoutePrefix : routePrefixes[kind]}${lastSegment}`,
       body: kind === 'idempotent' ? '' : `body of ${id}`,
       instance: this.#instance.name,
       life: this.#instance.startCount,
--- a/packages/soak/src/run/run-record.ts
+++ b/packages/soak/src/run/run-record.ts
@@ -8,6 +8,7 @@
   LimitPeriod,
   PauseRequest,
   ReceivedOrder,
+  StreamResumption,
 } from '@medlarlever/platform/stand-ins';
 
 import type { InstanceExit } from '../processes/instance-process.js';
@@ -28,6 +29,10 @@
   /** Start count of the instance process when the request was sent. */
   readonly life: number;
   readonly sentAtMs: number;
+  /** The stream that the caller takes up again; undefined for a new request. */
+  readonly resumption?: StreamResumption;
+  /** Decode engines of the stream's software version that served then. */
+  readonly servingOfVersion?: number;
   /** Time at which the caller disconnected early. */
   leftAtMs: number | undefined;
   endedAtMs: number | undefined;
--- a/packages/soak/src/run/soak-run.ts
+++ b/packages/soak/src/run/soak-run.ts
@@ -160,7 +160,12 @@
     const stallDetector = new StallDetector();
     const callers = Array.from({ length: callerCount }, (_, i) => {
       const random = new SeededRandom(seed + i + 1);
-      return new Caller({ instances, random, attempts });
+      return new Caller({
+        instances,
+        random,
+        attempts,
+        countServing: version => this.targetFleet.countServing(version),
+      });
     });
     const callerLoops = callers.map(caller =>
       caller.sendRequests(this.stopSignal),
@@ -199,9 +204,12 @@
     for (const service of ['api', 'api', ...movingServices]) {
       await this.targetFleet.addTarget(service);
     }
-    for (const role of ['prefill', 'prefill', 'decode', 'decode'] as const) {
+    for (const role of ['prefill', 'prefill'] as const) {
       await this.targetFleet.addTarget('lm', role);
     }
+    for (const softwareVersion of ['v1', 'v1', 'v2', 'v2']) {
+      await this.targetFleet.addTarget('lm', 'decode', softwareVersion);
+    }
     await Promise.all(this.instances.map(instance => instance.start()));
     await Promise.all(
       this.instances.map(instance => this.waitUntilReady(instance)),
--- a/packages/soak/src/run/target-fleet.ts
+++ b/packages/soak/src/run/target-fleet.ts
@@ -10,6 +10,9 @@
 /** Number of requests that a target serves at the same time. */
 const slotsPerTarget = 16;
 
+/** Software versions of targets, which serve side by side. */
+const softwareVersions: readonly string[] = ['v1', 'v2'];
+
 /** Heartbeat interval of a target. */
 const heartbeatIntervalMs = 1_200;
 /** Missed heartbeats after which the row of a target is removed. */
@@ -62,14 +65,33 @@
     );
   }
 
-  /** Starts a target, adds a proxy to it for each instance and registers it. */
-  async addTarget(service: string, role?: EngineRole): Promise<FakeTarget> {
+  /** Counts the decode engines of the software version that are not leaving. */
+  countServing(softwareVersion: string): number {
+    return this.listTargets().filter(
+      target =>
+        target.role === 'decode' &&
+        target.state === 'ready' &&
+        !target.announcesLeaving &&
+        target.softwareVersion === softwareVersion,
+    ).length;
+  }
+
+  /**
+   * Starts a target, adds a proxy to it for each instance and registers it. The
+   * version of its software is drawn at random if it is not given.
+   */
+  async addTarget(
+    service: string,
+    role?: EngineRole,
+    softwareVersion = this.options.random.pickItem(softwareVersions),
+  ): Promise<FakeTarget> {
     const { store, random, instances } = this.options;
     this.#startedCount += 1;
     const target: FakeTarget = await FakeTarget.start({
       id: `i-${this.#startedCount}`,
       service,
       dataCenter: 'a',
+      softwareVersion,
       slots: slotsPerTarget,
       role,
       records: this.records,
@@ -121,11 +143,11 @@
    * and removes the row after the missed heartbeats.
    */
   async crashTarget(target: FakeTarget, downMs: number): Promise<void> {
-    const { service, role, id } = target;
+    const { service, role, id, softwareVersion } = target;
     this.#runningTargets.delete(id);
     await target.stop();
     await this.#sleep(downMs);
-    await this.addTarget(service, role);
+    await this.addTarget(service, role, softwareVersion);
     await this.#sleep(
       Math.max(0, heartbeatIntervalMs * missedHeartbeatLimit - downMs),
     );
