Count copies, freed caches and role changes against a target's limit

What reaches a limited engine beside requests: copies from an engine that leaves, calls that free a KV cache, and role changes. A cache is freed with a permit if there is one and otherwise when its time is over; an engine below 1 request a second is left out of the plan of roles instead of being decided on in vain.

Tests: placement.test.ts (copies), role-leader.test.ts (limits).

--- a/packages/relay/src/placement/placement.test.ts
+++ b/packages/relay/src/placement/placement.test.ts
@@ -285,3 +285,17 @@
   });
   t.is(target, targets[0]);
 });
+
+test('nothing is copied from an engine whose limit leaves no request', t => {
+  const source = createEngine('p1', 'prefill');
+  const prompt = createPrompt('own', { shared: 20_000, own: 100 });
+  source.prefixCache.addSegments(prompt.segments);
+  const options = createOptions({
+    prompt,
+    targets: [createEngine('d1', 'decode')],
+    leavingTargets: [source],
+  });
+  t.is(placeGeneration(options)?.copySource, source);
+  source.limiter.statement.recordLimit(1, performance.now());
+  t.is(placeGeneration(options)?.copySource, undefined);
+});
--- a/packages/relay/src/placement/placement.ts
+++ b/packages/relay/src/placement/placement.ts
@@ -168,7 +168,10 @@
 ): TargetState | undefined => {
   const { prompt } = options;
   const targetTokens = target.prefixCache.countCachedTokens(prompt.segments);
-  const sources = [...filterUsableTargets(options), ...options.leavingTargets]
+  const leavingTargets = options.leavingTargets.filter(
+    ({ acceptsRequests }) => acceptsRequests,
+  );
+  const sources = [...filterUsableTargets(options), ...leavingTargets]
     .filter(other => other !== target)
     .map(other => {
       const tokens =
--- a/packages/relay/src/relay/generation-runner.ts
+++ b/packages/relay/src/relay/generation-runner.ts
@@ -156,10 +156,11 @@
 
   #releaseKvCache(): void {
     // An engine that wants no requests frees the KV cache when its time is over.
-    const isQuiet = (this.#kvCacheTarget?.remainingQuietMs ?? 0) > 0;
-    const isLimited = this.#kvCacheTarget?.isLimited === true;
-    if (this.#kvCacheHandle !== undefined && !isQuiet && !isLimited)
+    const acceptsRequests = this.#kvCacheTarget?.acceptsRequests ?? true;
+    if (this.#kvCacheHandle !== undefined && acceptsRequests) {
+      this.#kvCacheTarget?.limiter.takePermit();
       this.dependencies.targetClient.releaseKvCache(this.#kvCacheHandle);
+    }
     this.#kvCacheHandle = undefined;
   }
 
--- a/packages/relay/src/roles/role-leader.test.ts
+++ b/packages/relay/src/roles/role-leader.test.ts
@@ -16,7 +16,7 @@
 import { ServiceStates } from '../relay/service-state.js';
 import { RouteTableHolder } from '../routes/route-table-holder.js';
 import { TargetRegistry } from '../targets/target-registry.js';
-import type { TargetRecord } from '../targets/target-record.js';
+import type { TargetRecord, TargetRole } from '../targets/target-record.js';
 
 import { EngineControlClient } from './engine-control-client.js';
 import type {
@@ -35,6 +35,8 @@
     readonly atMs: number;
     readonly command: RoleChangeCommand;
   }[] = [];
+  /** Role of every engine before its first command. */
+  initialRole: TargetRole = 'decode';
   /** Called on each status request. */
   onStatusRequest: () => void = () => undefined;
 
@@ -43,7 +45,7 @@
     const lastCommand = this.receivedCommands.at(-1);
     return Promise.resolve(
       Right({
-        role: lastCommand?.command.role ?? 'decode',
+        role: lastCommand?.command.role ?? this.initialRole,
         busy: false,
         acceptedCommandCount: 7,
       }),
@@ -232,3 +234,32 @@
     t.true(one.log.entries.some(({ name }) => name === 'lease_lost'));
   },
 );
+
+test.serial(
+  'no command is sent to engines that take less than one request a second',
+  async t => {
+    const { clock, startInstance, stop } = setUp(t);
+    const { engineControl, targets } = startInstance('one', stop.signal);
+    for (const { limiter } of targets.listTargets())
+      limiter.statement.recordLimit(0.9, 0);
+    await clock.tickAsync(20_000);
+    t.is(engineControl.receivedCommands.length, 0);
+  },
+);
+
+test.serial(
+  'the calls of a role change count against the limit of the engine',
+  async t => {
+    const { clock, startInstance, stop } = setUp(t);
+    const { engineControl, targets } = startInstance('one', stop.signal);
+    const limiter = targets.findTarget('p1')?.limiter;
+    limiter?.statement.recordLimit(1, 0);
+    engineControl.initialRole = 'prefill';
+    for (const id of ['d1', 'd2']) targets.removeTarget(id, 'test');
+    await clock.tickAsync(4_500 + 500 + 100);
+    t.is(engineControl.receivedCommands.length, 1);
+    t.false(limiter?.hasPermit);
+    await clock.tickAsync(900);
+    t.false(limiter?.hasPermit);
+  },
+);
--- a/packages/relay/src/roles/role-leader.ts
+++ b/packages/relay/src/roles/role-leader.ts
@@ -183,7 +183,9 @@
       dataCenter: record.dataCenter,
       role: record.role ?? 'mixed',
       available:
-        !state.isChangingRole && !this.#changingEngineIds.has(record.id),
+        !state.isChangingRole &&
+        !this.#changingEngineIds.has(record.id) &&
+        (state.limiter.sendRate ?? Infinity) >= minLimitForChange,
       ageMs: 0,
       prefillTokens: state.pendingPrefillTokens,
       running: state.activeRequestCount,
@@ -239,7 +241,6 @@
     lease: Lease,
   ): Promise<void> {
     const { engineControl, closures, registry, log } = this.#options;
-    if ((state.limiter.sendRate ?? Infinity) < minLimitForChange) return;
     state.limiter.takePermit();
     const status = (
       await engineControl.fetchStatus(state.record)
