Lower absurdly high limits of targets

A limit of some hundred digits is read as infinite: no permit was ever counted, so the target got nothing, and the peers were told that the limit had ended. Found in the review, seen by no caller; the test failed before.

--- a/packages/relay/src/targets/target-announcements.test.ts
+++ b/packages/relay/src/targets/target-announcements.test.ts
@@ -108,3 +108,13 @@
   t.false(one.announcements.isQuiet(record));
   t.is(one.announcements.quietPeriodCount, 2);
 });
+
+test.serial('an absurdly high limit still lets requests through', async t => {
+  const { clock, record, one } = setUp(t);
+  one.announcements.recordLimit(record, Infinity);
+  await clock.tickAsync(100);
+  const limiter = one.targets.findTarget('t1')?.limiter;
+  t.is(limiter?.statement.requestsPerSecond, 100_000);
+  for (let i = 0; i < 1_000; i += 1) t.true(limiter?.tryTakePermit());
+  t.is(one.announcements.limitCount, 1);
+});
--- a/packages/relay/src/targets/target-announcements.ts
+++ b/packages/relay/src/targets/target-announcements.ts
@@ -32,6 +32,9 @@
 /** Longest pause that a target can ask for; longer ones are shortened to it. */
 const maxQuietMs = 5 * 60_000;
 
+/** Highest limit that makes a difference; higher ones are lowered to it. */
+const maxRequestsPerSecond = 100_000;
+
 /** Dependencies of {@link TargetAnnouncements}. */
 export interface TargetAnnouncementsOptions {
   readonly targets: TargetRegistry;
@@ -110,9 +113,9 @@
   /** Records that the target takes so many requests a second from all instances. */
   recordLimit(record: TargetRecord, requestsPerSecond: number): void {
     const state = this.#findIncarnation(record);
+    const limit = Math.min(maxRequestsPerSecond, requestsPerSecond);
     const nowMs = performance.now();
-    if (state?.limiter.statement.recordLimit(requestsPerSecond, nowMs) !== true)
-      return;
+    if (state?.limiter.statement.recordLimit(limit, nowMs) !== true) return;
     this.#limitCount += 1;
     logTargetLimit(this.#options.log, state, 'response');
   }
