Do not remember streams by absurdly long ids

The id of a request is the caller's: 40,000 ids of the longest header would take 640 MB. Longer ids than 128 characters are not remembered; such a stream is treated as one of unknown origin. Found in the review; the test failed before.

--- a/packages/relay/src/origins/stream-origin-finder.test.ts
+++ b/packages/relay/src/origins/stream-origin-finder.test.ts
@@ -105,3 +105,10 @@
   t.is(two.find('a2')?.softwareVersion, undefined);
   t.false(two.hasUnreported);
 });
+
+test('a stream with an absurdly long id is not remembered', t => {
+  const origins = new StreamOrigins();
+  origins.record('a'.repeat(129), origin);
+  t.false(origins.hasUnreported);
+  t.is(origins.find('a'.repeat(129)), undefined);
+});
--- a/packages/relay/src/origins/stream-origins.ts
+++ b/packages/relay/src/origins/stream-origins.ts
@@ -14,6 +14,9 @@
 /** Streams that the whole deployment begins within `originTtlMs`. */
 const maxOrigins = 40_000;
 
+/** Longer ids, which callers choose, are not remembered, as they would fill the memory. */
+const maxRequestIdLength = 128;
+
 /** Stands for a version that a target's registration does not name, in reports. */
 const unnamedVersion = '';
 
@@ -32,6 +35,7 @@
 
   /** Records the target to which the request that begins a stream is being sent. */
   record(request: string, origin: StreamOrigin): void {
+    if (request.length > maxRequestIdLength) return;
     this.#origins.set(request, origin);
     const { service, softwareVersion = unnamedVersion } = origin;
     this.#unreported.push([request, service, softwareVersion]);
