--- a/packages/soak/src/checks/version-checks.ts
+++ b/packages/soak/src/checks/version-checks.ts
@@ -2,7 +2,7 @@
 import { listEventVersions } from '../run/event-versions.js';
 import type { Attempt } from '../run/run-record.js';
 
-import { groupBy, hasNoRecentFault } from './check.js';
+import { groupBy, hasNoRecentFault, settlingMs } from './check.js';
 import type { Check } from './check.js';
 
 const okStatus = 200;
@@ -39,8 +39,10 @@
 /** Checks that streams that callers take up again go on about as often as new ones. */
 export const checkResumptions: Check = record => {
   const streams = record.attempts.filter(
-    ({ kind, instance, sentAtMs, endedAtMs }) =>
+    ({ kind, instance, lifeStartedAtMs, sentAtMs, endedAtMs }) =>
       kind === 'stream' &&
+      // An instance that has just started has not found the others yet.
+      sentAtMs - lifeStartedAtMs >= settlingMs &&
       hasNoRecentFault(record, instance, sentAtMs, endedAtMs ?? Infinity),
   );
   const resumed = streams.filter(
--- a/packages/soak/src/processes/instance-process.ts
+++ b/packages/soak/src/processes/instance-process.ts
@@ -81,6 +81,8 @@
    * received them.
    */
   startCount = 0;
+  /** Time of the last start, on the monotonic clock. */
+  startedAtMs = 0;
   #child: ChildProcess | undefined;
   #sentEndSignal: { signal: string; atMs: number } | undefined;
   #reloadCount = 0;
@@ -149,6 +151,7 @@
       },
     );
     this.startCount += 1;
+    this.startedAtMs = performance.now();
     this.#sentEndSignal = undefined;
     this.#child = child;
     child.stdout.on('data', chunk => {
--- a/packages/soak/src/run/caller.ts
+++ b/packages/soak/src/run/caller.ts
@@ -185,6 +185,7 @@
       body: kind === 'idempotent' ? '' : `body of ${id}`,
       instance: this.#instance.name,
       life: this.#instance.startCount,
+      lifeStartedAtMs: this.#instance.startedAtMs,
       sentAtMs: performance.now(),
       leftAtMs: undefined,
       endedAtMs: undefined,
--- a/packages/soak/src/run/run-record.ts
+++ b/packages/soak/src/run/run-record.ts
@@ -28,6 +28,8 @@
   readonly instance: string;
   /** Start count of the instance process when the request was sent. */
   readonly life: number;
+  /** Time of that start. */
+  readonly lifeStartedAtMs: number;
   readonly sentAtMs: number;
   /** The stream that the caller takes up again; undefined for a new request. */
   readonly resumption?: StreamResumption;
