Define what is reported of a stream beside its origin, and one failure a function

The exchange of reports imported the folder of origins and the reverse. A function named after an unknown origin made two failures. No behaviour changes.

--- a/packages/relay/src/origins/stream-origin-finder.ts
+++ b/packages/relay/src/origins/stream-origin-finder.ts
@@ -37,7 +37,7 @@
   readonly findOnlyVersion: (service: string) => string | undefined;
 }
 
-/** Looks up origins here, at peers, and at last by the versions that there were. */
+/** Looks up origins here, by the versions that there were, and at peers. */
 export class StreamOriginFinder {
   constructor(private readonly options: StreamOriginFinderOptions) {}
 
@@ -101,7 +101,8 @@
       { request },
       { timeoutMs: askTimeoutMs },
     );
-    // A peer that is out of reach knows nothing, and its own log line says so.
+    // A failed call means the same as an unknown stream; the event at the end of the
+    // request says that the origin is unknown.
     return reply
       .map(value => foundOriginSchema.safeParse(value).data ?? undefined)
       .orDefault(undefined);
--- a/packages/relay/src/origins/stream-origin.ts
+++ b/packages/relay/src/origins/stream-origin.ts
@@ -11,6 +11,13 @@
 });
 export type StreamOrigin = z.infer<typeof streamOriginSchema>;
 
+/**
+ * What instances tell each other of a stream: the request that begins it, and the
+ * service and software version of the target (empty if its registration names none).
+ */
+export const begunStreamSchema = z.tuple([z.string(), z.string(), z.string()]);
+export type BegunStream = z.infer<typeof begunStreamSchema>;
+
 /**
  * True if the target can make the next events of a stream with the origin, or begin a
  * stream without one. What two software versions write doesn't fit together.
--- a/packages/relay/src/origins/stream-origins.ts
+++ b/packages/relay/src/origins/stream-origins.ts
@@ -4,9 +4,7 @@
  */
 import { LRUCache } from 'lru-cache';
 
-import type { LoadReport } from '../peers/load-report.js';
-
-import type { StreamOrigin } from './stream-origin.js';
+import type { BegunStream, StreamOrigin } from './stream-origin.js';
 
 /** Callers give a stream up sooner than this after its first event. */
 const originTtlMs = 30_000;
@@ -26,7 +24,7 @@
     max: maxOrigins,
     ttl: originTtlMs,
   });
-  #unreported: LoadReport['begun'] = [];
+  #unreported: BegunStream[] = [];
 
   /** True while streams have begun that the other instances were not told of. */
   get hasUnreported(): boolean {
@@ -47,14 +45,14 @@
   }
 
   /** Returns the origins since the last call, which are reported once. */
-  takeUnreported(): LoadReport['begun'] {
+  takeUnreported(): BegunStream[] {
     const unreported = this.#unreported;
     this.#unreported = [];
     return unreported;
   }
 
   /** Adds origins that another instance reported. */
-  apply(begun: LoadReport['begun']): void {
+  apply(begun: readonly BegunStream[]): void {
     for (const [request, service, version] of begun) {
       const softwareVersion = version === unnamedVersion ? undefined : version;
       this.#origins.set(request, { service, softwareVersion });
--- a/packages/relay/src/peers/load-report.ts
+++ b/packages/relay/src/peers/load-report.ts
@@ -1,6 +1,8 @@
 /** Messages in which instances report their load on the targets to each other. */
 import { z } from 'zod';
 
+import { begunStreamSchema } from '../origins/stream-origin.js';
+
 /** Peer method for an instance's own report or an aggregator's combined report. */
 export const loadReportMethod = 'relay.news';
 
@@ -46,11 +48,7 @@
   limits: z
     .array(z.tuple([z.string(), z.number(), z.number().nullable(), z.number()]))
     .default([]),
-  /**
-   * Request that begins a stream, and the service and software version of the target
-   * (empty if its registration names none).
-   */
-  begun: z.array(z.tuple([z.string(), z.string(), z.string()])).default([]),
+  begun: z.array(begunStreamSchema).default([]),
   /** Request fingerprint, and the target that crashed while processing the request. */
   crashes: z.array(z.tuple([z.string(), z.string()])),
 });
--- a/packages/relay/src/relay/relay.ts
+++ b/packages/relay/src/relay/relay.ts
@@ -50,19 +50,18 @@
 /** Retry delay for the caller of a stream of which another instance may know more. */
 const originUnknownRetryAfterMs = 100;
 
-const createOriginUnknownFailure = (
-  origin: StreamOrigin | undefined,
-): Failure =>
-  origin === undefined
-    ? new Failure(
-        'stream_origin_unknown',
-        'no instance in reach knows at which software version the stream began; take it up again later, or begin it anew',
-        { retryAfterMs: originUnknownRetryAfterMs },
-      )
-    : new Failure(
-        'stream_version_gone',
-        'the route no longer leads to the service that began the stream; begin it anew',
-      );
+const createOriginUnknownFailure = (): Failure =>
+  new Failure(
+    'stream_origin_unknown',
+    'no instance in reach knows at which software version the stream began; take it up again later, or begin it anew',
+    { retryAfterMs: originUnknownRetryAfterMs },
+  );
+
+const createServiceChangedFailure = (): Failure =>
+  new Failure(
+    'stream_version_gone',
+    'the route no longer leads to the service that began the stream; begin it anew',
+  );
 
 /** Components and settings that the relay and its request runners use. */
 export interface RelayDependencies {
@@ -154,6 +153,7 @@
     }
   }
 
+  /** Records how the origin is known; fails the request if the stream can't go on. */
   #recordResumption(
     context: RequestContext,
     { origin, source }: FoundOrigin,
@@ -163,12 +163,13 @@
       origin: source,
       began_at: origin?.softwareVersion,
     });
+    if (origin === undefined) {
+      context.failRequest(createOriginUnknownFailure());
+      return;
+    }
     const { services } = context.route;
-    const leadsToService = services.some(
-      ({ name }) => name === origin?.service,
-    );
-    if (!leadsToService)
-      context.failRequest(createOriginUnknownFailure(origin));
+    if (!services.some(({ name }) => name === origin.service))
+      context.failRequest(createServiceChangedFailure());
   }
 
   async #runRequest(context: RequestContext): Promise<void> {
