Move the exchange of limits to the other reports of instances

The folder of limits imported targets and peers, which both import it. What is reported of a limit is defined beside limits, its exchange stands with the other reports. A test moved the clock inside a filter. No behaviour changes.

--- a/packages/relay/src/limits/request-limiter.test.ts
+++ b/packages/relay/src/limits/request-limiter.test.ts
@@ -93,10 +93,9 @@
 
 test.serial('an instance that is not in contact keeps its part', t => {
   const clock = installPausedClock(t);
-  const [sender] = createFleet(8, 2).filter(limiter => {
-    clock.tick(2_100);
-    return limiter.hasPermit;
-  });
+  const limiters = createFleet(8, 2);
+  clock.tick(2_100);
+  const [sender] = limiters.filter(({ hasPermit }) => hasPermit);
   let sentCount = 0;
   for (let i = 0; i < 40; i += 1) {
     clock.tick(100);
--- a/packages/relay/src/peers/app.ts
+++ b/packages/relay/src/peers/app.ts
@@ -32,13 +32,13 @@
   peerTopologyToken,
 } from '../kernel/tokens.js';
 import { selectLimitGroup } from '../limits/limit-group.js';
-import { LimitReports } from '../limits/limit-reports.js';
 import type { LimitGroup } from '../limits/limit-share.js';
 import { StreamOriginFinder } from '../origins/stream-origin-finder.js';
 import { StreamOrigins } from '../origins/stream-origins.js';
 import { startOrder } from '../kernel/start-order.js';
 import { openPeerInterface } from '../server/peer-interface.js';
 
+import { LimitReports } from './limit-reports.js';
 import { InstanceDirectory } from './instance-directory.js';
 import { LoadExchange } from './load-exchange.js';
 import { PeerMeshTopology } from './peer-topology.js';
--- a/packages/relay/src/limits/limit-reports.ts
+++ b/packages/relay/src/peers/limit-reports.ts
@@ -1,7 +1,8 @@
 /** Exchanges what targets said about their limits with the other instances. */
 import type { Log } from '@medlarlever/core';
 
-import type { LoadReport } from '../peers/load-report.js';
+import type { ReportedLimit } from '../limits/reported-limit.js';
+import { logTargetLimit } from '../targets/target-announcements.js';
 import type { TargetRegistry } from '../targets/target-registry.js';
 import type { TargetState } from '../targets/target-state.js';
 
@@ -11,20 +12,6 @@
 /** Start time in reports of targets that do not state theirs. */
 const unknownStartMs = 0;
 
-/** Logs that the limit of a target has changed, and from whom that is known. */
-export const logTargetLimit = (
-  log: Log,
-  { record, limiter }: TargetState,
-  source: 'response' | 'peer',
-): void => {
-  log.writeEvent('target_limited', {
-    target: record.id,
-    service: record.service,
-    per_second: limiter.statement.requestsPerSecond ?? null,
-    source,
-  });
-};
-
 /** Dependencies of {@link LimitReports}. */
 export interface LimitReportsOptions {
   readonly targets: TargetRegistry;
@@ -43,14 +30,14 @@
   }
 
   /** Lists the recent observations of this instance. */
-  list(): LoadReport['limits'] {
+  list(): ReportedLimit[] {
     const limits = this.#collect();
     this.#lastListedLimits = serializeLimits(limits);
     return limits;
   }
 
   /** Applies the observations in a report that has just arrived. */
-  apply(limits: LoadReport['limits']): void {
+  apply(limits: readonly ReportedLimit[]): void {
     const nowMs = performance.now();
     for (const [id, startedAtMs, requestsPerSecond, ageMs] of limits) {
       const state = this.options.targets.findTarget(id);
@@ -64,11 +51,11 @@
     }
   }
 
-  #collect(): LoadReport['limits'] {
+  #collect(): ReportedLimit[] {
     const nowMs = performance.now();
     return this.options.targets
       .listTargets()
-      .flatMap((state): LoadReport['limits'] => {
+      .flatMap((state): ReportedLimit[] => {
         const { ownObservation } = state.limiter.statement;
         if (ownObservation === undefined) return [];
         const { requestsPerSecond = null, atMs } = ownObservation;
@@ -83,21 +70,21 @@
 const getStartMs = ({ record }: TargetState): number =>
   record.startedAtMs ?? unknownStartMs;
 
-const serializeLimits = (limits: LoadReport['limits']): string =>
+const serializeLimits = (limits: readonly ReportedLimit[]): string =>
   JSON.stringify(limits.map(limit => limit.slice(0, 3)));
 
 /** Observations of one member and the monotonic time at which they arrived. */
 export interface ReceivedLimits {
   readonly receivedAtMs: number;
-  readonly limits: LoadReport['limits'];
+  readonly limits: readonly ReportedLimit[];
 }
 
 /** Returns the newest observation of each target, with its age at present. */
 export const mergeLimits = (
   received: readonly ReceivedLimits[],
-): LoadReport['limits'] => {
+): ReportedLimit[] => {
   const nowMs = performance.now();
-  const newest = new Map<string, LoadReport['limits'][number]>();
+  const newest = new Map<string, ReportedLimit>();
   for (const { receivedAtMs, limits } of received) {
     for (const [id, startedAtMs, requestsPerSecond, ageAtArrivalMs] of limits) {
       const ageMs = Math.round(ageAtArrivalMs + nowMs - receivedAtMs);
--- a/packages/relay/src/peers/load-exchange.test.ts
+++ b/packages/relay/src/peers/load-exchange.test.ts
@@ -8,13 +8,13 @@
   createMemoryLog,
   createTargetRecord,
 } from '../fixtures/relay-fixtures.js';
-import { LimitReports } from '../limits/limit-reports.js';
 import { StreamOrigins } from '../origins/stream-origins.js';
 import { ServiceStates } from '../relay/service-state.js';
 import { CrashTracker } from '../retries/crash-tracker.js';
 import { PrefillDemand } from '../roles/prefill-demand.js';
 import { TargetRegistry } from '../targets/target-registry.js';
 
+import { LimitReports } from './limit-reports.js';
 import { LoadExchange } from './load-exchange.js';
 import { loadReportMethod } from './load-report.js';
 
--- a/packages/relay/src/peers/load-exchange.ts
+++ b/packages/relay/src/peers/load-exchange.ts
@@ -7,7 +7,6 @@
 import { sleep } from '@medlarlever/core';
 import type { Kernel } from '@medlarlever/core';
 
-import type { LimitReports } from '../limits/limit-reports.js';
 import type { StreamOrigins } from '../origins/stream-origins.js';
 import type { PromptSegment } from '../requests/relay-request.js';
 import type { ServiceStates } from '../relay/service-state.js';
@@ -16,6 +15,7 @@
 import type { TargetRegistry } from '../targets/target-registry.js';
 import { zeroLoad } from '../targets/target-state.js';
 
+import type { LimitReports } from './limit-reports.js';
 import { PeerLoads } from './peer-loads.js';
 import { LoadAggregator } from './load-aggregator.js';
 import type { PeerTopology } from './peer-topology.js';
--- a/packages/relay/src/peers/load-report.ts
+++ b/packages/relay/src/peers/load-report.ts
@@ -1,6 +1,7 @@
 /** Messages in which instances report their load on the targets to each other. */
 import { z } from 'zod';
 
+import { reportedLimitSchema } from '../limits/reported-limit.js';
 import { begunStreamSchema } from '../origins/stream-origin.js';
 
 /** Peer method for an instance's own report or an aggregator's combined report. */
@@ -41,13 +42,7 @@
    * of samples.
    */
   pace: z.array(z.tuple([z.string(), z.number(), z.number()])).default([]),
-  /**
-   * Target, its start time, the requests a second that it takes from all instances
-   * (null if it no longer names a limit), and the milliseconds since it said so.
-   */
-  limits: z
-    .array(z.tuple([z.string(), z.number(), z.number().nullable(), z.number()]))
-    .default([]),
+  limits: z.array(reportedLimitSchema).default([]),
   begun: z.array(begunStreamSchema).default([]),
   /** Request fingerprint, and the target that crashed while processing the request. */
   crashes: z.array(z.tuple([z.string(), z.string()])),
--- a/packages/relay/src/peers/member-reports.ts
+++ b/packages/relay/src/peers/member-reports.ts
@@ -1,6 +1,6 @@
 /** Collects the load reports of a data centre's instances at its aggregator. */
-import { mergeLimits } from '../limits/limit-reports.js';
 
+import { mergeLimits } from './limit-reports.js';
 import { loadReportTtlMs } from './load-report.js';
 import type { LoadReport } from './load-report.js';
 
--- a/packages/relay/src/targets/target-announcements.ts
+++ b/packages/relay/src/targets/target-announcements.ts
@@ -7,7 +7,6 @@
 import { Right } from 'purify-ts';
 import { z } from 'zod';
 
-import { logTargetLimit } from '../limits/limit-reports.js';
 import type { PeerTopology } from '../peers/peer-topology.js';
 
 import type { TargetRegistry } from './target-registry.js';
@@ -35,6 +34,20 @@
 /** Highest limit that makes a difference; higher ones are lowered to it. */
 const maxRequestsPerSecond = 100_000;
 
+/** Logs that the limit of a target has changed, and from whom that is known. */
+export const logTargetLimit = (
+  log: Log,
+  { record, limiter }: TargetState,
+  source: 'response' | 'peer',
+): void => {
+  log.writeEvent('target_limited', {
+    target: record.id,
+    service: record.service,
+    per_second: limiter.statement.requestsPerSecond ?? null,
+    source,
+  });
+};
+
 /** Dependencies of {@link TargetAnnouncements}. */
 export interface TargetAnnouncementsOptions {
   readonly targets: TargetRegistry;
