Log which crashes of targets were confirmed, and how many requests were suspected

Nothing said whether a broken connection was taken for a crash, when, and which requests that counted against, so that the three hypotheses could not be told apart. No behaviour changes.

--- a/packages/relay/src/peers/load-exchange.test.ts
+++ b/packages/relay/src/peers/load-exchange.test.ts
@@ -29,7 +29,7 @@
     getKvCacheTokens: () => 1_000,
   });
   targets.registerTarget(createTargetRecord('t1'));
-  const crashes = new CrashTracker();
+  const crashes = new CrashTracker(createMemoryLog());
   const origins = new StreamOrigins();
   const demand = new PrefillDemand();
   const newerRevisions: number[] = [];
--- a/packages/relay/src/relay/app.ts
+++ b/packages/relay/src/relay/app.ts
@@ -31,7 +31,10 @@
 export const relayApp: Plugin = {
   name: 'relay',
   register: kernel => {
-    kernel.provide(crashTrackerToken, () => new CrashTracker());
+    kernel.provide(
+      crashTrackerToken,
+      resolver => new CrashTracker(resolver.get(logToken)),
+    );
     kernel.provide(serviceStatesToken, resolver => {
       const settings = resolver.get(settingsToken);
       return new ServiceStates({
--- a/packages/relay/src/retries/crash-tracker.ts
+++ b/packages/relay/src/retries/crash-tracker.ts
@@ -3,6 +3,7 @@
  * connection is only a suspected crash; it is confirmed when the target turns out
  * to be gone, to refuse connections or to have restarted.
  */
+import type { Log } from '@medlarlever/core';
 import { LRUCache } from 'lru-cache';
 
 /** Number of crashed targets at which a request is rejected. */
@@ -29,6 +30,8 @@
   readonly #suspectedRequestsByTarget = new Map<string, SuspectedRequest[]>();
   #unreportedCrashes: [string, string][] = [];
 
+  constructor(private readonly log: Log) {}
+
   /** Records that a connection broke while the target ran the request. */
   recordSuspectedCrash(fingerprint: string, targetId: string): void {
     const nowMs = performance.now();
@@ -47,6 +50,15 @@
     const suspects = this.#suspectedRequestsByTarget.get(targetId) ?? [];
     this.#suspectedRequestsByTarget.delete(targetId);
     const nowMs = performance.now();
+    const oldestMs = Math.min(
+      ...suspects.map(({ suspectedAtMs }) => suspectedAtMs),
+    );
+    if (suspects.length > 0)
+      this.log.writeEvent('target_crashed', {
+        target: targetId,
+        suspects: suspects.length,
+        confirmed_after_ms: Math.round(nowMs - oldestMs),
+      });
     for (const { fingerprint, suspectedAtMs } of suspects) {
       if (nowMs - suspectedAtMs > suspectWindowMs) continue;
       this.recordCrash(fingerprint, targetId);
--- a/packages/relay/src/retries/retry-budget.test.ts
+++ b/packages/relay/src/retries/retry-budget.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 
 import { installPausedClock } from '../fixtures/paused-clock.js';
+import { createMemoryLog } from '../fixtures/relay-fixtures.js';
 
 import { CrashTracker } from './crash-tracker.js';
 import { RetryBudget } from './retry-budget.js';
@@ -68,7 +69,7 @@
   'a broken connection counts as a crash once the crash is confirmed',
   async t => {
     const clock = installPausedClock(t);
-    const crashTracker = new CrashTracker();
+    const crashTracker = new CrashTracker(createMemoryLog());
     for (const target of ['a', 'b', 'c'])
       crashTracker.recordSuspectedCrash('f', target);
     t.false(crashTracker.isPoisonRequest('f'));
