--- a/packages/soak/src/checks/run-checks.test.ts
+++ b/packages/soak/src/checks/run-checks.test.ts
@@ -38,6 +38,7 @@
   method: 'POST',
   path: `/book/${attempt}`,
   body: 'b',
+  promptParts: [],
   atMs: 100_010,
   reading: false,
   resumedAfter: 0,
