Refuse prompts with a part that crashes the engines that begin to answer them

Cause: crashes were counted by the fingerprint of a whole request, and no two requests with the bad part are alike, so nothing added up (hypothesis 1: no request was refused with 25 engines lost). The class of fault: a count by the identity of a request, where the cause is a property that different requests share. Beside it, a crash was confirmed only by a later refused connection or the row's end about 3.4 s after it, beyond the 3 s for which the suspicion was kept (hypothesis 2); and a connection that the own limit of connections did not allow counted as a confirmation.

Change: a decision of its own (crash-cause.ts) takes crashes with the prompts that had no answer yet, and the times of answers, and names the part that is in the crashes and not in an answer since. Parts that were answered before need five crashes and are refused for seconds only, since they may just be in every prompt; simultaneous crashes are one coincidence; parts that always came together are refused together only. Instances report crashes, answers to suspected parts, and that a target that was reported as crashed has answered since; crashes with a known cause are repeated for instances that start. It is judged before each prefill and each send. A target is asked after a broken connection whether it has ended.

--- a/packages/core/src/shared/events.ts
+++ b/packages/core/src/shared/events.ts
@@ -272,6 +272,21 @@
     'warn',
     'A target named a limit that is not a number; the limit known before holds on.',
   ),
+  prompt_part_refused: defineEvent(
+    518,
+    'error',
+    'A part of prompts crashed several targets; prompts with it are refused.',
+  ),
+  prompt_part_accepted: defineEvent(
+    519,
+    'info',
+    'Prompts with a part that was held to crash targets are accepted again.',
+  ),
+  target_crash_refuted: defineEvent(
+    520,
+    'info',
+    'A target that was reported as crashed has answered since.',
+  ),
 } as const satisfies Record<string, LogEvent>;
 
 /** Name of a log event, written to the log as the field `name`. */
--- a/packages/core/src/shared/result-codes.ts
+++ b/packages/core/src/shared/result-codes.ts
@@ -92,6 +92,12 @@
     'The request was in flight at two target crashes and is refused.',
   ),
 
+  poison_prompt: defineResultCode(
+    1015,
+    503,
+    'A part of the prompt crashes targets, and the request is refused.',
+  ),
+
   // 2000: non-idempotent operations
   key_required: defineResultCode(
     2001,
--- a/packages/relay/src/retries/crash-tracker.ts
+++ b/packages/relay/src/crashes/crash-tracker.ts
@@ -6,6 +6,11 @@
 import type { Log } from '@medlarlever/core';
 import { LRUCache } from 'lru-cache';
 
+import type { TargetRecord } from '../targets/target-record.js';
+
+import { unknownStartMs } from './target-crash.js';
+import type { SharedParts, TargetCrash } from './target-crash.js';
+
 /** Number of crashed targets at which a request is rejected. */
 const poisonCrashThreshold = 3;
 const maxTrackedRequests = 5_000;
@@ -16,12 +21,29 @@
  */
 const suspectWindowMs = 3_000;
 
-interface SuspectedRequest {
+/** A request that was under way at a target when the connection broke. */
+export interface CrashSuspect {
   readonly fingerprint: string;
+  /**
+   * Parts of the prompt that others may share, if the request may have crashed the
+   * target by them.
+   */
+  readonly parts?: SharedParts;
+}
+
+interface SuspectedRequest extends CrashSuspect {
+  readonly startedAtMs: number;
   /** Monotonic milliseconds at which the connection broke. */
   readonly suspectedAtMs: number;
 }
 
+/** Dependencies of {@link CrashTracker}. */
+export interface CrashTrackerOptions {
+  readonly log: Log;
+  /** Called with each crash that is confirmed here. */
+  readonly onCrash?: (crash: TargetCrash) => void;
+}
+
 /** Crash counts of requests; requests are identified by their fingerprints. */
 export class CrashTracker {
   readonly #crashedTargetsByRequest = new LRUCache<string, Set<string>>({
@@ -30,16 +52,22 @@
   readonly #suspectedRequestsByTarget = new Map<string, SuspectedRequest[]>();
   #unreportedCrashes: [string, string][] = [];
 
-  constructor(private readonly log: Log) {}
+  constructor(private readonly options: CrashTrackerOptions) {}
 
   /** Records that a connection broke while the target ran the request. */
-  recordSuspectedCrash(fingerprint: string, targetId: string): void {
+  recordSuspectedCrash(
+    suspect: CrashSuspect,
+    { id, startedAtMs = unknownStartMs }: TargetIncarnation,
+  ): void {
     const nowMs = performance.now();
-    const recentSuspects = (
-      this.#suspectedRequestsByTarget.get(targetId) ?? []
-    ).filter(({ suspectedAtMs }) => nowMs - suspectedAtMs < suspectWindowMs);
-    recentSuspects.push({ fingerprint, suspectedAtMs: nowMs });
-    this.#suspectedRequestsByTarget.set(targetId, recentSuspects);
+    const recentSuspects = this.#listRecentSuspects(id, nowMs);
+    recentSuspects.push({ ...suspect, startedAtMs, suspectedAtMs: nowMs });
+    this.#suspectedRequestsByTarget.set(id, recentSuspects);
+  }
+
+  /** True if a connection to the target broke a short time ago. */
+  hasSuspects(targetId: string): boolean {
+    return this.#listRecentSuspects(targetId, performance.now()).length > 0;
   }
 
   /**
@@ -47,23 +75,28 @@
    * when the target is gone, refuses connections or has restarted.
    */
   confirmCrash(targetId: string): void {
-    const suspects = this.#suspectedRequestsByTarget.get(targetId) ?? [];
-    this.#suspectedRequestsByTarget.delete(targetId);
     const nowMs = performance.now();
-    const oldestMs = Math.min(
-      ...suspects.map(({ suspectedAtMs }) => suspectedAtMs),
-    );
-    if (suspects.length > 0)
-      this.log.writeEvent('target_crashed', {
-        target: targetId,
-        suspects: suspects.length,
-        confirmed_after_ms: Math.round(nowMs - oldestMs),
-      });
-    for (const { fingerprint, suspectedAtMs } of suspects) {
-      if (nowMs - suspectedAtMs > suspectWindowMs) continue;
+    const suspects = this.#listRecentSuspects(targetId, nowMs);
+    this.#suspectedRequestsByTarget.delete(targetId);
+    const [first] = suspects;
+    if (first === undefined) return;
+    this.options.log.writeEvent('target_crashed', {
+      target: targetId,
+      suspects: suspects.length,
+      confirmed_after_ms: Math.round(nowMs - first.suspectedAtMs),
+    });
+    for (const { fingerprint } of suspects) {
       this.recordCrash(fingerprint, targetId);
       this.#unreportedCrashes.push([fingerprint, targetId]);
     }
+    this.options.onCrash?.({
+      target: targetId,
+      startedAtMs: first.startedAtMs,
+      atMs: first.suspectedAtMs,
+      suspects: suspects.flatMap(({ parts = [] }) =>
+        parts.length === 0 ? [] : [parts],
+      ),
+    });
   }
 
   /** Counts a confirmed crash, found here or reported by a peer. */
@@ -96,4 +129,13 @@
       poisonCrashThreshold
     );
   }
+
+  #listRecentSuspects(targetId: string, nowMs: number): SuspectedRequest[] {
+    const suspects = this.#suspectedRequestsByTarget.get(targetId) ?? [];
+    return suspects.filter(
+      ({ suspectedAtMs }) => nowMs - suspectedAtMs <= suspectWindowMs,
+    );
+  }
 }
+
+type TargetIncarnation = Pick<TargetRecord, 'id' | 'startedAtMs'>;
--- a/packages/relay/src/kernel/tokens.ts
+++ b/packages/relay/src/kernel/tokens.ts
@@ -16,7 +16,8 @@
 import type { Relay } from '../relay/relay.js';
 import type { ServiceStates } from '../relay/service-state.js';
 import type { TargetClient } from '../relay/target-client.js';
-import type { CrashTracker } from '../retries/crash-tracker.js';
+import type { CrashTracker } from '../crashes/crash-tracker.js';
+import type { PromptQuarantine } from '../crashes/prompt-quarantine.js';
 import type { EngineControlClient } from '../roles/engine-control-client.js';
 import type { PrefillDemand } from '../roles/prefill-demand.js';
 import type { RoleLeader } from '../roles/role-leader.js';
@@ -84,6 +85,9 @@
 );
 export const serviceStatesToken = new InjectionToken<ServiceStates>('services');
 export const crashTrackerToken = new InjectionToken<CrashTracker>('crashes');
+export const promptQuarantineToken = new InjectionToken<PromptQuarantine>(
+  'prompt-quarantine',
+);
 export const prefillDemandToken = new InjectionToken<PrefillDemand>('demand');
 export const instanceRegistryToken = new InjectionToken<InstanceRegistry>(
   'registry',
--- a/packages/relay/src/metrics/relay-metrics.ts
+++ b/packages/relay/src/metrics/relay-metrics.ts
@@ -21,6 +21,7 @@
   readonly #eventGapHistogram: Histogram<'service'>;
   readonly #sendCounter: Counter<'service' | 'outcome'>;
   readonly #limitedSendCounter: Counter<'service'>;
+  readonly #refusedPromptCounter: Counter<'service'>;
   readonly #resumptionCounter: Counter<'service' | 'origin'>;
   readonly #routeLabels = new LabelLimiter(maxRouteLabels);
 
@@ -72,6 +73,12 @@
       labelNames: ['service', 'origin'],
       registers,
     });
+    this.#refusedPromptCounter = new Counter({
+      name: 'medlarlever_relay_refused_prompts_total',
+      help: 'Requests refused because a part of their prompts crashes targets, by service',
+      labelNames: ['service'],
+      registers,
+    });
     this.#limitedSendCounter = new Counter({
       name: 'medlarlever_relay_limited_sends_total',
       help: 'Requests to targets that had named a limit, by service',
@@ -116,6 +123,11 @@
     this.#sendCounter.inc({ service, outcome });
   }
 
+  /** Records a request that is refused because a part of its prompt crashes targets. */
+  recordRefusedPrompt(service: string): void {
+    this.#refusedPromptCounter.inc({ service });
+  }
+
   /** Records a request to a target that had named a limit. */
   recordLimitedSend(service: string): void {
     this.#limitedSendCounter.inc({ service });
--- a/packages/relay/src/metrics/state-gauges.ts
+++ b/packages/relay/src/metrics/state-gauges.ts
@@ -3,6 +3,7 @@
 import { Gauge } from 'prom-client';
 import type { Registry } from 'prom-client';
 
+import type { PromptQuarantine } from '../crashes/prompt-quarantine.js';
 import type { TableWatcher } from '../change-streams/table-watcher.js';
 import type { ServiceStates } from '../relay/service-state.js';
 import type { RouteTableHolder } from '../routes/route-table-holder.js';
@@ -21,6 +22,7 @@
   readonly watchers: readonly TableWatcher[];
   readonly eras: EraTracker;
   readonly announcements: TargetAnnouncements;
+  readonly promptQuarantine: PromptQuarantine;
   /** Returns the event loop delay in milliseconds. */
   readonly eventLoopDelayMs: () => number;
   /** Returns the number of log lines dropped because their reader was slow. */
@@ -92,6 +94,11 @@
     'Pauses that targets asked this instance for',
     () => options.announcements.quietPeriodCount,
   );
+  registerGauge(
+    'refused_prompt_parts',
+    'Parts of prompts that are held to crash targets',
+    () => options.promptQuarantine.causeCount,
+  );
   registerGauge(
     'target_limits',
     'New limits that targets named to this instance',
--- a/packages/relay/src/peers/app.ts
+++ b/packages/relay/src/peers/app.ts
@@ -7,6 +7,7 @@
 import {
   crashTrackerToken,
   prefillDemandToken,
+  promptQuarantineToken,
   incarnationToken,
   instanceCountToken,
   instanceDirectoryToken,
@@ -97,6 +98,7 @@
     topology: kernel.get(peerTopologyToken),
     targets: kernel.get(targetRegistryToken),
     crashes: kernel.get(crashTrackerToken),
+    promptQuarantine: kernel.get(promptQuarantineToken),
     limits: new LimitReports({
       targets: kernel.get(targetRegistryToken),
       log: kernel.get(logToken),
--- a/packages/relay/src/peers/load-aggregator.ts
+++ b/packages/relay/src/peers/load-aggregator.ts
@@ -3,7 +3,12 @@
 
 import { MemberReports } from './member-reports.js';
 import type { PeerTopology } from './peer-topology.js';
-import { dataCenterReportMethod, loadReportMethod } from './load-report.js';
+import {
+  addEvents,
+  createNoEvents,
+  dataCenterReportMethod,
+  loadReportMethod,
+} from './load-report.js';
 import type { LoadReport } from './load-report.js';
 
 /** Interval at which an aggregator sends the combined report to its members. */
@@ -11,17 +16,6 @@
 /** The aggregators of other data centres get every n-th combined report. */
 const remotePublishInterval = 2;
 
-/** Creates an empty collection of events, each of which is reported once. */
-const createEmptyPendingReport = (): Pick<
-  LoadReport,
-  'read' | 'pace' | 'crashes' | 'begun'
-> => ({
-  read: [],
-  pace: [],
-  crashes: [],
-  begun: [],
-});
-
 /** Dependencies of {@link LoadAggregator}. */
 export interface LoadAggregatorOptions {
   readonly topology: PeerTopology;
@@ -38,7 +32,7 @@
   readonly #memberReports = new MemberReports();
   #publishCount = 0;
   /** Events of this data centre not yet sent to the other aggregators. */
-  #pendingRemoteReport = createEmptyPendingReport();
+  #pendingRemoteEvents = createNoEvents();
 
   constructor(options: LoadAggregatorOptions) {
     this.#options = options;
@@ -80,18 +74,15 @@
     const { topology, takeOwnReport } = this.#options;
     const report = this.#memberReports.takeCombinedReport(takeOwnReport());
     this.notifyMembers(report);
-    this.#pendingRemoteReport.read.push(...report.read);
-    this.#pendingRemoteReport.pace.push(...report.pace);
-    this.#pendingRemoteReport.crashes.push(...report.crashes);
-    this.#pendingRemoteReport.begun.push(...report.begun);
+    addEvents(this.#pendingRemoteEvents, report);
     this.#publishCount += 1;
     if (this.#publishCount % remotePublishInterval !== 0) return;
     for (const aggregator of topology.listRemoteAggregators()) {
       topology.notifyInstance(aggregator, dataCenterReportMethod, {
         ...report,
-        ...this.#pendingRemoteReport,
+        ...this.#pendingRemoteEvents,
       });
     }
-    this.#pendingRemoteReport = createEmptyPendingReport();
+    this.#pendingRemoteEvents = createNoEvents();
   }
 }
--- a/packages/relay/src/peers/load-exchange.test.ts
+++ b/packages/relay/src/peers/load-exchange.test.ts
@@ -10,7 +10,8 @@
 } from '../fixtures/relay-fixtures.js';
 import { StreamOrigins } from '../origins/stream-origins.js';
 import { ServiceStates } from '../relay/service-state.js';
-import { CrashTracker } from '../retries/crash-tracker.js';
+import { PromptQuarantine } from '../crashes/prompt-quarantine.js';
+import { CrashTracker } from '../crashes/crash-tracker.js';
 import { PrefillDemand } from '../roles/prefill-demand.js';
 import { TargetRegistry } from '../targets/target-registry.js';
 
@@ -29,7 +30,11 @@
     getKvCacheTokens: () => 1_000,
   });
   targets.registerTarget(createTargetRecord('t1'));
-  const crashes = new CrashTracker(createMemoryLog());
+  const promptQuarantine = new PromptQuarantine({
+    log: createMemoryLog(),
+    getAnswerAgeMs: () => undefined,
+  });
+  const crashes = new CrashTracker({ log: createMemoryLog() });
   const origins = new StreamOrigins();
   const demand = new PrefillDemand();
   const newerRevisions: number[] = [];
@@ -39,6 +44,7 @@
     topology,
     targets,
     crashes,
+    promptQuarantine,
     limits: new LimitReports({ targets, log: createMemoryLog() }),
     origins,
     services: new ServiceStates({
@@ -62,6 +68,7 @@
     demand,
     targets,
     crashes,
+    promptQuarantine,
     origins,
     exchange,
     kernel,
@@ -115,7 +122,7 @@
     one.config.revision = 2;
     const segment = { id: 'p', tokens: 100 };
     one.exchange.recordPrefillStart('t1', [segment], 5_000);
-    one.crashes.recordSuspectedCrash('f', 't1');
+    one.crashes.recordSuspectedCrash({ fingerprint: 'f' }, { id: 't1' });
     one.crashes.confirmCrash('t1');
     await clock.tickAsync(400);
     const cache = two.targets.findTarget('t1')?.prefixCache;
--- a/packages/relay/src/peers/load-exchange.ts
+++ b/packages/relay/src/peers/load-exchange.ts
@@ -10,7 +10,8 @@
 import type { StreamOrigins } from '../origins/stream-origins.js';
 import type { PromptSegment } from '../requests/relay-request.js';
 import type { ServiceStates } from '../relay/service-state.js';
-import type { CrashTracker } from '../retries/crash-tracker.js';
+import type { PromptQuarantine } from '../crashes/prompt-quarantine.js';
+import type { CrashTracker } from '../crashes/crash-tracker.js';
 import type { PrefillDemand } from '../roles/prefill-demand.js';
 import type { TargetRegistry } from '../targets/target-registry.js';
 import { zeroLoad } from '../targets/target-state.js';
@@ -48,6 +49,7 @@
   readonly topology: PeerTopology;
   readonly targets: TargetRegistry;
   readonly crashes: CrashTracker;
+  readonly promptQuarantine: PromptQuarantine;
   readonly limits: LimitReports;
   readonly origins: StreamOrigins;
   readonly services: ServiceStates;
@@ -179,9 +181,13 @@
       this.#ownLoad.hasUnreportedPrefills ||
       this.#options.limits.hasNews ||
       this.#options.origins.hasUnreported ||
-      this.#options.crashes.hasUnreportedCrashes;
+      this.#options.crashes.hasUnreportedCrashes ||
+      this.#options.promptQuarantine.hasNews;
     const nowMs = performance.now();
-    const needsRepetition = loads.length > 0 || reportsToAggregator;
+    const needsRepetition =
+      loads.length > 0 ||
+      reportsToAggregator ||
+      this.#options.promptQuarantine.causeCount > 0;
     const isOverdue = nowMs - this.#lastSentAtMs >= maxReportIntervalMs;
     if (!hasChanged && !(needsRepetition && isOverdue)) return false;
     this.#lastSentLoads = serializedLoads;
@@ -190,8 +196,8 @@
   }
 
   #takeOwnReport(loads: LoadReport['loads']): LoadReport {
-    const { self, crashes, limits, origins, getRevision, services, demand } =
-      this.#options;
+    const { self, crashes, promptQuarantine, limits, origins } = this.#options;
+    const { getRevision, services, demand } = this.#options;
     const prefillTokenTotals = services.listAssignedPrefillTokens();
     if (!this.#isAggregatorMember)
       demand.recordTotals(self, prefillTokenTotals);
@@ -204,12 +210,17 @@
       limits: limits.list(),
       begun: origins.takeUnreported(),
       crashes: crashes.takeUnreportedCrashes(),
+      // Members of an aggregator hear of the causes from it.
+      targetCrashes: promptQuarantine.listCrashes(!this.#isAggregatorMember),
+      answeredParts: promptQuarantine.listAnswers(),
+      refutedCrashes: promptQuarantine.listRefuted(),
     };
   }
 
   #receiveReport(report: LoadReport): void {
-    const { targets, crashes, limits, origins, topology, demand } =
+    const { targets, crashes, promptQuarantine, limits, origins } =
       this.#options;
+    const { topology, demand } = this.#options;
     topology.recordReportFrom(report.from);
     demand.recordTotals(report.from, report.placed);
     this.#peerLoads.recordLoads(report.from, report.loads);
@@ -231,6 +242,11 @@
     for (const [fingerprint, target] of report.crashes) {
       crashes.recordCrash(fingerprint, target);
     }
+    promptQuarantine.apply({
+      crashes: report.targetCrashes,
+      answers: report.answeredParts,
+      refuted: report.refutedCrashes,
+    });
     limits.apply(report.limits);
     origins.apply(report.begun);
     const { getRevision, onNewerRevision } = this.#options;
--- a/packages/relay/src/peers/load-report.ts
+++ b/packages/relay/src/peers/load-report.ts
@@ -1,6 +1,10 @@
 /** Messages in which instances report their load on the targets to each other. */
 import { z } from 'zod';
 
+import {
+  answeredPartSchema,
+  reportedCrashSchema,
+} from '../crashes/target-crash.js';
 import { reportedLimitSchema } from '../limits/reported-limit.js';
 import { begunStreamSchema } from '../origins/stream-origin.js';
 
@@ -44,8 +48,48 @@
   pace: z.array(z.tuple([z.string(), z.number(), z.number()])).default([]),
   limits: z.array(reportedLimitSchema).default([]),
   begun: z.array(begunStreamSchema).default([]),
+  /** Crashes with the prompts that may have caused them. */
+  targetCrashes: z.array(reportedCrashSchema).default([]),
+  /** Parts of such prompts that were answered. */
+  answeredParts: z.array(answeredPartSchema).default([]),
+  /** Incarnations that were reported as crashed and have answered since. */
+  refutedCrashes: z.array(z.string()).default([]),
   /** Request fingerprint, and the target that crashed while processing the request. */
   crashes: z.array(z.tuple([z.string(), z.string()])),
 });
 /** Load report of one instance, or the combined report of an aggregator. */
 export type LoadReport = z.infer<typeof loadReportSchema>;
+
+/** Fields of a report that list events, each of which is reported once. */
+const eventFields = [
+  'read',
+  'pace',
+  'crashes',
+  'begun',
+  'targetCrashes',
+  'answeredParts',
+  'refutedCrashes',
+] as const;
+export type ReportedEvents = Pick<LoadReport, (typeof eventFields)[number]>;
+
+/** Creates an empty collection of events. */
+export const createNoEvents = (): ReportedEvents => ({
+  read: [],
+  pace: [],
+  crashes: [],
+  begun: [],
+  targetCrashes: [],
+  answeredParts: [],
+  refutedCrashes: [],
+});
+
+/** Adds the events of a report to a collection. */
+export const addEvents = (
+  collection: ReportedEvents,
+  report: ReportedEvents,
+): void => {
+  for (const field of eventFields) {
+    const events: unknown[] = collection[field];
+    events.push(...report[field]);
+  }
+};
--- a/packages/relay/src/peers/member-reports.ts
+++ b/packages/relay/src/peers/member-reports.ts
@@ -1,7 +1,7 @@
 /** Collects the load reports of a data centre's instances at its aggregator. */
 
 import { mergeLimits } from './limit-reports.js';
-import { loadReportTtlMs } from './load-report.js';
+import { addEvents, createNoEvents, loadReportTtlMs } from './load-report.js';
 import type { LoadReport } from './load-report.js';
 
 /** A member gets combined reports until this long after its last report. */
@@ -21,21 +21,15 @@
   readonly #prefillTokensByMember = new Map<string, Map<string, number>>();
   /** Sum of the increases of all members' totals, by service. */
   readonly #prefillTokensByService = new Map<string, number>();
-  #startedPrefills: LoadReport['read'] = [];
-  #latencyRatios: LoadReport['pace'] = [];
-  #crashes: LoadReport['crashes'] = [];
-  #begunStreams: LoadReport['begun'] = [];
+  #events = createNoEvents();
 
   /** Records the report of a member. */
   addReport(report: LoadReport): void {
-    const { from, loads, limits, placed, read, pace, crashes, begun } = report;
+    const { from, loads, limits, placed } = report;
     const receivedAtMs = performance.now();
     this.#reportsByMember.set(from, { receivedAtMs, loads, limits });
     this.#countPrefillTokens(from, placed);
-    this.#startedPrefills.push(...read);
-    this.#latencyRatios.push(...pace);
-    this.#crashes.push(...crashes);
-    this.#begunStreams.push(...begun);
+    addEvents(this.#events, report);
   }
 
   /** Lists the members that receive combined reports; drops expired members. */
@@ -49,29 +43,24 @@
   }
 
   /**
-   * Combines this instance's report with the collected ones. Clears the events
-   * (`read`, `pace`, `crashes`, `begun`), because each event is reported once.
+   * Combines this instance's report with the collected ones. Clears the events,
+   * because each event is reported once.
    */
   takeCombinedReport(ownReport: LoadReport): LoadReport {
     this.#countPrefillTokens(ownReport.from, ownReport.placed);
-    const report = {
+    const events = this.#events;
+    this.#events = createNoEvents();
+    addEvents(events, ownReport);
+    return {
       ...ownReport,
+      ...events,
       loads: this.#sumLoads(ownReport.loads),
       limits: mergeLimits([
         { receivedAtMs: performance.now(), limits: ownReport.limits },
         ...this.#reportsByMember.values(),
       ]),
       placed: [...this.#prefillTokensByService],
-      read: [...ownReport.read, ...this.#startedPrefills],
-      pace: [...ownReport.pace, ...this.#latencyRatios],
-      crashes: [...ownReport.crashes, ...this.#crashes],
-      begun: [...ownReport.begun, ...this.#begunStreams],
     };
-    this.#startedPrefills = [];
-    this.#latencyRatios = [];
-    this.#crashes = [];
-    this.#begunStreams = [];
-    return report;
   }
 
   /**
--- a/packages/relay/src/relay/app.ts
+++ b/packages/relay/src/relay/app.ts
@@ -9,6 +9,7 @@
   eventLoopDelayMonitorToken,
   metricsRegistryToken,
   loadExchangeToken,
+  promptQuarantineToken,
   randomToken,
   relayToken,
   routesToken,
@@ -20,8 +21,11 @@
   targetRegistryToken,
   peerTopologyToken,
 } from '../kernel/tokens.js';
+import { createCrashCheck } from '../crashes/crash-check.js';
+import { PromptQuarantine } from '../crashes/prompt-quarantine.js';
+import { findAnswerAgeMs } from '../targets/target-registry.js';
 import { RelayMetrics } from '../metrics/relay-metrics.js';
-import { CrashTracker } from '../retries/crash-tracker.js';
+import { CrashTracker } from '../crashes/crash-tracker.js';
 import { DataCenterReachability } from '../targets/data-center-reachability.js';
 
 import { createLivenessCheck } from './liveness-check.js';
@@ -33,7 +37,22 @@
   register: kernel => {
     kernel.provide(
       crashTrackerToken,
-      resolver => new CrashTracker(resolver.get(logToken)),
+      resolver =>
+        new CrashTracker({
+          log: resolver.get(logToken),
+          onCrash: crash => {
+            resolver.get(promptQuarantineToken).recordCrash(crash);
+          },
+        }),
+    );
+    kernel.provide(
+      promptQuarantineToken,
+      resolver =>
+        new PromptQuarantine({
+          log: resolver.get(logToken),
+          getAnswerAgeMs: crash =>
+            findAnswerAgeMs(resolver.get(targetRegistryToken), crash),
+        }),
     );
     kernel.provide(serviceStatesToken, resolver => {
       const settings = resolver.get(settingsToken);
@@ -55,6 +74,8 @@
         targetClient: client,
         checkLiveness: createLivenessCheck(client),
         crashTracker: resolver.get(crashTrackerToken),
+        checkCrash: createCrashCheck(client, resolver.get(crashTrackerToken)),
+        promptQuarantine: resolver.get(promptQuarantineToken),
         dataCenterReachability: new DataCenterReachability(),
         metrics: new RelayMetrics(resolver.get(metricsRegistryToken)),
         log: resolver.get(logToken),
--- a/packages/relay/src/relay/generation-runner.ts
+++ b/packages/relay/src/relay/generation-runner.ts
@@ -6,6 +6,10 @@
 import { Right } from 'purify-ts';
 import type { Either } from 'purify-ts';
 
+import { AnswerProgress } from '../crashes/answer-progress.js';
+import type { CrashCause } from '../crashes/crash-cause.js';
+import { selectSharedParts } from '../crashes/target-crash.js';
+import type { SharedParts } from '../crashes/target-crash.js';
 import { EventGapMeter } from '../placement/event-gaps.js';
 import { kvTransferMs } from '../placement/placement.js';
 import type { Placement } from '../placement/placement.js';
@@ -27,6 +31,7 @@
 } from './request-runner.js';
 import { SendWatchdog } from './send-watchdog.js';
 import { recordTargetFailure, recordTargetSuccess } from './target-outcomes.js';
+import type { FailedSend } from './target-outcomes.js';
 import type {
   KvCacheHandle,
   PrefillOutcome,
@@ -53,6 +58,8 @@
 export class GenerationRunner extends RequestRunner {
   readonly #responseSink: StreamingResponseSink;
   readonly #placer: GenerationPlacer;
+  /** Parts of the prompt that other prompts may share. */
+  readonly #sharedParts: SharedParts;
   /** KV cache of a finished prefill that no decode engine has taken yet. */
   #kvCacheHandle: KvCacheHandle | undefined;
   /** Engine that holds the KV cache of `#kvCacheHandle`. */
@@ -72,6 +79,9 @@
   ) {
     super(dependencies, context);
     const { excludedTargets } = this;
+    this.#sharedParts = selectSharedParts(
+      prompt.segments.slice(0, -1).map(({ id }) => id),
+    );
     this.#placer = new GenerationPlacer({
       dependencies,
       context,
@@ -104,6 +114,7 @@
         this.failRequest(context.createDeadlineFailure());
         return;
       }
+      if (this.#isRefused()) return;
       const placementResult = isFirstPlacement
         ? this.#placer.placeWithAdmission()
         : this.#placer.placeRetry();
@@ -122,6 +133,7 @@
         if (prefillResult === 'ended') return;
         if (prefillResult === 'again') continue;
       }
+      if (this.#isRefused()) return;
       const updatedPlacement = this.#updateDecodeTarget(placement).extract();
       if (updatedPlacement instanceof Failure) {
         this.failRequest(updatedPlacement);
@@ -131,6 +143,20 @@
     }
   }
 
+  /** Fails the request and returns true if a part of its prompt crashes targets. */
+  #isRefused(): boolean {
+    const { context, dependencies } = this;
+    const cause = dependencies.promptQuarantine.findCause(this.#sharedParts);
+    if (cause === undefined) return false;
+    dependencies.metrics.recordRefusedPrompt(context.service);
+    context.addLogFields({
+      parts: cause.parts,
+      crashed: cause.crashes.map(({ target }) => target),
+    });
+    this.failRequest(createPoisonPromptFailure(cause, context.mayHaveExecuted));
+    return true;
+  }
+
   protected override canRetry(): boolean {
     const { route } = this.context;
     return (
@@ -196,6 +222,7 @@
     { prefillTokens, copySource, expectedFirstEventMs }: Placement,
   ): Promise<'read' | 'again' | 'ended'> {
     const { context, dependencies } = this;
+    const { record } = target;
     const queuedTokens = target.pendingPrefillTokens + prefillTokens;
     const endPrefill = this.#startPrefill(
       target,
@@ -217,7 +244,7 @@
       checkLiveness: dependencies.checkLiveness,
     });
     const outcome = await dependencies.targetClient.prefill(
-      target.record,
+      record,
       context.request,
       {
         remainingMs: context.remainingMs,
@@ -233,7 +260,7 @@
     context.addLogFields({ read_ms: Math.round(elapsedMs) });
     dependencies.metrics.recordSend(context.service, `prefill_${outcome.kind}`);
     if (outcome.kind !== 'read') {
-      return this.#handlePrefillFailure(target, outcome, elapsedMs);
+      return this.#handlePrefillFailure(target, record, outcome, elapsedMs);
     }
     this.#recordPrefillSuccess(target, queuedTokens, elapsedMs);
     this.#kvCacheHandle = outcome.handover;
@@ -262,6 +289,7 @@
 
   #handlePrefillFailure(
     target: TargetState,
+    record: TargetRecord,
     outcome: FailedPrefillOutcome,
     elapsedMs: number,
   ): 'again' | 'ended' {
@@ -276,7 +304,8 @@
       this.failRequest(context.createDeadlineFailure());
       return 'ended';
     }
-    recordTargetFailure(this.dependencies, context, target, outcome);
+    const send = { target, record };
+    recordTargetFailure(this.dependencies, context, send, outcome);
     this.excludedTargets.add(target);
     return this.retryOrFail(outcome) ? 'again' : 'ended';
   }
@@ -304,12 +333,16 @@
     );
     const startedAtMs = performance.now();
     const eventGapMeter = new EventGapMeter();
+    const answerProgress = new AnswerProgress(() => {
+      dependencies.promptQuarantine.recordAnswer(this.#sharedParts);
+    });
     this.#onEvent = () => {
       const { service, softwareVersion } = record;
       context.origin ??= { service, softwareVersion };
       eventGapMeter.recordEvent();
+      answerProgress.recordEvent();
       endPrefill();
-      target.recordActivity();
+      target.recordAnswer();
       watchdog?.recordActivity();
     };
     context.recordSend();
@@ -337,6 +370,7 @@
     dependencies.metrics.recordSend(context.service, outcome.kind);
     if (outcome.kind === 'whole') {
       recordTargetSuccess(dependencies, target);
+      answerProgress.complete();
       this.serviceState.decodeMsAverage.addSample(
         performance.now() - startedAtMs,
       );
@@ -344,7 +378,8 @@
       context.completeRequest(outcome.status, record);
       return true;
     }
-    return this.#handleStreamFailure(target, record, outcome);
+    const suspectParts = answerProgress.isSuspect ? this.#sharedParts : [];
+    return this.#handleStreamFailure({ target, record, suspectParts }, outcome);
   }
 
   #recordEventGap(target: TargetState, { meanGapMs }: EventGapMeter): void {
@@ -377,11 +412,11 @@
   }
 
   #handleStreamFailure(
-    target: TargetState,
-    { id, softwareVersion }: TargetRecord,
+    send: FailedSend,
     outcome: Exclude<SendOutcome, { kind: 'whole' }>,
   ): boolean {
     const { context } = this;
+    const { id, softwareVersion } = send.record;
     context.logEvent('attempt_failed', {
       target: id,
       version: softwareVersion,
@@ -396,6 +431,21 @@
       isConnectFailure(outcome) ||
       (outcome.kind === 'not_executed' && context.sendCount === 1);
     if (!keepsKvCache) this.#releaseKvCache();
-    return this.handleSendFailure(target, outcome);
+    return this.handleSendFailure(send, outcome);
   }
 }
+
+/** Retry delay for the caller of a prompt that crashes targets. */
+const poisonPromptRetryAfterMs = 5_000;
+
+const createPoisonPromptFailure = (
+  { parts, crashes }: CrashCause,
+  mayHaveExecuted: boolean,
+): Failure => {
+  const reason = `${crashes.length} targets crashed when they began to answer prompts with the same part (${parts.join(', ')})`;
+  return mayHaveExecuted
+    ? new Failure('target_failed', reason, { executed: 'unknown' })
+    : new Failure('poison_prompt', reason, {
+        retryAfterMs: poisonPromptRetryAfterMs,
+      });
+};
--- a/packages/relay/src/relay/plain-request-runner.ts
+++ b/packages/relay/src/relay/plain-request-runner.ts
@@ -149,7 +149,7 @@
       );
       return true;
     }
-    return this.handleSendFailure(target, outcome);
+    return this.handleSendFailure({ target, record }, outcome);
   }
 
   #createSendWatchdog(target: TargetState): SendWatchdog | undefined {
--- a/packages/relay/src/relay/relay.test.ts
+++ b/packages/relay/src/relay/relay.test.ts
@@ -157,7 +157,7 @@
 test('a request that crashed three targets is rejected', async t => {
   const { serve, client, crashes } = createTestRelay();
   for (const target of ['x1', 'x2', 'x3']) {
-    crashes.recordSuspectedCrash('f1', target);
+    crashes.recordSuspectedCrash({ fingerprint: 'f1' }, { id: target });
     crashes.confirmCrash(target);
   }
   const caller = await serve();
--- a/packages/relay/src/relay/relay.ts
+++ b/packages/relay/src/relay/relay.ts
@@ -13,7 +13,9 @@
   PromptSegment,
   RelayRequest,
 } from '../requests/relay-request.js';
-import type { CrashTracker } from '../retries/crash-tracker.js';
+import type { CrashCheck } from '../crashes/crash-check.js';
+import type { PromptQuarantine } from '../crashes/prompt-quarantine.js';
+import type { CrashTracker } from '../crashes/crash-tracker.js';
 import type { Route } from '../routes/route-configuration.js';
 import { pickService } from '../routes/route-table.js';
 import type { RouteTableHolder } from '../routes/route-table-holder.js';
@@ -71,6 +73,9 @@
   readonly targetClient: TargetClient;
   readonly checkLiveness: LivenessCheck;
   readonly crashTracker: CrashTracker;
+  /** Called when a connection to the target broke, which may have ended. */
+  readonly checkCrash: CrashCheck;
+  readonly promptQuarantine: PromptQuarantine;
   readonly dataCenterReachability: DataCenterReachability;
   readonly metrics: RelayMetrics;
   readonly log: Log;
--- a/packages/relay/src/relay/request-runner.ts
+++ b/packages/relay/src/relay/request-runner.ts
@@ -10,6 +10,7 @@
 import type { RelayDependencies } from './relay.js';
 import type { ServiceState } from './service-state.js';
 import { recordTargetFailure } from './target-outcomes.js';
+import type { FailedSend } from './target-outcomes.js';
 import type { SendOutcome } from './target-client.js';
 
 /** Retry delay for the caller when no target can take the request. */
@@ -116,7 +117,7 @@
 
   /** Handles a failed send; true when the request has ended. */
   protected handleSendFailure(
-    target: TargetState,
+    send: FailedSend,
     outcome: FailedSendOutcome,
   ): boolean {
     const { context } = this;
@@ -130,8 +131,8 @@
       this.failRequest(context.createDeadlineFailure());
       return true;
     }
-    recordTargetFailure(this.dependencies, context, target, outcome);
-    this.excludedTargets.add(target);
+    recordTargetFailure(this.dependencies, context, send, outcome);
+    this.excludedTargets.add(send.target);
     if (!mayRetry) {
       this.failRequest(createTargetFailure(getFailureReason(outcome)));
       return true;
--- a/packages/relay/src/relay/target-client.ts
+++ b/packages/relay/src/relay/target-client.ts
@@ -104,6 +104,12 @@
   /** Resolves to true if the target soon answers a probe on a new connection. */
   abstract checkLiveness(target: TargetRecord): Promise<boolean>;
 
+  /**
+   * Resolves to true if the target has certainly ended: its address refuses connections,
+   * or another target answers there.
+   */
+  abstract checkGone(target: TargetRecord): Promise<boolean>;
+
   /** Requests the list of prompt segments in the engine's cache. */
   abstract listCachedSegments(
     target: TargetRecord,
--- a/packages/relay/src/relay/target-outcomes.ts
+++ b/packages/relay/src/relay/target-outcomes.ts
@@ -1,4 +1,6 @@
 /** Records the outcome of sends and prefills in the state of their target. */
+import type { SharedParts } from '../crashes/target-crash.js';
+import type { TargetRecord } from '../targets/target-record.js';
 import type { TargetState } from '../targets/target-state.js';
 
 import type { RequestContext } from './request-context.js';
@@ -29,25 +31,43 @@
   dataCenterReachability.recordSuccess(target.record.dataCenter);
 };
 
+/** The incarnation of the target to which a request was sent, and its suspect parts. */
+export interface FailedSend {
+  readonly target: TargetState;
+  /** Record of the target when the request was sent. */
+  readonly record: TargetRecord;
+  /** Parts of the prompt that may have crashed the target. */
+  readonly suspectParts?: SharedParts;
+}
+
 /**
- * Records a failure of the target, and a suspected or confirmed crash when the
- * connection broke.
+ * Records a failure of the target, and a suspected crash when the connection broke or
+ * the target fell silent.
  */
 export const recordTargetFailure = (
-  { crashTracker, dataCenterReachability }: RelayDependencies,
+  dependencies: RelayDependencies,
   { request }: RequestContext,
-  target: TargetState,
+  { target, record, suspectParts }: FailedSend,
   outcome: FailedOutcome,
 ): void => {
   // A target that asks for a pause is busy, not defective.
   if (outcome.kind === 'not_executed' && outcome.wantsQuiet) return;
   target.recordFailure(isConclusiveFailure(outcome));
-  if (outcome.kind !== 'broken') return;
-  const { id, dataCenter } = target.record;
-  if (outcome.phase === 'connecting') {
-    crashTracker.confirmCrash(id);
-    dataCenterReachability.recordConnectFailure(dataCenter, id);
-  } else {
-    crashTracker.recordSuspectedCrash(request.fingerprint, id);
+  if (outcome.kind !== 'broken' && outcome.kind !== 'aborted') return;
+  const { crashTracker, dataCenterReachability, checkCrash } = dependencies;
+  if (outcome.kind === 'broken' && outcome.phase === 'connecting') {
+    dataCenterReachability.recordConnectFailure(record.dataCenter, record.id);
+    if (crashTracker.hasSuspects(record.id)) checkCrash(target);
+    return;
   }
+  const { fingerprint } = request;
+  crashTracker.recordSuspectedCrash(
+    { fingerprint, parts: suspectParts },
+    record,
+  );
+  const hasEnded =
+    dependencies.targets.isOutdated(record) ||
+    target.record.startedAtMs !== record.startedAtMs;
+  if (hasEnded) crashTracker.confirmCrash(record.id);
+  else checkCrash(target);
 };
--- a/packages/relay/src/retries/retry-budget.test.ts
+++ b/packages/relay/src/retries/retry-budget.test.ts
@@ -3,7 +3,7 @@
 import { installPausedClock } from '../fixtures/paused-clock.js';
 import { createMemoryLog } from '../fixtures/relay-fixtures.js';
 
-import { CrashTracker } from './crash-tracker.js';
+import { CrashTracker } from '../crashes/crash-tracker.js';
 import { RetryBudget } from './retry-budget.js';
 
 const createRetryBudget = (instances = 4) => {
@@ -69,9 +69,9 @@
   'a broken connection counts as a crash once the crash is confirmed',
   async t => {
     const clock = installPausedClock(t);
-    const crashTracker = new CrashTracker(createMemoryLog());
-    for (const target of ['a', 'b', 'c'])
-      crashTracker.recordSuspectedCrash('f', target);
+    const crashTracker = new CrashTracker({ log: createMemoryLog() });
+    for (const id of ['a', 'b', 'c'])
+      crashTracker.recordSuspectedCrash({ fingerprint: 'f' }, { id });
     t.false(crashTracker.isPoisonRequest('f'));
     crashTracker.confirmCrash('a');
     crashTracker.confirmCrash('b');
--- a/packages/relay/src/server/app.ts
+++ b/packages/relay/src/server/app.ts
@@ -19,6 +19,7 @@
   settingsToken,
   targetWatcherToken,
   tableToken,
+  promptQuarantineToken,
   targetAnnouncementsToken,
   targetRegistryToken,
 } from '../kernel/tokens.js';
@@ -98,6 +99,7 @@
     instances: kernel.get(instanceRegistryToken),
     eras: kernel.get(tableToken).eras,
     announcements: kernel.get(targetAnnouncementsToken),
+    promptQuarantine: kernel.get(promptQuarantineToken),
     watchers: [kernel.get(routeWatcherToken), kernel.get(targetWatcherToken)],
     eventLoopDelayMs: () =>
       kernel.get(eventLoopDelayMonitorToken).currentDelayMs,
--- a/packages/relay/src/targets/target-state.ts
+++ b/packages/relay/src/targets/target-state.ts
@@ -70,6 +70,7 @@
   #unreportedSamples = noSlownessSamples;
   #otherInstancesLoad: TargetLoad = zeroLoad;
   #lastSeenAtMs = performance.now();
+  #lastAnswerAtMs = -Infinity;
 
   constructor(
     record: TargetRecord,
@@ -178,6 +179,17 @@
     );
   }
 
+  /** Records that an answer, or a part of one, has just arrived here. */
+  recordAnswer(): void {
+    this.recordActivity();
+    this.#lastAnswerAtMs = performance.now();
+  }
+
+  /** Time since an answer, or a part of one, last arrived here; Infinity if none did. */
+  get msSinceLastAnswer(): number {
+    return performance.now() - this.#lastAnswerAtMs;
+  }
+
   /** Sets the total load that the other instances last reported. */
   setOtherInstancesLoad(load: TargetLoad): void {
     this.#otherInstancesLoad = load;
@@ -239,7 +251,7 @@
 
   /** Records a successful request, which ends the avoidance of the target. */
   recordSuccess(): void {
-    this.recordActivity();
+    this.recordAnswer();
     this.#consecutiveFailures = 0;
     this.#avoidedUntilMs = 0;
   }
@@ -272,6 +284,7 @@
     this.#quietUntilMs = 0;
     this.limiter.clear();
     this.#slowness = 1;
+    this.#lastAnswerAtMs = -Infinity;
   }
 }
 
