Play parts of prompts that crash engines in the soak, with checks of both rules

Checks count the sends after the fifth crash and compare the sound prompts that begin. A target that has ended refuses connections now also behind the proxies, as the platform's do.

--- a/packages/soak/src/checks/run-checks.test.ts
+++ b/packages/soak/src/checks/run-checks.test.ts
@@ -9,6 +9,7 @@
 import { FaultLog } from '../run/fault-log.js';
 import type { Attempt, RunRecord } from '../run/run-record.js';
 
+import { checkCrashingParts, checkSoundPrompts } from './crash-checks.js';
 import { runChecks } from './run-checks.js';
 
 const createAttempt = (id: string, change: Partial<Attempt> = {}): Attempt => ({
@@ -17,6 +18,7 @@
   method: 'POST',
   path: `/book/${id}`,
   body: 'b',
+  promptParts: [],
   instance: 'i1',
   life: 1,
   lifeStartedAtMs: 0,
@@ -62,6 +64,8 @@
   orders: [],
   pauseRequests: [],
   limitPeriods: [],
+  crashes: [],
+  crashingPartPeriods: [],
   configurations: [],
   targetDepartures: [],
   exits: [],
@@ -442,3 +446,64 @@
   t.false(isBroken(createStreams(0, 1)));
   t.false(isBroken(createStreams(0, 2, 96_100)));
 });
+
+const createCrashRecord = (changes: {
+  readonly sendsAtMs?: readonly number[];
+  readonly soundStatus?: number;
+}) => {
+  const { sendsAtMs = [], soundStatus = 200 } = changes;
+  const crashes = [0, 1, 2, 3, 4, 5, 6].map(i => ({
+    target: `t${i}`,
+    part: 'bad',
+    atMs: 100_000 + i * 500,
+  }));
+  const attempts = sendsAtMs.map((atMs, i) =>
+    createAttempt(`bad-${i}`, {
+      kind: 'stream',
+      promptParts: ['p', 'bad', `bad-${i}`],
+      sentAtMs: atMs,
+    }),
+  );
+  const arrivals = attempts.map(({ id, promptParts, sentAtMs }) =>
+    createArrival(id, { promptParts, atMs: sentAtMs }),
+  );
+  const createSound = (id: string, sentAtMs: number, status: number) =>
+    createAttempt(id, {
+      kind: 'stream',
+      promptParts: ['p', id],
+      sentAtMs,
+      end: {
+        status,
+        seal: '',
+        body: status === 200 ? 'id: 1' : '',
+        whole: true,
+        reason: '',
+      },
+    });
+  const sound = Array.from({ length: 20 }, (_, i) => [
+    createSound(`before-${i}`, 50_000 + i, 200),
+    createSound(`meanwhile-${i}`, 108_500 + i, soundStatus),
+  ]).flat();
+  return createRunRecord({
+    attempts: [...attempts, ...sound],
+    arrivals,
+    crashes,
+    crashingPartPeriods: [{ part: 'bad', fromMs: 99_000, toMs: 112_000 }],
+    faultLog: Object.assign(new FaultLog(), {
+      isFaultFreeAnywhere: (_fromMs: number, toMs: number) => toMs < 99_000,
+    }),
+  });
+};
+
+test('more than three sends of prompts that crashed five engines are found', t => {
+  const listBroken = (sendsAtMs: readonly number[]) =>
+    checkCrashingParts(createCrashRecord({ sendsAtMs })).length;
+  t.is(listBroken([105_100, 105_200, 106_000, 109_000]), 1);
+  t.is(listBroken([105_100, 105_200, 106_000]), 0);
+  t.is(listBroken([102_500, 103_000, 104_000, 104_900]), 0);
+});
+
+test('sound prompts that are not answered beside those that crash engines are found', t => {
+  t.is(checkSoundPrompts(createCrashRecord({ soundStatus: 503 })).length, 1);
+  t.is(checkSoundPrompts(createCrashRecord({})).length, 0);
+});
--- a/packages/soak/src/checks/run-checks.ts
+++ b/packages/soak/src/checks/run-checks.ts
@@ -13,6 +13,7 @@
   checkAnnouncedDepartures,
   checkPauses,
 } from './announcement-checks.js';
+import { checkCrashingParts, checkSoundPrompts } from './crash-checks.js';
 import { checkRequestLimits } from './limit-checks.js';
 import type { Check, Violation } from './check.js';
 import {
@@ -45,6 +46,8 @@
   checkAnnouncedDepartures,
   checkPauses,
   checkRequestLimits,
+  checkCrashingParts,
+  checkSoundPrompts,
   checkStreamVersions,
   checkResumptions,
   checkDisconnectedCallers,
--- a/packages/soak/src/faults/fault-plan.ts
+++ b/packages/soak/src/faults/fault-plan.ts
@@ -5,6 +5,7 @@
 import { SeededRandom } from '../shared/seeded-random.js';
 
 import { RouteChange } from './configuration-faults.js';
+import { CrashingPart } from './crashing-part.js';
 import type { Fault } from './fault.js';
 import {
   ClockStep,
@@ -61,6 +62,7 @@
   new DepartureByResponse(),
   new TargetPause(),
   new TargetLimit(),
+  new CrashingPart(),
   new RouteChange(),
 ];
 
--- a/packages/soak/src/network/proxy-set.ts
+++ b/packages/soak/src/network/proxy-set.ts
@@ -21,6 +21,13 @@
     this.#proxies.set(address, await FaultProxy.start(address));
   }
 
+  /** Stops the proxy of the address, which refuses connections from then on. */
+  async removeProxy(address: string): Promise<void> {
+    const proxy = this.#proxies.get(address);
+    this.#proxies.delete(address);
+    await proxy?.stop();
+  }
+
   findProxy(address: string): FaultProxy | undefined {
     return this.#proxies.get(address);
   }
--- a/packages/soak/src/run/caller.ts
+++ b/packages/soak/src/run/caller.ts
@@ -49,6 +49,9 @@
 const sharedPrefixTokens = 1_200;
 const uniqueSuffixTokens = 150;
 
+/** Share of the prompts with a part that crashes engines, while there is one. */
+const badPromptProbability = 0.3;
+
 const okStatus = 200;
 
 /** Times that a caller takes a broken stream up again. */
@@ -86,6 +89,8 @@
   readonly attempts: Attempt[];
   /** Counts the decode engines of a software version that serve. */
   readonly countServing: (softwareVersion: string) => number;
+  /** Returns the part of prompts that crashes engines at present, if there is one. */
+  readonly getCrashingPart: () => string | undefined;
 }
 
 /** Sends random requests of all kinds. */
@@ -122,6 +127,7 @@
       const attempt = {
         ...this.#createAttempt('stream', first.path),
         body: first.body,
+        promptParts: first.promptParts,
         resumption,
         servingOfVersion: this.options.countServing(softwareVersion ?? ''),
       };
@@ -150,8 +156,10 @@
       method: attempt.kind === 'idempotent' ? 'GET' : 'POST',
       path: attempt.path,
       body: attempt.body,
-      parts:
-        attempt.kind === 'stream' ? this.#createPromptBlocks(attempt.id) : [],
+      parts: attempt.promptParts.map((part, i, { length }) => ({
+        id: part,
+        tokens: i < length - 1 ? sharedPrefixTokens : uniqueSuffixTokens,
+      })),
       deadlineMs: requestTimeoutMs,
       resumption: attempt.resumption,
     } as const;
@@ -183,6 +191,7 @@
         path ??
         `${usesMovingRoute ? movingRoutePrefix : routePrefixes[kind]}${lastSegment}`,
       body: kind === 'idempotent' ? '' : `body of ${id}`,
+      promptParts: kind === 'stream' ? this.#createPromptParts(id) : [],
       instance: this.#instance.name,
       life: this.#instance.startCount,
       lifeStartedAtMs: this.#instance.startedAtMs,
@@ -193,14 +202,17 @@
     };
   }
 
-  #createPromptBlocks(id: string) {
+  /** Lists the parts of a prompt: a shared one, at times a bad one, and its own. */
+  #createPromptParts(id: string): string[] {
+    const { random, getCrashingPart } = this.options;
     const prefixNumber = Math.floor(
-      this.options.random.nextBetween(1, sharedPrefixCount + 1),
+      random.nextBetween(1, sharedPrefixCount + 1),
     );
-    return [
-      { id: `5a${prefixNumber}`, tokens: sharedPrefixTokens },
-      { id, tokens: uniqueSuffixTokens },
-    ];
+    const prefix = `5a${prefixNumber}`;
+    const crashingPart = getCrashingPart();
+    if (crashingPart === undefined || !random.nextBoolean(badPromptProbability))
+      return [prefix, id];
+    return [...random.sampleItems([prefix, crashingPart], 2), id];
   }
 
   #switchInstance(): void {
--- a/packages/soak/src/run/fault-log.ts
+++ b/packages/soak/src/run/fault-log.ts
@@ -55,6 +55,13 @@
     );
   }
 
+  /** Whether no subject had a fault at any time from `fromMs` to `toMs`. */
+  isFaultFreeAnywhere(fromMs: number, toMs: number): boolean {
+    return this.#intervals.every(
+      interval => interval.toMs < fromMs || interval.fromMs > toMs,
+    );
+  }
+
   /**
    * One line for each fault in order of its start, with seconds since
    * `startMs`.
--- a/packages/soak/src/run/run-record.ts
+++ b/packages/soak/src/run/run-record.ts
@@ -5,6 +5,7 @@
 import type {
   Arrival,
   AttemptOutcome,
+  Crash,
   LimitPeriod,
   PauseRequest,
   ReceivedOrder,
@@ -31,6 +32,8 @@
   /** Time of that start. */
   readonly lifeStartedAtMs: number;
   readonly sentAtMs: number;
+  /** Ids of the parts of the prompt; empty if the request has none. */
+  readonly promptParts: readonly string[];
   /** The stream that the caller takes up again; undefined for a new request. */
   readonly resumption?: StreamResumption;
   /** Decode engines of the stream's software version that served then. */
@@ -57,6 +60,14 @@
   readonly atMs: number;
 }
 
+/** A time in which callers send prompts with a part that crashes engines. */
+export interface CrashingPartPeriod {
+  readonly part: string;
+  readonly fromMs: number;
+  /** Infinity until the period ends. */
+  toMs: number;
+}
+
 /** All observations of a run. */
 export interface RunRecord {
   readonly attempts: Attempt[];
@@ -64,6 +75,8 @@
   readonly orders: readonly ReceivedOrder[];
   readonly pauseRequests: readonly PauseRequest[];
   readonly limitPeriods: readonly LimitPeriod[];
+  readonly crashes: readonly Crash[];
+  readonly crashingPartPeriods: readonly CrashingPartPeriod[];
   readonly configurations: ConfigurationChange[];
   readonly targetDepartures: TargetDeparture[];
   readonly exits: InstanceExit[];
--- a/packages/soak/src/run/soak-run.ts
+++ b/packages/soak/src/run/soak-run.ts
@@ -11,7 +11,12 @@
 
 import { Caller } from './caller.js';
 import { FaultLog } from './fault-log.js';
-import type { Attempt, ConfigurationChange, RunRecord } from './run-record.js';
+import type {
+  Attempt,
+  ConfigurationChange,
+  CrashingPartPeriod,
+  RunRecord,
+} from './run-record.js';
 import {
   createConfiguration,
   shutdownGraceSeconds,
@@ -54,6 +59,7 @@
   readonly #attempts: Attempt[] = [];
   readonly #configurations: ConfigurationChange[] = [];
   readonly #unreadyInstances: string[] = [];
+  readonly #crashingPartPeriods: CrashingPartPeriod[] = [];
 
   private constructor(
     private readonly options: SoakRunOptions,
@@ -126,6 +132,24 @@
     this.#writeConfiguration();
   }
 
+  /** Part of prompts that crashes engines at present, if there is one. */
+  get crashingPart(): string | undefined {
+    return this.#crashingPartPeriods.find(({ toMs }) => toMs === Infinity)
+      ?.part;
+  }
+
+  /** Lets callers send prompts with a part that crashes engines; ends it when called. */
+  startCrashingPart(): () => void {
+    const part = `bad${this.#crashingPartPeriods.length}`;
+    const fromMs = performance.now();
+    const period = { part, fromMs, toMs: Infinity };
+    this.#crashingPartPeriods.push(period);
+    this.targetFleet.records.crashingParts.add(part);
+    return () => {
+      period.toMs = performance.now();
+    };
+  }
+
   /** Copies all rows of the store. */
   createStoreBackup(): StoreBackup {
     return this.store.createBackup();
@@ -165,6 +189,7 @@
         random,
         attempts,
         countServing: version => this.targetFleet.countServing(version),
+        getCrashingPart: () => this.crashingPart,
       });
     });
     const callerLoops = callers.map(caller =>
@@ -225,7 +250,7 @@
     faultFreeSinceMs: number,
     longestStallMs: number,
   ): RunRecord {
-    const { arrivals, orders, pauseRequests, limitPeriods } =
+    const { arrivals, orders, pauseRequests, limitPeriods, crashes } =
       this.targetFleet.records;
     return {
       attempts: this.#attempts,
@@ -233,6 +258,8 @@
       orders,
       pauseRequests,
       limitPeriods,
+      crashes,
+      crashingPartPeriods: this.#crashingPartPeriods,
       configurations: this.#configurations,
       targetDepartures: this.targetFleet.departures,
       unreadyInstances: this.#unreadyInstances,
--- a/packages/soak/src/run/target-fleet.ts
+++ b/packages/soak/src/run/target-fleet.ts
@@ -13,6 +13,9 @@
 /** Software versions of targets, which serve side by side. */
 const softwareVersions: readonly string[] = ['v1', 'v2'];
 
+/** Time until a target that ended because of a prompt is replaced. */
+const crashDownMs = 1_500;
+
 /** Heartbeat interval of a target. */
 const heartbeatIntervalMs = 1_200;
 /** Missed heartbeats after which the row of a target is removed. */
@@ -100,6 +103,9 @@
         this.#registerTarget(target);
       },
     });
+    target.onCrash = () => {
+      void this.#replaceCrashedTarget(target, crashDownMs);
+    };
     await Promise.all(
       instances.map(({ targetProxies }) =>
         targetProxies.addProxy(target.address),
@@ -143,9 +149,22 @@
    * and removes the row after the missed heartbeats.
    */
   async crashTarget(target: FakeTarget, downMs: number): Promise<void> {
+    await target.stop();
+    await this.#replaceCrashedTarget(target, downMs);
+  }
+
+  async #replaceCrashedTarget(
+    target: FakeTarget,
+    downMs: number,
+  ): Promise<void> {
     const { service, role, id, softwareVersion } = target;
     this.#runningTargets.delete(id);
-    await target.stop();
+    // Without a proxy the address refuses connections, as that of the target does.
+    await Promise.all(
+      this.options.instances.map(({ targetProxies }) =>
+        targetProxies.removeProxy(target.address),
+      ),
+    );
     await this.#sleep(downMs);
     await this.addTarget(service, role, softwareVersion);
     await this.#sleep(
