Take a stream that ends inside an event for broken off

Callers got such a stream as complete, with half an event at its end, also when chunks ended there. Cause: the end of the exchange alone decided, and the buffer of events passed on what was left of the last one. Now the sink tells whether the end lies inside an event, or, where the connection ends the answer, before the first event; the send then counts as broken. An event without end is given up at 256 KB instead of passed on. The rest of an answer that is no event stream is passed on as before.

Ruled out: judging answers that don't say that they are event streams.

--- a/packages/relay/src/relay/generation-runner.ts
+++ b/packages/relay/src/relay/generation-runner.ts
@@ -98,12 +98,12 @@
       caller.hasStarted
         ? status === 200
         : status < minServerErrorStatus || !this.canRetry();
-    this.#responseSink = new StreamingResponseSink(
+    this.#responseSink = new StreamingResponseSink({
       caller,
       acceptsStatus,
       onBytes,
-      route.resumable,
-    );
+      isResumable: route.resumable,
+    });
   }
 
   override async run(): Promise<void> {
@@ -346,9 +346,8 @@
       watchdog?.recordActivity();
     };
     context.recordSend();
-    const outcome = await dependencies.targetClient.send(
+    const outcome = await this.sendOnce(
       record,
-      context.request,
       {
         remainingMs: context.remainingMs,
         urgency: this.#computeUrgency(
--- a/packages/relay/src/relay/plain-request-runner.ts
+++ b/packages/relay/src/relay/plain-request-runner.ts
@@ -109,9 +109,8 @@
     const sink = this.#createResponseSink();
     context.recordSend();
     const watchdog = this.#createSendWatchdog(target);
-    const outcome = await dependencies.targetClient.send(
+    const outcome = await this.sendOnce(
       record,
-      context.request,
       {
         remainingMs: context.remainingMs,
         signal: watchdog?.signal ?? context.signal,
@@ -174,6 +173,11 @@
     const onBytes = () => {
       this.context.recordFirstBytes();
     };
-    return new StreamingResponseSink(caller, acceptsStatus, onBytes, false);
+    return new StreamingResponseSink({
+      caller,
+      acceptsStatus,
+      onBytes,
+      isResumable: false,
+    });
   }
 }
--- a/packages/relay/src/relay/request-runner.ts
+++ b/packages/relay/src/relay/request-runner.ts
@@ -11,7 +11,9 @@
 import type { ServiceState } from './service-state.js';
 import { recordTargetFailure } from './target-outcomes.js';
 import type { FailedSend } from './target-outcomes.js';
-import type { SendOutcome } from './target-client.js';
+import { BufferedResponseSink } from './response-sinks.js';
+import type { StreamingResponseSink } from './response-sinks.js';
+import type { SendOptions, SendOutcome } from './target-client.js';
 
 /** Retry delay for the caller when no target can take the request. */
 export const noTargetRetryAfterMs = 250;
@@ -108,6 +110,39 @@
     this.dependencies.onStreamBegin(firstRequest, { service, softwareVersion });
   }
 
+  /**
+   * Sends the request once. A stream that breaks off without an error of the connection
+   * is broken as well.
+   */
+  protected async sendOnce(
+    record: TargetRecord,
+    options: SendOptions,
+    sink: BufferedResponseSink | StreamingResponseSink,
+  ): Promise<SendOutcome> {
+    const { targetClient } = this.dependencies;
+    const { request } = this.context;
+    if (sink instanceof BufferedResponseSink)
+      return targetClient.send(record, request, options, sink);
+    const overlong = new AbortController();
+    sink.onOverlongEvent = () => {
+      overlong.abort();
+    };
+    const signal = AbortSignal.any([options.signal, overlong.signal]);
+    const outcome = await targetClient.send(
+      record,
+      request,
+      { ...options, signal },
+      sink,
+    );
+    if (overlong.signal.aborted)
+      return createTruncatedOutcome('an event of the stream has no end');
+    if (outcome.kind !== 'whole') return outcome;
+    const truncation = sink.findTruncation();
+    return truncation === undefined
+      ? outcome
+      : createTruncatedOutcome(truncation);
+  }
+
   /** Counts a request at the target; the returned function removes it. */
   protected startRequest(target: TargetState): () => void {
     if (target.isLimited)
@@ -171,6 +206,12 @@
   }
 }
 
+const createTruncatedOutcome = (reason: string): SendOutcome => ({
+  kind: 'broken',
+  phase: 'answering',
+  reason,
+});
+
 const createTargetFailure = (reason: string): Failure =>
   new Failure('target_failed', `the target failed: ${reason}`, {
     executed: 'unknown',
--- a/packages/relay/src/relay/response-sinks.ts
+++ b/packages/relay/src/relay/response-sinks.ts
@@ -1,7 +1,10 @@
 /** Response sinks that forward a target's answer to the caller. */
 import type { ResponseHead, Caller } from '../requests/relay-request.js';
 
-import { ServerSentEventBuffer } from './server-sent-event-buffer.js';
+import {
+  EventBoundary,
+  ServerSentEventBuffer,
+} from './server-sent-event-buffer.js';
 import { ResponseSink } from './target-client.js';
 
 /** Answers up to this size are forwarded only once they are complete. */
@@ -64,72 +67,134 @@
   }
 }
 
+/** Options of a {@link StreamingResponseSink}. */
+export interface StreamingResponseSinkOptions {
+  readonly caller: Caller;
+  readonly acceptsStatus: StatusPredicate;
+  /** Called for each write of data to the caller. */
+  readonly onBytes: () => void;
+  /** True if only whole events are forwarded, so that another target can go on. */
+  readonly isResumable: boolean;
+}
+
+const okStatus = 200;
+const eventStreamType = 'text/event-stream';
+
+/** Returns the media type of the answer; undefined if it names none. */
+const getMediaType = ({ headers }: ResponseHead): string | undefined => {
+  const index = headers.findIndex(
+    (name, i) => i % 2 === 0 && name.toLowerCase() === 'content-type',
+  );
+  return index === -1 ? undefined : headers[index + 1]?.toLowerCase();
+};
+
+const isEventStream = (head: ResponseHead): boolean =>
+  head.status === okStatus &&
+  getMediaType(head)?.startsWith(eventStreamType) === true;
+
 /**
  * Forwards the bytes of a stream as they arrive, or whole events if the stream is
  * resumable. The head is sent with the first bytes.
  */
 export class StreamingResponseSink extends ResponseSink {
-  readonly #eventBuffer: ServerSentEventBuffer | undefined;
+  readonly #options: StreamingResponseSinkOptions;
+  readonly #eventBuffer = new ServerSentEventBuffer();
+  #boundary = new EventBoundary();
+  /** Called when the current answer has an event that is too long to be one. */
+  onOverlongEvent: () => void = () => undefined;
+  /** Head that the caller gets. */
   #head: ResponseHead | undefined;
-  #eventCount = 0;
+  /** Head of the answer that arrives at present. */
+  #currentHead: ResponseHead | undefined;
+  #currentBytes = 0;
+  #writeCount = 0;
 
-  constructor(
-    private readonly caller: Caller,
-    private readonly acceptsStatus: StatusPredicate,
-    private readonly onBytes: () => void,
-    resumable: boolean,
-  ) {
+  constructor(options: StreamingResponseSinkOptions) {
     super();
-    this.#eventBuffer = resumable ? new ServerSentEventBuffer() : undefined;
+    this.#options = options;
   }
 
   /** Id of the last forwarded event; undefined if the stream is not resumable. */
   get lastEventId(): string | undefined {
-    return this.#eventBuffer?.lastEventId;
+    return this.#eventBuffer.lastEventId;
   }
 
   /** Number of writes to the caller; each holds one or more events. */
   get writeCount(): number {
-    return this.#eventCount;
+    return this.#writeCount;
   }
 
   override onHead(head: ResponseHead): boolean {
-    if (!this.acceptsStatus(head.status)) return false;
-    this.#eventBuffer?.takeIncompleteEvent();
+    if (!this.#options.acceptsStatus(head.status)) return false;
+    this.#eventBuffer.takeIncompleteEvent();
+    this.#boundary = new EventBoundary();
+    this.#currentHead = head;
+    this.#currentBytes = 0;
     this.#head ??= head;
     return true;
   }
 
   override onData(chunk: Buffer): boolean {
-    const bytes =
-      this.#eventBuffer === undefined
-        ? chunk
-        : this.#eventBuffer.appendChunk(chunk);
+    this.#currentBytes += chunk.length;
+    const bytes = this.#takeForwardableBytes(chunk);
     return bytes.length === 0 || this.#writeBytes(bytes);
   }
 
   override waitForDrain(): Promise<void> {
-    return this.caller.waitForDrain();
+    return this.#options.caller.waitForDrain();
+  }
+
+  /**
+   * Returns why the current answer, whose end has arrived, was broken off; undefined if
+   * it is complete.
+   */
+  findTruncation(): string | undefined {
+    const head = this.#currentHead;
+    if (head === undefined || !isEventStream(head)) return undefined;
+    if (this.#isInsideEvent) return 'the stream ended inside an event';
+    const isEmpty = head.isCloseDelimited && this.#currentBytes === 0;
+    return isEmpty ? 'the connection ended before the first event' : undefined;
   }
 
   /** Ends an answer that arrived completely. */
   finish(): void {
-    const incompleteEvent = this.#eventBuffer?.takeIncompleteEvent();
-    if (incompleteEvent !== undefined && incompleteEvent.length > 0)
-      this.#writeBytes(incompleteEvent);
+    const incompleteEvent = this.#eventBuffer.takeIncompleteEvent();
+    if (incompleteEvent.length > 0) this.#writeBytes(incompleteEvent);
     this.#writeHeadOnce();
-    this.caller.end();
+    this.#options.caller.end();
+  }
+
+  get #isInsideEvent(): boolean {
+    return this.#options.isResumable
+      ? this.#eventBuffer.isInsideEvent
+      : this.#boundary.isInsideEvent;
+  }
+
+  #takeForwardableBytes(chunk: Buffer): Buffer {
+    const head = this.#currentHead;
+    if (head !== undefined && !mayHoldEvents(head)) return chunk;
+    const tracker = this.#options.isResumable
+      ? this.#eventBuffer
+      : this.#boundary;
+    const bytes = tracker.appendChunk(chunk);
+    if (tracker.isOverlong) this.onOverlongEvent();
+    return bytes;
   }
 
   #writeBytes(bytes: Buffer): boolean {
     this.#writeHeadOnce();
-    this.#eventCount += 1;
-    this.onBytes();
-    return this.caller.write(bytes);
+    this.#writeCount += 1;
+    this.#options.onBytes();
+    return this.#options.caller.write(bytes);
   }
 
   #writeHeadOnce(): void {
-    if (this.caller.hasStarted || this.#head === undefined) return;
-    this.caller.writeHead(this.#head);
+    const { caller } = this.#options;
+    if (caller.hasStarted || this.#head === undefined) return;
+    caller.writeHead(this.#head);
   }
 }
+
+/** False if the answer is certainly no stream of events, such as an error page. */
+const mayHoldEvents = (head: ResponseHead): boolean =>
+  getMediaType(head) === undefined || isEventStream(head);
--- a/packages/relay/src/relay/server-sent-event-buffer.ts
+++ b/packages/relay/src/relay/server-sent-event-buffer.ts
@@ -4,10 +4,11 @@
  */
 
 const newline = 0x0a;
-const eventIdPattern = /^id:[ ]?(.*)$/m;
+const carriageReturn = 0x0d;
+const eventIdPattern = /^id:[ ]?(.*)$/gm;
 
-/** Longest incomplete event that is buffered; longer ones are passed through. */
-const maxIncompleteEventBytes = 256 * 1024;
+/** Longest event; what has no end by then is none. */
+const maxEventBytes = 256 * 1024;
 
 /** Buffers the incomplete event at the end of one stream. */
 export class ServerSentEventBuffer {
@@ -26,19 +27,25 @@
         ? chunk
         : Buffer.concat([this.#incompleteEvent, chunk]);
     const end = findLastEventEnd(bytes);
-    if (end === 0 && bytes.length <= maxIncompleteEventBytes) {
-      this.#incompleteEvent = bytes;
-      return Buffer.alloc(0);
-    }
-    const completeEvents = end === 0 ? bytes : bytes.subarray(0, end);
-    this.#incompleteEvent = bytes.subarray(completeEvents.length);
+    const completeEvents = bytes.subarray(0, end);
+    this.#incompleteEvent = bytes.subarray(end, end + maxEventBytes + 1);
     this.#updateLastEventId(completeEvents);
     return completeEvents;
   }
 
+  /** True if the bytes so far end inside an event. */
+  get isInsideEvent(): boolean {
+    return this.#incompleteEvent.length > 0;
+  }
+
+  /** True if the event at the end is too long to be one. */
+  get isOverlong(): boolean {
+    return this.#incompleteEvent.length > maxEventBytes;
+  }
+
   /**
-   * Returns and clears the bytes after the last complete event: the end of a stream
-   * that ended normally, or bytes to drop before the stream is resumed.
+   * Returns and clears the bytes after the last complete event, which are dropped before
+   * the stream is resumed.
    */
   takeIncompleteEvent(): Buffer {
     const incompleteEvent = this.#incompleteEvent;
@@ -47,17 +54,46 @@
   }
 
   #updateLastEventId(events: Buffer): void {
-    for (const event of events.toString('latin1').split('\n\n')) {
-      const id = eventIdPattern.exec(event)?.[1]?.trim();
-      if (id !== undefined) this.#lastEventId = id;
-    }
+    const ids = events.toString('latin1').matchAll(eventIdPattern);
+    for (const [, id] of ids) this.#lastEventId = id?.trim();
+  }
+}
+
+/** Longest sequence that ends an event, without its last byte. */
+const maxTailBytes = 2;
+
+/** Tells whether a stream that is passed on at once ends inside an event. */
+export class EventBoundary {
+  #tail: Buffer = Buffer.alloc(0);
+  #incompleteBytes = 0;
+
+  /** Takes note of the next bytes and returns them. */
+  appendChunk(chunk: Buffer): Buffer {
+    const bytes = Buffer.concat([this.#tail, chunk]);
+    const end = findLastEventEnd(bytes);
+    this.#incompleteBytes =
+      end === 0 ? this.#incompleteBytes + chunk.length : bytes.length - end;
+    this.#tail = bytes.subarray(-maxTailBytes);
+    return chunk;
+  }
+
+  /** True if the bytes so far end inside an event. */
+  get isInsideEvent(): boolean {
+    return this.#incompleteBytes > 0;
+  }
+
+  /** True if the event at the end is too long to be one. */
+  get isOverlong(): boolean {
+    return this.#incompleteBytes > maxEventBytes;
   }
 }
 
 /** Returns the position after the last empty line, or 0 if there is none. */
 const findLastEventEnd = (bytes: Buffer): number => {
   for (let i = bytes.length - 1; i > 0; i -= 1) {
-    if (bytes[i] === newline && bytes[i - 1] === newline) return i + 1;
+    if (bytes[i] !== newline) continue;
+    const previous = bytes[i - 1] === carriageReturn ? i - 2 : i - 1;
+    if (bytes[previous] === newline) return i + 1;
   }
   return 0;
 };
