Answer 502 where a request may have run, in place of a status that says it has not

Cause: the status came from the result code alone, whatever the failure says of the execution. Failing before: 'a failure whose request may have run does not say that it has not'. Ruled out: other codes for the same reasons, which callers would have to learn.

--- a/packages/core/src/shared/failure.ts
+++ b/packages/core/src/shared/failure.ts
@@ -26,6 +26,10 @@
   readonly details?: Readonly<Record<string, unknown>>;
 }
 
+/** Statuses that callers take to mean that the request was not run. */
+const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+const badGatewayStatus = 502;
+
 /** Body of all error responses, on all HTTP interfaces. */
 export const errorBodySchema = z.object({
   error: z.object({
@@ -60,9 +64,14 @@
     return resultCodes[this.code].number;
   }
 
-  /** HTTP status of the error response. */
+  /**
+   * HTTP status of the error response. A request that may have run does not get one that
+   * says it has not.
+   */
   get status(): number {
-    return resultCodes[this.code].status;
+    const { status } = resultCodes[this.code];
+    const isFalse = this.executed === 'unknown' && notRunStatuses.has(status);
+    return isFalse ? badGatewayStatus : status;
   }
 
   /** Creates the body of the error response. */
