--- a/packages/soak/src/processes/instance-process.ts
+++ b/packages/soak/src/processes/instance-process.ts
@@ -154,6 +154,11 @@
     this.startedAtMs = performance.now();
     this.#sentEndSignal = undefined;
     this.#child = child;
+    const killAtExit = () => child.kill('SIGKILL');
+    process.once('exit', killAtExit);
+    child.once('exit', () => {
+      process.off('exit', killAtExit);
+    });
     child.stdout.on('data', chunk => {
       this.#appendLog(chunk);
     });
