Hand requests to other instances while no target is reached

The class of fault: work that is bound to the one path of the process that happened to get it, where others have one.

Change: TargetLink doubts the own link when two targets fail within a second, or none is heard of for 0.6 s while requests are under way, and asks up to three targets on new connections; one that answers ends the doubt, so a wrong verdict costs a hop at most. While the link is down, requests go to other instances over HTTP at the peer interface, with what is left of their time, as they came; never twice on, never to one that has reported that it is cut off too. What may have run and may not be repeated is unknown, not handed on. Hung sends that may be repeated are aborted, streams go on after their last event. Failures of that time are forgotten, crashes not counted, kept connections closed, and the lease for roles is given up.

--- a/packages/core/src/shared/events.ts
+++ b/packages/core/src/shared/events.ts
@@ -287,6 +287,21 @@
     'info',
     'A target that was reported as crashed has answered since.',
   ),
+  target_link_down: defineEvent(
+    521,
+    'error',
+    'This instance reaches no target; it hands requests to other instances.',
+  ),
+  target_link_up: defineEvent(
+    522,
+    'info',
+    'This instance reaches targets again.',
+  ),
+  request_forwarded: defineEvent(
+    523,
+    'info',
+    'A request was handed to another instance, as this one reaches no target.',
+  ),
 } as const satisfies Record<string, LogEvent>;
 
 /** Name of a log event, written to the log as the field `name`. */
--- /dev/null
+++ b/packages/relay/src/forwarding/request-forwarder.ts
@@ -0,0 +1,36 @@
+/** Hands requests to other instances while this one reaches no target. */
+import type { Failure } from '@medlarlever/core';
+
+import type { RelayRequest } from '../requests/relay-request.js';
+import type { ResponseSink, SendOutcome } from '../relay/target-client.js';
+
+/** Options of a forwarded request. */
+export interface ForwardOptions {
+  readonly remainingMs: number;
+  /** Id of the event that the caller got last; undefined if it got none. */
+  readonly lastEventId: string | undefined;
+  /** Names of the instances that have failed this request. */
+  readonly excluded: ReadonlySet<string>;
+  /** Aborts the request and closes its connection. */
+  readonly signal: AbortSignal;
+}
+
+/** `failed`: the other instance has failed the request itself. */
+export type ForwardOutcome =
+  SendOutcome | { readonly kind: 'failed'; readonly failure: Failure };
+
+/** The instance that got a request, and what came of it. */
+export interface Forwarding {
+  readonly instance: string;
+  readonly outcome: ForwardOutcome;
+}
+
+/** Forwards requests; implementations define how the instances are reached. */
+export abstract class RequestForwarder {
+  /** Resolves to undefined, at once, if no other instance can take the request. */
+  abstract forward(
+    request: RelayRequest,
+    options: ForwardOptions,
+    sink: ResponseSink,
+  ): Promise<Forwarding | undefined>;
+}
--- a/packages/relay/src/kernel/tokens.ts
+++ b/packages/relay/src/kernel/tokens.ts
@@ -17,6 +17,9 @@
 import type { ServiceStates } from '../relay/service-state.js';
 import type { TargetClient } from '../relay/target-client.js';
 import type { CrashTracker } from '../crashes/crash-tracker.js';
+import type { CutOffInstances } from '../forwarding/cut-off-instances.js';
+import type { HttpRequestForwarder } from '../forwarding/http-request-forwarder.js';
+import type { TargetLink } from '../targets/target-link.js';
 import type { PromptQuarantine } from '../crashes/prompt-quarantine.js';
 import type { EngineControlClient } from '../roles/engine-control-client.js';
 import type { PrefillDemand } from '../roles/prefill-demand.js';
@@ -85,6 +88,13 @@
 );
 export const serviceStatesToken = new InjectionToken<ServiceStates>('services');
 export const crashTrackerToken = new InjectionToken<CrashTracker>('crashes');
+export const targetLinkToken = new InjectionToken<TargetLink>('target-link');
+export const cutOffInstancesToken = new InjectionToken<CutOffInstances>(
+  'cut-off-instances',
+);
+export const requestForwarderToken = new InjectionToken<HttpRequestForwarder>(
+  'request-forwarder',
+);
 export const promptQuarantineToken = new InjectionToken<PromptQuarantine>(
   'prompt-quarantine',
 );
--- a/packages/relay/src/metrics/relay-metrics.ts
+++ b/packages/relay/src/metrics/relay-metrics.ts
@@ -21,6 +21,7 @@
   readonly #eventGapHistogram: Histogram<'service'>;
   readonly #sendCounter: Counter<'service' | 'outcome'>;
   readonly #limitedSendCounter: Counter<'service'>;
+  readonly #forwardedCounter: Counter<'outcome'>;
   readonly #refusedPromptCounter: Counter<'service'>;
   readonly #resumptionCounter: Counter<'service' | 'origin'>;
   readonly #routeLabels = new LabelLimiter(maxRouteLabels);
@@ -73,6 +74,12 @@
       labelNames: ['service', 'origin'],
       registers,
     });
+    this.#forwardedCounter = new Counter({
+      name: 'medlarlever_relay_forwarded_total',
+      help: 'Requests handed to other instances, by outcome',
+      labelNames: ['outcome'],
+      registers,
+    });
     this.#refusedPromptCounter = new Counter({
       name: 'medlarlever_relay_refused_prompts_total',
       help: 'Requests refused because a part of their prompts crashes targets, by service',
@@ -123,6 +130,11 @@
     this.#sendCounter.inc({ service, outcome });
   }
 
+  /** Records the outcome of a request that was handed to another instance. */
+  recordForwarding(outcome: string): void {
+    this.#forwardedCounter.inc({ outcome });
+  }
+
   /** Records a request that is refused because a part of its prompt crashes targets. */
   recordRefusedPrompt(service: string): void {
     this.#refusedPromptCounter.inc({ service });
--- a/packages/relay/src/metrics/state-gauges.ts
+++ b/packages/relay/src/metrics/state-gauges.ts
@@ -8,6 +8,7 @@
 import type { ServiceStates } from '../relay/service-state.js';
 import type { RouteTableHolder } from '../routes/route-table-holder.js';
 import type { TargetAnnouncements } from '../targets/target-announcements.js';
+import type { TargetLink } from '../targets/target-link.js';
 import type { TargetRegistry } from '../targets/target-registry.js';
 
 const msPerSecond = 1_000;
@@ -23,6 +24,7 @@
   readonly eras: EraTracker;
   readonly announcements: TargetAnnouncements;
   readonly promptQuarantine: PromptQuarantine;
+  readonly targetLink: TargetLink;
   /** Returns the event loop delay in milliseconds. */
   readonly eventLoopDelayMs: () => number;
   /** Returns the number of log lines dropped because their reader was slow. */
@@ -94,6 +96,11 @@
     'Pauses that targets asked this instance for',
     () => options.announcements.quietPeriodCount,
   );
+  registerGauge(
+    'target_link_up',
+    '1 while this instance reaches targets',
+    () => (options.targetLink.isCutOff ? 0 : 1),
+  );
   registerGauge(
     'refused_prompt_parts',
     'Parts of prompts that are held to crash targets',
--- a/packages/relay/src/peers/app.ts
+++ b/packages/relay/src/peers/app.ts
@@ -6,6 +6,10 @@
 import { awaitCloseOrTimeout } from '../kernel/close-timeout.js';
 import {
   crashTrackerToken,
+  cutOffInstancesToken,
+  relayToken,
+  requestDrainerToken,
+  targetLinkToken,
   prefillDemandToken,
   promptQuarantineToken,
   incarnationToken,
@@ -37,6 +41,7 @@
 import { StreamOriginFinder } from '../origins/stream-origin-finder.js';
 import { StreamOrigins } from '../origins/stream-origins.js';
 import { startOrder } from '../kernel/start-order.js';
+import { createForwardedRequestHandler } from '../forwarding/forwarded-request-handler.js';
 import { openPeerInterface } from '../server/peer-interface.js';
 
 import { LimitReports } from './limit-reports.js';
@@ -99,6 +104,8 @@
     targets: kernel.get(targetRegistryToken),
     crashes: kernel.get(crashTrackerToken),
     promptQuarantine: kernel.get(promptQuarantineToken),
+    targetLink: kernel.get(targetLinkToken),
+    cutOffInstances: kernel.get(cutOffInstancesToken),
     limits: new LimitReports({
       targets: kernel.get(targetRegistryToken),
       log: kernel.get(logToken),
@@ -206,6 +213,11 @@
   const close = await openPeerInterface({
     kernel,
     log: kernel.get(logToken),
+    serveForwardedRequest: createForwardedRequestHandler({
+      relay: kernel.get(relayToken),
+      drainer: kernel.get(requestDrainerToken),
+      log: kernel.get(logToken),
+    }),
     ...kernel.get(settingsToken).current.peers,
   });
   const { signal } = kernel.get(servingEndControllerToken);
--- a/packages/relay/src/peers/load-exchange.test.ts
+++ b/packages/relay/src/peers/load-exchange.test.ts
@@ -12,6 +12,8 @@
 import { ServiceStates } from '../relay/service-state.js';
 import { PromptQuarantine } from '../crashes/prompt-quarantine.js';
 import { CrashTracker } from '../crashes/crash-tracker.js';
+import { CutOffInstances } from '../forwarding/cut-off-instances.js';
+import { TargetLink } from '../targets/target-link.js';
 import { PrefillDemand } from '../roles/prefill-demand.js';
 import { TargetRegistry } from '../targets/target-registry.js';
 
@@ -45,6 +47,14 @@
     targets,
     crashes,
     promptQuarantine,
+    targetLink: new TargetLink({
+      targets,
+      probe: () => Promise.resolve(true),
+      onCut: () => undefined,
+      log: createMemoryLog(),
+      random: () => 0.5,
+    }),
+    cutOffInstances: new CutOffInstances(),
     limits: new LimitReports({ targets, log: createMemoryLog() }),
     origins,
     services: new ServiceStates({
--- a/packages/relay/src/peers/load-exchange.ts
+++ b/packages/relay/src/peers/load-exchange.ts
@@ -7,6 +7,7 @@
 import { sleep } from '@medlarlever/core';
 import type { Kernel } from '@medlarlever/core';
 
+import type { CutOffInstances } from '../forwarding/cut-off-instances.js';
 import type { StreamOrigins } from '../origins/stream-origins.js';
 import type { PromptSegment } from '../requests/relay-request.js';
 import type { ServiceStates } from '../relay/service-state.js';
@@ -14,6 +15,7 @@
 import type { CrashTracker } from '../crashes/crash-tracker.js';
 import type { PrefillDemand } from '../roles/prefill-demand.js';
 import type { TargetRegistry } from '../targets/target-registry.js';
+import type { TargetLink } from '../targets/target-link.js';
 import { zeroLoad } from '../targets/target-state.js';
 
 import type { LimitReports } from './limit-reports.js';
@@ -51,6 +53,8 @@
   readonly crashes: CrashTracker;
   readonly promptQuarantine: PromptQuarantine;
   readonly limits: LimitReports;
+  readonly targetLink: TargetLink;
+  readonly cutOffInstances: CutOffInstances;
   readonly origins: StreamOrigins;
   readonly services: ServiceStates;
   readonly demand: PrefillDemand;
@@ -187,7 +191,8 @@
     const needsRepetition =
       loads.length > 0 ||
       reportsToAggregator ||
-      this.#options.promptQuarantine.causeCount > 0;
+      this.#options.promptQuarantine.causeCount > 0 ||
+      this.#options.targetLink.isCutOff;
     const isOverdue = nowMs - this.#lastSentAtMs >= maxReportIntervalMs;
     if (!hasChanged && !(needsRepetition && isOverdue)) return false;
     this.#lastSentLoads = serializedLoads;
@@ -208,6 +213,7 @@
       placed: prefillTokenTotals,
       ...this.#ownLoad.takeUnreportedEvents(),
       limits: limits.list(),
+      cutOff: this.#options.targetLink.isCutOff ? [self] : [],
       begun: origins.takeUnreported(),
       crashes: crashes.takeUnreportedCrashes(),
       // Members of an aggregator hear of the causes from it.
@@ -248,6 +254,7 @@
       refuted: report.refutedCrashes,
     });
     limits.apply(report.limits);
+    this.#options.cutOffInstances.record(report.cutOff);
     origins.apply(report.begun);
     const { getRevision, onNewerRevision } = this.#options;
     if (report.revision > getRevision())
--- a/packages/relay/src/peers/load-report.ts
+++ b/packages/relay/src/peers/load-report.ts
@@ -47,6 +47,8 @@
    */
   pace: z.array(z.tuple([z.string(), z.number(), z.number()])).default([]),
   limits: z.array(reportedLimitSchema).default([]),
+  /** Names of the instances that reach no target. */
+  cutOff: z.array(z.string()).default([]),
   begun: z.array(begunStreamSchema).default([]),
   /** Crashes with the prompts that may have caused them. */
   targetCrashes: z.array(reportedCrashSchema).default([]),
--- a/packages/relay/src/peers/member-reports.ts
+++ b/packages/relay/src/peers/member-reports.ts
@@ -12,6 +12,7 @@
   readonly receivedAtMs: number;
   readonly loads: LoadReport['loads'];
   readonly limits: LoadReport['limits'];
+  readonly cutOff: LoadReport['cutOff'];
 }
 
 /** Collects member reports and combines them into one report. */
@@ -25,9 +26,9 @@
 
   /** Records the report of a member. */
   addReport(report: LoadReport): void {
-    const { from, loads, limits, placed } = report;
+    const { from, loads, limits, cutOff, placed } = report;
     const receivedAtMs = performance.now();
-    this.#reportsByMember.set(from, { receivedAtMs, loads, limits });
+    this.#reportsByMember.set(from, { receivedAtMs, loads, limits, cutOff });
     this.#countPrefillTokens(from, placed);
     addEvents(this.#events, report);
   }
@@ -59,6 +60,7 @@
         { receivedAtMs: performance.now(), limits: ownReport.limits },
         ...this.#reportsByMember.values(),
       ]),
+      cutOff: this.#listCutOff(ownReport.cutOff),
       placed: [...this.#prefillTokensByService],
     };
   }
@@ -83,6 +85,14 @@
     }
   }
 
+  #listCutOff(own: LoadReport['cutOff']): LoadReport['cutOff'] {
+    const nowMs = performance.now();
+    const members = [...this.#reportsByMember.values()]
+      .filter(({ receivedAtMs }) => nowMs - receivedAtMs <= loadReportTtlMs)
+      .flatMap(({ cutOff }) => cutOff);
+    return [...own, ...members];
+  }
+
   #sumLoads(ownLoads: LoadReport['loads']): LoadReport['loads'] {
     const nowMs = performance.now();
     const currentLoads = [...this.#reportsByMember.values()]
--- a/packages/relay/src/relay-daemon.ts
+++ b/packages/relay/src/relay-daemon.ts
@@ -4,6 +4,7 @@
 import { Kernel } from '@medlarlever/core';
 
 import { changeStreamsPlugin } from './change-streams/app.js';
+import { forwardingPlugin } from './forwarding/app.js';
 import {
   requestDrainerToken,
   incarnationToken,
@@ -20,6 +21,7 @@
 
 const plugins = [
   changeStreamsPlugin,
+  forwardingPlugin,
   peersPlugin,
   relayApp,
   rolesPlugin,
--- a/packages/relay/src/relay/generation-runner.ts
+++ b/packages/relay/src/relay/generation-runner.ts
@@ -115,11 +115,17 @@
         return;
       }
       if (this.#isRefused()) return;
+      this.#onEvent = () => undefined;
+      if (await this.tryForward(this.#responseSink)) {
+        this.#releaseKvCache();
+        return;
+      }
       const placementResult = isFirstPlacement
         ? this.#placer.placeWithAdmission()
         : this.#placer.placeRetry();
       const placement = placementResult.extract();
       if (placement instanceof Failure) {
+        if (await this.isCutOffAfterAll()) continue;
         this.failRequest(placement);
         return;
       }
@@ -242,6 +248,7 @@
       ),
       signal: context.signal,
       checkLiveness: dependencies.checkLiveness,
+      isCutOff: () => dependencies.targetLink.isCutOff,
     });
     const outcome = await dependencies.targetClient.prefill(
       record,
@@ -343,6 +350,7 @@
       answerProgress.recordEvent();
       endPrefill();
       target.recordAnswer();
+      dependencies.targetLink.recordAnswer();
       watchdog?.recordActivity();
     };
     context.recordSend();
@@ -400,13 +408,14 @@
       stallTimeoutFactor * expectedResponseMs,
     );
     const { signal } = this.context;
-    const { checkLiveness } = this.dependencies;
+    const { checkLiveness, targetLink } = this.dependencies;
     return new SendWatchdog({
       target,
       expectedResponseMs,
       stallTimeoutMs,
       signal,
       checkLiveness,
+      isCutOff: () => targetLink.isCutOff,
     });
   }
 
--- a/packages/relay/src/relay/plain-request-runner.ts
+++ b/packages/relay/src/relay/plain-request-runner.ts
@@ -44,8 +44,10 @@
         this.failRequest(context.createDeadlineFailure());
         return;
       }
+      if (await this.tryForward(this.#createResponseSink())) return;
       const target = this.#chooseTarget();
       if (target === undefined) {
+        if (await this.isCutOffAfterAll()) continue;
         this.failRequest(this.#createNoTargetFailure());
         return;
       }
@@ -161,6 +163,7 @@
       stallTimeoutMs: stallTimeoutShare * remainingMs,
       signal,
       checkLiveness: this.dependencies.checkLiveness,
+      isCutOff: () => this.dependencies.targetLink.isCutOff,
     });
   }
 
--- a/packages/relay/src/relay/relay.ts
+++ b/packages/relay/src/relay/relay.ts
@@ -7,6 +7,7 @@
   FoundOrigin,
   StreamOriginFinder,
 } from '../origins/stream-origin-finder.js';
+import type { RequestForwarder } from '../forwarding/request-forwarder.js';
 import type { RelayMetrics } from '../metrics/relay-metrics.js';
 import type {
   Caller,
@@ -20,6 +21,7 @@
 import { pickService } from '../routes/route-table.js';
 import type { RouteTableHolder } from '../routes/route-table-holder.js';
 import type { DataCenterReachability } from '../targets/data-center-reachability.js';
+import type { TargetLink } from '../targets/target-link.js';
 import type { TargetRegistry } from '../targets/target-registry.js';
 
 import { PlainRequestRunner } from './plain-request-runner.js';
@@ -76,6 +78,8 @@
   /** Called when a connection to the target broke, which may have ended. */
   readonly checkCrash: CrashCheck;
   readonly promptQuarantine: PromptQuarantine;
+  readonly targetLink: TargetLink;
+  readonly forwarder: RequestForwarder;
   readonly dataCenterReachability: DataCenterReachability;
   readonly metrics: RelayMetrics;
   readonly log: Log;
@@ -149,6 +153,9 @@
       log,
       metrics,
     });
+    const { forwardedBy } = request;
+    if (forwardedBy !== undefined)
+      context.addLogFields({ forwarded_by: forwardedBy });
     try {
       if (found !== undefined) this.#recordResumption(context, found);
       await this.#runRequest(context);
@@ -203,7 +210,9 @@
       context.failRequest(new Failure('overloaded', reason, { retryAfterMs }));
       return;
     }
-    serviceStates.getState(service).retryBudget.recordRequest();
+    // The instance that the caller asked has counted the request.
+    if (request.forwardedBy === undefined)
+      serviceStates.getState(service).retryBudget.recordRequest();
     const engineSettings = routes.currentTable?.findService(service)?.engine;
     if (engineSettings !== undefined && request.prompt !== undefined) {
       await new GenerationRunner(
--- a/packages/relay/src/relay/request-context.ts
+++ b/packages/relay/src/relay/request-context.ts
@@ -115,7 +115,7 @@
 
   /** Logs a failed attempt or a resend of this request. */
   logEvent(
-    name: 'attempt_failed' | 'request_resent',
+    name: 'attempt_failed' | 'request_resent' | 'request_forwarded',
     fields: Readonly<Record<string, unknown>>,
   ): void {
     this.#options.log.writeEvent(name, { request: this.request.id, ...fields });
@@ -131,6 +131,11 @@
     });
   }
 
+  /** Ends the request after an answer that another instance has got for it. */
+  completeForwarded(status: number, instance: string): void {
+    this.#endRequest('answered', { status, forwarded_to: instance });
+  }
+
   /**
    * Ends the request with a failure: sends the failure to the caller, or aborts the
    * answer if part of it was sent.
--- a/packages/relay/src/relay/request-runner.ts
+++ b/packages/relay/src/relay/request-runner.ts
@@ -1,6 +1,7 @@
 /** Attempts and failure handling shared by plain requests and generations. */
 import { Failure } from '@medlarlever/core';
 
+import type { Forwarding } from '../forwarding/request-forwarder.js';
 import { canContinueStream } from '../origins/stream-origin.js';
 import type { StreamOrigin } from '../origins/stream-origin.js';
 import type { TargetRecord } from '../targets/target-record.js';
@@ -55,6 +56,18 @@
 /** Lowest response status after which a retryable request is retried. */
 export const minServerErrorStatus = 500;
 
+/** Other instances to which one request is handed, one after the other. */
+const maxForwardings = 2;
+
+/** Failures for which yet another instance may do better. */
+const elsewhereCodes: ReadonlySet<string> = new Set([
+  'no_target',
+  'not_ready',
+  'not_found',
+  'shutting_down',
+  'overloaded',
+]);
+
 type FailedSendOutcome = Exclude<SendOutcome, { kind: 'whole' }>;
 
 /** True when the target has certainly not executed the request. */
@@ -79,6 +92,8 @@
   protected readonly excludedTargets = new Set<TargetState>();
   /** Number of failed sends that a target may have executed. */
   protected possibleExecutionCount = 0;
+  /** Names of the instances that could not take this request. */
+  readonly #failedInstances = new Set<string>();
 
   constructor(
     protected readonly dependencies: RelayDependencies,
@@ -110,6 +125,105 @@
     this.dependencies.onStreamBegin(firstRequest, { service, softwareVersion });
   }
 
+  /**
+   * Hands the request to another instance if this one reaches no target; true when the
+   * request has ended.
+   */
+  protected async tryForward(
+    sink: BufferedResponseSink | StreamingResponseSink,
+  ): Promise<boolean> {
+    const { targetLink } = this.dependencies;
+    const { request } = this.context;
+    if (!targetLink.isCutOff || request.forwardedBy !== undefined) return false;
+    while (this.#failedInstances.size < maxForwardings) {
+      const forwarding = await this.#forwardOnce(sink);
+      if (forwarding === undefined) return false;
+      if (this.#endForwarding(forwarding, sink)) return true;
+      this.#failedInstances.add(forwarding.instance);
+    }
+    return false;
+  }
+
+  /**
+   * Waits for the verdict on the link if it is in doubt; true if this instance reaches no
+   * target and others may be asked.
+   */
+  protected async isCutOffAfterAll(): Promise<boolean> {
+    const { targetLink } = this.dependencies;
+    if (this.context.request.forwardedBy !== undefined) return false;
+    if (this.#failedInstances.size > 0) return false;
+    const wasCutOff = targetLink.isCutOff;
+    await targetLink.settle();
+    return targetLink.isCutOff && !wasCutOff;
+  }
+
+  async #forwardOnce(
+    sink: BufferedResponseSink | StreamingResponseSink,
+  ): Promise<Forwarding | undefined> {
+    const { dependencies, context } = this;
+    const forwarding = await dependencies.forwarder.forward(
+      context.request,
+      {
+        remainingMs: context.remainingMs,
+        lastEventId:
+          sink instanceof BufferedResponseSink ? undefined : sink.lastEventId,
+        excluded: this.#failedInstances,
+        signal: context.signal,
+      },
+      sink,
+    );
+    const { instance, outcome } = forwarding ?? {};
+    dependencies.metrics.recordForwarding(outcome?.kind ?? 'no_instance');
+    context.logEvent('request_forwarded', {
+      instance,
+      outcome: outcome?.kind ?? 'no_instance',
+    });
+    return forwarding;
+  }
+
+  /** Ends the request by what came of it elsewhere; false if it may be tried again. */
+  #endForwarding(
+    { instance, outcome }: Forwarding,
+    sink: BufferedResponseSink | StreamingResponseSink,
+  ): boolean {
+    const { context } = this;
+    const truncation =
+      sink instanceof BufferedResponseSink ? undefined : sink.findTruncation();
+    if (outcome.kind === 'whole' && truncation === undefined) {
+      sink.finish();
+      context.completeForwarded(outcome.status, instance);
+      return true;
+    }
+    if (context.signal.aborted) {
+      context.mayHaveExecuted = true;
+      this.failRequest(context.createDeadlineFailure());
+      return true;
+    }
+    if (outcome.kind === 'failed')
+      return this.#endFailedForwarding(outcome.failure);
+    if (isConnectFailure(outcome)) return false;
+    context.mayHaveExecuted = true;
+    this.failRequest(
+      createTargetFailure(
+        `the answer by way of instance ${instance} broke off`,
+      ),
+    );
+    return true;
+  }
+
+  #endFailedForwarding(failure: Failure): boolean {
+    const { context } = this;
+    if (failure.executed === 'no' && elsewhereCodes.has(failure.code))
+      return false;
+    if (failure.executed === 'unknown') context.mayHaveExecuted = true;
+    this.failRequest(
+      context.mayHaveExecuted && failure.executed === 'no'
+        ? createTargetFailure(failure.message)
+        : failure,
+    );
+    return true;
+  }
+
   /**
    * Sends the request once. A stream that breaks off without an error of the connection
    * is broken as well.
--- a/packages/relay/src/relay/send-watchdog.ts
+++ b/packages/relay/src/relay/send-watchdog.ts
@@ -13,6 +13,9 @@
  */
 const livenessCheckFactor = 2;
 
+/** Silence after which a send is aborted if no target is reached, and others may be. */
+const cutOffSilenceMs = 400;
+
 /** Resolves to true if the target answers a probe on a separate connection. */
 export type LivenessCheck = (target: TargetState) => Promise<boolean>;
 
@@ -26,6 +29,8 @@
   /** Another signal that aborts the send, such as the request's deadline. */
   readonly signal: AbortSignal;
   readonly checkLiveness: LivenessCheck;
+  /** Returns true while this instance reaches no target. */
+  readonly isCutOff: () => boolean;
 }
 
 /** Watches one send until `stop` is called. */
@@ -59,9 +64,11 @@
   }
 
   #checkProgress(): void {
-    const { target, expectedResponseMs, stallTimeoutMs } = this.#options;
+    const { target, expectedResponseMs, stallTimeoutMs, isCutOff } =
+      this.#options;
     const silentMs = performance.now() - this.#lastActivityAtMs;
-    if (silentMs >= stallTimeoutMs) {
+    const isLinkSilent = silentMs >= cutOffSilenceMs && isCutOff();
+    if (silentMs >= stallTimeoutMs || isLinkSilent) {
       this.#abortController.abort();
       return;
     }
--- a/packages/relay/src/relay/target-outcomes.ts
+++ b/packages/relay/src/relay/target-outcomes.ts
@@ -24,10 +24,11 @@
 
 /** Records that the target, and thus its data centre, has answered. */
 export const recordTargetSuccess = (
-  { dataCenterReachability }: RelayDependencies,
+  { dataCenterReachability, targetLink }: RelayDependencies,
   target: TargetState,
 ): void => {
   target.recordSuccess();
+  targetLink.recordAnswer();
   dataCenterReachability.recordSuccess(target.record.dataCenter);
 };
 
@@ -54,7 +55,11 @@
   if (outcome.kind === 'not_executed' && outcome.wantsQuiet) return;
   target.recordFailure(isConclusiveFailure(outcome));
   if (outcome.kind !== 'broken' && outcome.kind !== 'aborted') return;
-  const { crashTracker, dataCenterReachability, checkCrash } = dependencies;
+  const { crashTracker, dataCenterReachability, checkCrash, targetLink } =
+    dependencies;
+  // The link has failed, and not the targets.
+  if (targetLink.isCutOff) return;
+  if (outcome.kind === 'broken') targetLink.recordFailure(record);
   if (outcome.kind === 'broken' && outcome.phase === 'connecting') {
     dataCenterReachability.recordConnectFailure(record.dataCenter, record.id);
     if (crashTracker.hasSuspects(record.id)) checkCrash(target);
--- a/packages/relay/src/requests/relay-request.ts
+++ b/packages/relay/src/requests/relay-request.ts
@@ -55,6 +55,8 @@
   readonly prompt: Prompt | undefined;
   /** Id of the event after which the caller resumes its stream. */
   readonly resumeAfterEventId: string | undefined;
+  /** Name of the instance that handed the request over; undefined if the caller sent it. */
+  readonly forwardedBy?: string;
 }
 
 /** The caller of one request, to which its answer is written. */
--- a/packages/relay/src/roles/app.ts
+++ b/packages/relay/src/roles/app.ts
@@ -16,6 +16,7 @@
   serviceStatesToken,
   settingsToken,
   tableToken,
+  targetLinkToken,
   targetRegistryToken,
   peerTopologyToken,
 } from '../kernel/tokens.js';
@@ -43,6 +44,7 @@
     registry: kernel.get(instanceRegistryToken),
     routes: kernel.get(routesToken),
     targets: kernel.get(targetRegistryToken),
+    isCutOff: () => kernel.get(targetLinkToken).isCutOff,
     services: kernel.get(serviceStatesToken),
     demand: kernel.get(prefillDemandToken),
     engineControl: kernel.get(engineControlClientToken),
--- a/packages/relay/src/roles/role-leader.test.ts
+++ b/packages/relay/src/roles/role-leader.test.ts
@@ -106,6 +106,7 @@
     targets.findTarget('p1')?.startPrefill([], 90_000);
     const engineControl = new FakeEngineControlClient();
     const leader = new RoleLeader({
+      isCutOff: () => false,
       table,
       leases: new LeaseManager({
         table,
--- a/packages/relay/src/roles/role-leader.ts
+++ b/packages/relay/src/roles/role-leader.ts
@@ -70,6 +70,8 @@
   readonly registry: InstanceRegistry;
   readonly routes: RouteTableHolder;
   readonly targets: TargetRegistry;
+  /** Returns true while this instance reaches no target, and so can't lead. */
+  readonly isCutOff: () => boolean;
   readonly services: ServiceStates;
   readonly demand: PrefillDemand;
   readonly engineControl: EngineControlClient;
@@ -105,7 +107,8 @@
 
   /** Limits the number of instances that contend for the lease, to save table load. */
   #isCandidate(): boolean {
-    const { registry } = this.#options;
+    const { registry, isCutOff } = this.#options;
+    if (isCutOff()) return false;
     const live = registry
       .listInstances()
       .filter(({ state }) => state === 'live')
@@ -125,13 +128,18 @@
   ): Promise<void> {
     const signal = AbortSignal.any([lease.signal, stopSignal]);
     this.#policiesByService.clear();
+    const { isCutOff, leases } = this.#options;
     if (!(await sleep(this.#options.leaseDurationMs, signal))) return;
-    while (lease.isHeld && (await sleep(decisionIntervalMs, signal))) {
+    while (
+      lease.isHeld &&
+      !isCutOff() &&
+      (await sleep(decisionIntervalMs, signal))
+    ) {
       for (const service of this.#options.routes.currentTable?.services ?? []) {
         if (service.engine !== undefined) this.#decideRoles(service, lease);
       }
     }
-    if (stopSignal.aborted) await this.#options.leases.releaseLease(lease);
+    if (stopSignal.aborted || isCutOff()) await leases.releaseLease(lease);
   }
 
   #decideRoles(service: Service, lease: Lease): void {
--- a/packages/relay/src/server/app.ts
+++ b/packages/relay/src/server/app.ts
@@ -21,6 +21,7 @@
   tableToken,
   promptQuarantineToken,
   targetAnnouncementsToken,
+  targetLinkToken,
   targetRegistryToken,
 } from '../kernel/tokens.js';
 import { startOrder } from '../kernel/start-order.js';
@@ -100,6 +101,7 @@
     eras: kernel.get(tableToken).eras,
     announcements: kernel.get(targetAnnouncementsToken),
     promptQuarantine: kernel.get(promptQuarantineToken),
+    targetLink: kernel.get(targetLinkToken),
     watchers: [kernel.get(routeWatcherToken), kernel.get(targetWatcherToken)],
     eventLoopDelayMs: () =>
       kernel.get(eventLoopDelayMonitorToken).currentDelayMs,
--- a/packages/relay/src/server/http-caller.ts
+++ b/packages/relay/src/server/http-caller.ts
@@ -8,6 +8,16 @@
 
 const msPerSecond = 1_000;
 
+/** Options of a {@link HttpCaller}. */
+export interface HttpCallerOptions {
+  /** Returns true if the connection must close after this response. */
+  readonly isClosing: () => boolean;
+  /** Names and values of headers that failures get; none by default. */
+  readonly failureHeaders?: readonly string[];
+  /** True if a response without a length is sent in chunks; false by default. */
+  readonly endsByFraming?: boolean;
+}
+
 /** Writes the response for one request to its HTTP/1.1 connection. */
 export class HttpCaller extends Caller {
   readonly #response: ServerResponse;
@@ -15,10 +25,9 @@
   #hasStarted = false;
   #isCloseDelimited = false;
 
-  /** `isClosing` returns true if the connection must close after this response. */
   constructor(
     response: ServerResponse,
-    private readonly isClosing: () => boolean,
+    private readonly options: HttpCallerOptions,
   ) {
     super();
     this.#response = response;
@@ -44,14 +53,15 @@
 
   override writeHead(head: ResponseHead): void {
     this.#hasStarted = true;
-    this.#isCloseDelimited = head.isCloseDelimited;
+    this.#isCloseDelimited =
+      head.isCloseDelimited && this.options.endsByFraming !== true;
     // A response without a length is forwarded without a length, because the
     // relay cannot know whether it is complete.
-    if (head.isCloseDelimited) {
+    if (this.#isCloseDelimited) {
       this.#response.useChunkedEncodingByDefault = false;
     }
     const headers = [...head.headers];
-    if (head.isCloseDelimited || this.isClosing()) {
+    if (this.#isCloseDelimited || this.options.isClosing()) {
       headers.push('Connection', 'close');
     }
     this.#response.writeHead(head.status, headers);
@@ -88,7 +98,7 @@
   }
 
   override sendFailure(failure: Failure): void {
-    this.#sendFailure(failure, this.isClosing());
+    this.#sendFailure(failure, this.options.isClosing());
   }
 
   /**
@@ -103,6 +113,7 @@
     this.#hasStarted = true;
     const body = JSON.stringify(failure.toBody());
     const headers = [
+      ...(this.options.failureHeaders ?? []),
       'Content-Type',
       'application/json',
       'Content-Length',
--- a/packages/relay/src/server/peer-interface.ts
+++ b/packages/relay/src/server/peer-interface.ts
@@ -4,6 +4,12 @@
 import Fastify from 'fastify';
 import { isJSONRPCRequest } from 'json-rpc-2.0';
 
+import {
+  forwardPath,
+  maxForwardedBytes,
+} from '../forwarding/forwarded-request.js';
+import type { ForwardedRequestHandler } from '../forwarding/forwarded-request-handler.js';
+
 /** Peer connections without a request for this long are closed. */
 const peerIdleTimeoutMs = 35_000;
 
@@ -11,6 +17,7 @@
 export interface PeerInterfaceOptions {
   readonly kernel: Kernel;
   readonly log: Log;
+  readonly serveForwardedRequest: ForwardedRequestHandler;
   readonly host: string;
   readonly port: number;
 }
@@ -39,6 +46,16 @@
     }
     return reply.send(response);
   });
+  const { serveForwardedRequest } = options;
+  fastify.post(
+    forwardPath,
+    { bodyLimit: maxForwardedBytes },
+    async (request, reply) => {
+      const from = String(request.headers['x-instance'] ?? '');
+      reply.hijack();
+      await serveForwardedRequest(request.body, from, reply.raw);
+    },
+  );
   await fastify.listen({ host: options.host, port: options.port });
   return () => fastify.close();
 };
--- a/packages/relay/src/server/relay-controller.ts
+++ b/packages/relay/src/server/relay-controller.ts
@@ -67,7 +67,9 @@
       performance.now() - this.eventLoopDelayMonitor.currentDelayMs;
     reply.hijack();
     const message = request.raw;
-    const caller = new HttpCaller(reply.raw, () => this.drainer.isClosing);
+    const caller = new HttpCaller(reply.raw, {
+      isClosing: () => this.drainer.isClosing,
+    });
     const finishRequest = this.drainer.startRequest();
     try {
       await this.#serveRequest(
--- a/packages/relay/src/targets/target-state.ts
+++ b/packages/relay/src/targets/target-state.ts
@@ -272,6 +272,13 @@
     this.#avoidedUntilMs = performance.now() + avoidMs;
   }
 
+  /** Ends the avoidance of the target, whose failures were not its own. */
+  forgetFailures(): void {
+    this.recordActivity();
+    this.#consecutiveFailures = 0;
+    this.#avoidedUntilMs = 0;
+  }
+
   /** Resets cache and health for a target that restarted under the same id. */
   resetAfterRestart(record: TargetRecord): void {
     this.record = record;
