Ask other instances once for a request, and probe at the second failure

Tests of the forwarding over HTTP found that a request for which no other instance was left asked for one again at each of its own sends (a log line each); failing before: 'an instance that is asked never asks a third one'.

Tests of the link's verdict, of the choice of instances and of the hop: as it came and with the time left, one hop, unknown outcomes, broken answers, callers that leave, refusals, and streams that go on.

--- /dev/null
+++ b/packages/relay/src/forwarding/request-forwarding.test.ts
@@ -0,0 +1,242 @@
+/** Requests that one instance hands to another over HTTP. */
+import { setTimeout as pause } from 'node:timers/promises';
+
+import test from 'ava';
+import type { ExecutionContext } from 'ava';
+
+import { createConnectedRelay } from '../fixtures/connected-relay.js';
+import { FakeCaller } from '../fixtures/fake-caller.js';
+import {
+  sendCompleteResponse,
+  sendIncompleteResponse,
+  waitForAbort,
+} from '../fixtures/fake-target-client.js';
+import { FakeDeployment } from '../fixtures/fake-topology.js';
+import { createRequest } from '../fixtures/relay-fixtures.js';
+import type { Route } from '../routes/route-configuration.js';
+
+import { chooseNeighbor } from './neighbor-selection.js';
+
+const startInstances = async (
+  t: ExecutionContext,
+  names: readonly string[],
+  route: Partial<Route> = {},
+) => {
+  const deployment = new FakeDeployment();
+  return Promise.all(
+    names.map(async self => {
+      const stop = new AbortController();
+      t.teardown(() => {
+        stop.abort();
+      });
+      return createConnectedRelay({ self, route }, deployment, stop.signal);
+    }),
+  );
+};
+
+type Instance = Awaited<ReturnType<typeof startInstances>>[number];
+
+/** Lets all connections to targets fail, so that the instance finds its link down. */
+const cutOff = async ({ client, dependencies, targetRegistry }: Instance) => {
+  client.isAlive = false;
+  client.onSend = () =>
+    Promise.resolve({
+      kind: 'broken',
+      phase: 'connecting',
+      reason: 'refused',
+    });
+  for (const { record } of targetRegistry.listTargets())
+    dependencies.targetLink.recordFailure(record);
+  await dependencies.targetLink.settle();
+};
+
+test('a request is handed over as it came, with what is left of its time', async t => {
+  const [cut, other] = await startInstances(t, ['cut', 'other']);
+  if (cut === undefined || other === undefined) return t.fail();
+  await cutOff(cut);
+  const caller = await cut.serve({
+    id: 'a9',
+    url: '/rules/7?x=%2f',
+    headers: ['X-One', '1', 'x-one', '2'],
+    body: Buffer.from([0, 255, 10]),
+    callerTimeoutMs: 700,
+  });
+  t.is(caller.text, 'ok');
+  t.is(cut.client.sends.length, 0);
+  const [send] = other.client.sends;
+  t.true((send?.options.remainingMs ?? 0) <= 700);
+  t.true((send?.options.remainingMs ?? 0) > 300);
+});
+
+test('an instance that is asked never asks a third one', async t => {
+  const [cut, other] = await startInstances(t, ['cut', 'other']);
+  if (cut === undefined || other === undefined) return t.fail();
+  await cutOff(cut);
+  await cutOff(other);
+  const caller = await cut.serve();
+  t.is(caller.failure?.executed, 'no');
+  t.is(caller.failure?.status, 503);
+  t.true(
+    cut.log.entries.filter(({ name }) => name === 'request_forwarded').length <=
+      2,
+  );
+});
+
+test('another instance is asked if the first one can not be reached', async t => {
+  const [cut, ...others] = await startInstances(t, ['cut', 'b', 'c']);
+  if (cut === undefined) return t.fail();
+  await cutOff(cut);
+  await others[0]?.dependencies.targetLink.settle();
+  others[0]?.routes.applyIfNewer(
+    {
+      version: 9,
+      routes: [],
+      services: [],
+      limits: {
+        headerBytes: 1,
+        bodyBytes: 1,
+        headerTimeoutMs: 1,
+        idleTimeoutMs: 1,
+      },
+    },
+    'test',
+  );
+  for (let i = 0; i < 6; i += 1) t.is((await cut.serve()).text, 'ok');
+});
+
+test('a request that may have run elsewhere is unknown, and not sent again', async t => {
+  const [cut, ...others] = await startInstances(t, ['cut', 'b', 'c'], {
+    kind: 'non_idempotent',
+  });
+  if (cut === undefined) return t.fail();
+  await cutOff(cut);
+  for (const { client } of others) {
+    client.onSend = (_target, _options, sink) =>
+      Promise.resolve(sendIncompleteResponse(sink, ''));
+  }
+  const caller = await cut.serve();
+  t.is(caller.failure?.executed, 'unknown');
+  t.is(caller.failure?.status, 502);
+  const sendCount = others.reduce(
+    (sum, { client }) => sum + client.sends.length,
+    0,
+  );
+  t.is(sendCount, 1);
+});
+
+test('an answer that breaks off elsewhere looks broken here', async t => {
+  const [cut, other] = await startInstances(t, ['cut', 'other'], {
+    kind: 'stream',
+  });
+  if (cut === undefined || other === undefined) return t.fail();
+  await cutOff(cut);
+  other.client.onSend = async (_target, _options, sink) => {
+    const outcome = sendIncompleteResponse(sink, 'id: 1\n\n');
+    await pause(50);
+    return outcome;
+  };
+  const caller = await cut.serve();
+  t.true(caller.isAborted);
+  t.false(caller.isEnded);
+});
+
+test('a caller that leaves ends the request at the target of the other instance', async t => {
+  const [cut, other] = await startInstances(t, ['cut', 'other']);
+  if (cut === undefined || other === undefined) return t.fail();
+  await cutOff(cut);
+  const caller = new FakeCaller();
+  const aborted = new Promise<void>(resolve => {
+    other.client.onSend = async (_target, { signal }) => {
+      caller.disconnectController.abort();
+      await waitForAbort(signal);
+      resolve();
+      return { kind: 'aborted' };
+    };
+  });
+  await cut.relay.serve(createRequest(), caller);
+  await aborted;
+  t.is(caller.failure, undefined);
+});
+
+test('a refusal of the other instance comes back with its number and time', async t => {
+  const [cut, other] = await startInstances(t, ['cut', 'other']);
+  if (cut === undefined || other === undefined) return t.fail();
+  await cutOff(cut);
+  for (const target of ['x1', 'x2', 'x3']) {
+    other.crashes.recordSuspectedCrash({ fingerprint: 'f1' }, { id: target });
+    other.crashes.confirmCrash(target);
+  }
+  const caller = await cut.serve();
+  t.is(caller.failure?.code, 'poison_request');
+  t.is(caller.failure?.executed, 'no');
+});
+
+test('a hung stream goes on at another instance after its last event', async t => {
+  const [cut, other] = await startInstances(t, ['cut', 'other'], {
+    kind: 'stream',
+    resumable: true,
+    timeoutMs: 10_000,
+    services: [{ name: 'engines', weight: 1 }],
+  });
+  if (cut === undefined || other === undefined) return t.fail();
+  for (const { targetRegistry } of [cut, other]) {
+    for (const id of ['d1', 'd2'])
+      targetRegistry.registerTarget({
+        id,
+        service: 'engines',
+        address: `10.0.0.1:${id.length}`,
+        dataCenter: 'a',
+        slots: 8,
+        leaving: false,
+        role: 'decode',
+      });
+  }
+  const prompt = {
+    model: 'm',
+    tokens: 10,
+    maxOutputTokens: 10,
+    segments: [{ id: 'own', tokens: 10 }],
+  };
+  cut.client.onSend = async (_target, { signal }, sink) => {
+    sink.onHead({ status: 200, headers: [], isCloseDelimited: false });
+    sink.onData(Buffer.from('id: 1\ndata: a\n\nid: 2\nda'));
+    cut.client.isAlive = false;
+    for (const { record } of cut.targetRegistry.listTargets())
+      cut.dependencies.targetLink.recordFailure(record);
+    await waitForAbort(signal);
+    return { kind: 'aborted' };
+  };
+  other.client.onSend = (_target, _options, sink) =>
+    Promise.resolve(sendCompleteResponse(sink, 'id: 2\ndata: b\n\n'));
+  const caller = await cut.serve({ prompt });
+  t.true(caller.isEnded, caller.failure?.message);
+  t.is(caller.text, 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n');
+});
+
+test('near instances are chosen first, and none gets all', t => {
+  const counts = new Map([
+    ['a', 0],
+    ['b', 0],
+    ['c', 0],
+  ]);
+  for (let i = 0; i < 30; i += 1) {
+    const chosen = chooseNeighbor(
+      [...counts].map(([name, forwardedCount]) => ({
+        name,
+        address: name,
+        isLocal: name === 'a',
+        forwardedCount,
+      })),
+      () => 0.5,
+    );
+    if (chosen !== undefined)
+      counts.set(chosen.name, (counts.get(chosen.name) ?? 0) + 1);
+  }
+  const values = [...counts.values()];
+  t.is(counts.get('a'), Math.max(...values));
+  t.true(Math.max(...values) - Math.min(...values) <= 3);
+  t.is(
+    chooseNeighbor([], () => 0.5),
+    undefined,
+  );
+});
--- a/packages/relay/src/relay/request-runner.ts
+++ b/packages/relay/src/relay/request-runner.ts
@@ -94,6 +94,7 @@
   protected possibleExecutionCount = 0;
   /** Names of the instances that could not take this request. */
   readonly #failedInstances = new Set<string>();
+  #hasTriedForwarding = false;
 
   constructor(
     protected readonly dependencies: RelayDependencies,
@@ -135,6 +136,8 @@
     const { targetLink } = this.dependencies;
     const { request } = this.context;
     if (!targetLink.isCutOff || request.forwardedBy !== undefined) return false;
+    if (this.#hasTriedForwarding) return false;
+    this.#hasTriedForwarding = true;
     while (this.#failedInstances.size < maxForwardings) {
       const forwarding = await this.#forwardOnce(sink);
       if (forwarding === undefined) return false;
@@ -151,10 +154,9 @@
   protected async isCutOffAfterAll(): Promise<boolean> {
     const { targetLink } = this.dependencies;
     if (this.context.request.forwardedBy !== undefined) return false;
-    if (this.#failedInstances.size > 0) return false;
-    const wasCutOff = targetLink.isCutOff;
+    if (this.#hasTriedForwarding) return false;
     await targetLink.settle();
-    return targetLink.isCutOff && !wasCutOff;
+    return targetLink.isCutOff;
   }
 
   async #forwardOnce(
--- a/packages/relay/src/targets/target-link.ts
+++ b/packages/relay/src/targets/target-link.ts
@@ -68,6 +68,7 @@
   /** Records that a connection to the target failed. */
   recordFailure({ id }: TargetRecord): void {
     this.#failedAtMsByTarget.set(id, performance.now());
+    this.#startProbeIfDue();
   }
 
   /** Waits for the verdict if the link is in doubt. */
