Cut instances off from all targets in the soak, with a check of what they serve

One or more instances, but not all, reach no target for 5 to 10 s: links are silent, reset and refused, or refused for new connections alone. The check compares their first tries with those of the others.

--- a/packages/soak/src/checks/run-checks.test.ts
+++ b/packages/soak/src/checks/run-checks.test.ts
@@ -10,6 +10,7 @@
 import type { Attempt, RunRecord } from '../run/run-record.js';
 
 import { checkCrashingParts, checkSoundPrompts } from './crash-checks.js';
+import { checkTargetCuts } from './cut-checks.js';
 import { runChecks } from './run-checks.js';
 
 const createAttempt = (id: string, change: Partial<Attempt> = {}): Attempt => ({
@@ -66,6 +67,7 @@
   limitPeriods: [],
   crashes: [],
   crashingPartPeriods: [],
+  targetCuts: [],
   configurations: [],
   targetDepartures: [],
   exits: [],
@@ -507,3 +509,24 @@
   t.is(checkSoundPrompts(createCrashRecord({ soundStatus: 503 })).length, 1);
   t.is(checkSoundPrompts(createCrashRecord({})).length, 0);
 });
+
+test('instances that reach no target and serve far less than the others are found', t => {
+  const createTries = (instance: string, servedCount: number) =>
+    Array.from({ length: 30 }, (_, i) =>
+      createAttempt(`${instance}-${i}`, {
+        instance,
+        sentAtMs: 104_000 + i,
+        end: { ...completeEnd, status: i < servedCount ? 200 : 503 },
+      }),
+    );
+  const targetCuts = [{ instances: ['i1'], fromMs: 100_000, toMs: 110_000 }];
+  const isBroken = (servedCount: number) =>
+    checkTargetCuts(
+      createRunRecord({
+        attempts: [...createTries('i1', servedCount), ...createTries('i2', 30)],
+        targetCuts,
+      }),
+    ).length > 0;
+  t.true(isBroken(10));
+  t.false(isBroken(20));
+});
--- a/packages/soak/src/checks/run-checks.ts
+++ b/packages/soak/src/checks/run-checks.ts
@@ -14,6 +14,7 @@
   checkPauses,
 } from './announcement-checks.js';
 import { checkCrashingParts, checkSoundPrompts } from './crash-checks.js';
+import { checkTargetCuts } from './cut-checks.js';
 import { checkRequestLimits } from './limit-checks.js';
 import type { Check, Violation } from './check.js';
 import {
@@ -48,6 +49,7 @@
   checkRequestLimits,
   checkCrashingParts,
   checkSoundPrompts,
+  checkTargetCuts,
   checkStreamVersions,
   checkResumptions,
   checkDisconnectedCallers,
--- a/packages/soak/src/faults/fault-plan.ts
+++ b/packages/soak/src/faults/fault-plan.ts
@@ -22,6 +22,7 @@
   StoreOutage,
   SingleInstanceStoreOutage,
 } from './store-faults.js';
+import { TargetCut } from './target-cut.js';
 import {
   DepartureByResponse,
   TargetCrash,
@@ -63,6 +64,7 @@
   new TargetPause(),
   new TargetLimit(),
   new CrashingPart(),
+  new TargetCut(),
   new RouteChange(),
 ];
 
--- a/packages/soak/src/network/fault-proxy.test.ts
+++ b/packages/soak/src/network/fault-proxy.test.ts
@@ -82,3 +82,20 @@
   await once(client, 'close');
   t.pass();
 });
+
+test('a proxy that refuses connections keeps the open ones', async t => {
+  const { proxy, client } = await startProxy(t);
+  client.write('one');
+  await readChunk(client);
+  await proxy.refuseConnections();
+  const second = connect(Number(proxy.address.split(':')[1]), '127.0.0.1');
+  const [error] = (await once(second, 'error')) as [NodeJS.ErrnoException];
+  t.is(error.code, 'ECONNREFUSED');
+  client.write('two');
+  t.is(await readChunk(client), 'two');
+  await proxy.acceptConnections();
+  const third = connect(Number(proxy.address.split(':')[1]), '127.0.0.1');
+  await once(third, 'connect');
+  third.destroy();
+  t.pass();
+});
--- a/packages/soak/src/network/fault-proxy.ts
+++ b/packages/soak/src/network/fault-proxy.ts
@@ -33,6 +33,7 @@
   readonly #pairs = new Set<SocketPair>();
   readonly #server: Server;
   #address = '';
+  #isStopped = false;
 
   private constructor(private readonly targetAddress: string) {
     this.#server = createServer({ allowHalfOpen: true }, clientSocket => {
@@ -65,6 +66,27 @@
     for (const pair of this.#pairs) this.#applySilence(pair);
   }
 
+  /** Refuses new connections; open ones live on. */
+  async refuseConnections(): Promise<void> {
+    if (!this.#server.listening) return;
+    // The server is closed for new connections at once, and calls back at the last end.
+    this.#server.close();
+    await Promise.resolve();
+  }
+
+  /** Accepts new connections again, at the same address. */
+  async acceptConnections(): Promise<void> {
+    if (this.#isStopped || this.#server.listening) return;
+    const { port } = parseAddress(this.#address);
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once('error', reject);
+      this.#server.listen(port, '127.0.0.1', () => {
+        this.#server.off('error', reject);
+        resolve();
+      });
+    });
+  }
+
   /** Resets every open connection on both sides. */
   resetConnections(): void {
     for (const { clientSocket, targetSocket } of this.#pairs) {
@@ -75,6 +97,7 @@
 
   /** Closes the server and all connections. */
   async stop(): Promise<void> {
+    this.#isStopped = true;
     const serverClosed = new Promise(resolve => this.#server.close(resolve));
     for (const { clientSocket, targetSocket } of this.#pairs) {
       clientSocket.destroy();
--- a/packages/soak/src/run/fault-log.ts
+++ b/packages/soak/src/run/fault-log.ts
@@ -32,11 +32,20 @@
     };
   }
 
-  /** Whether the subject had no fault at any time from `fromMs` to `toMs`. */
-  isFaultFree(subject: string, fromMs: number, toMs: number): boolean {
+  /**
+   * Whether the subject had no fault, other than `except`, at any time from `fromMs` to
+   * `toMs`.
+   */
+  isFaultFree(
+    subject: string,
+    fromMs: number,
+    toMs: number,
+    except?: string,
+  ): boolean {
     return this.#intervals.every(
       interval =>
         interval.subject !== subject ||
+        interval.fault === except ||
         interval.toMs < fromMs ||
         interval.fromMs > toMs,
     );
--- a/packages/soak/src/run/run-record.ts
+++ b/packages/soak/src/run/run-record.ts
@@ -68,6 +68,14 @@
   toMs: number;
 }
 
+/** A time in which instances reached no target. */
+export interface TargetCutPeriod {
+  readonly instances: readonly string[];
+  readonly fromMs: number;
+  /** Infinity until the period ends. */
+  toMs: number;
+}
+
 /** All observations of a run. */
 export interface RunRecord {
   readonly attempts: Attempt[];
@@ -77,6 +85,7 @@
   readonly limitPeriods: readonly LimitPeriod[];
   readonly crashes: readonly Crash[];
   readonly crashingPartPeriods: readonly CrashingPartPeriod[];
+  readonly targetCuts: readonly TargetCutPeriod[];
   readonly configurations: ConfigurationChange[];
   readonly targetDepartures: TargetDeparture[];
   readonly exits: InstanceExit[];
--- a/packages/soak/src/run/soak-run.ts
+++ b/packages/soak/src/run/soak-run.ts
@@ -16,6 +16,7 @@
   ConfigurationChange,
   CrashingPartPeriod,
   RunRecord,
+  TargetCutPeriod,
 } from './run-record.js';
 import {
   createConfiguration,
@@ -60,6 +61,7 @@
   readonly #configurations: ConfigurationChange[] = [];
   readonly #unreadyInstances: string[] = [];
   readonly #crashingPartPeriods: CrashingPartPeriod[] = [];
+  readonly #targetCuts: TargetCutPeriod[] = [];
 
   private constructor(
     private readonly options: SoakRunOptions,
@@ -150,6 +152,15 @@
     };
   }
 
+  /** Records that the instances reach no target; call the result when they do again. */
+  startTargetCut(instances: readonly string[]): () => void {
+    const period = { instances, fromMs: performance.now(), toMs: Infinity };
+    this.#targetCuts.push(period);
+    return () => {
+      period.toMs = performance.now();
+    };
+  }
+
   /** Copies all rows of the store. */
   createStoreBackup(): StoreBackup {
     return this.store.createBackup();
@@ -260,6 +271,7 @@
       limitPeriods,
       crashes,
       crashingPartPeriods: this.#crashingPartPeriods,
+      targetCuts: this.#targetCuts,
       configurations: this.#configurations,
       targetDepartures: this.targetFleet.departures,
       unreadyInstances: this.#unreadyInstances,
