Give two results numbers of their own

3009 and 3010 stood for two results each, so that a number in a log or an error body did not name its result. The newer two, of streams that can't go on, are 3011 and 3012 now. The test that no number is used twice failed before with 3009 and 3010.

--- a/packages/core/src/shared/result-codes.ts
+++ b/packages/core/src/shared/result-codes.ts
@@ -167,16 +167,6 @@
     'The retry budget is exhausted.',
   ),
   shutting_down: defineResultCode(3008, 503, 'The instance is shutting down.'),
-  stream_origin_unknown: defineResultCode(
-    3009,
-    503,
-    'It is not known at which software version the stream began.',
-  ),
-  stream_version_gone: defineResultCode(
-    3010,
-    503,
-    'No target of the software version that began the stream is left.',
-  ),
   slow_caller: defineResultCode(
     3009,
     499,
@@ -187,6 +177,16 @@
     503,
     'The request was in flight at a target crash and waits to run in isolation.',
   ),
+  stream_origin_unknown: defineResultCode(
+    3011,
+    503,
+    'It is not known at which software version the stream began.',
+  ),
+  stream_version_gone: defineResultCode(
+    3012,
+    503,
+    'No target of the software version that began the stream is left.',
+  ),
 
   // 4000: configuration, authority and planned changes
   revision_conflict: defineResultCode(
