--- a/packages/bench/src/control/command-coordinator.test.ts
+++ b/packages/bench/src/control/command-coordinator.test.ts
@@ -1,7 +1,7 @@
 /** Tests of the command coordinator: crashes, pauses and lost responses of lease holders and engines. */
 import {
   Lease,
-  LeaseManager,
+  Leases,
   MemoryLog,
   CommandCoordinator,
   getCommandLeaseName,
@@ -64,7 +64,7 @@
     random: createSeededRandom(seed),
     log,
   };
-  const leaseManager = new LeaseManager(commonOptions);
+  const leaseManager = new Leases(commonOptions);
   const coordinator = new CommandCoordinator({
     ...commonOptions,
     fleet,
--- a/packages/bench/src/control/restore.test.ts
+++ b/packages/bench/src/control/restore.test.ts
@@ -3,7 +3,7 @@
   commitUnderLease,
   commitWithRetry,
   createUnchangedCondition,
-  LeaseManager,
+  Leases,
   MemoryLog,
 } from '@medlarlever/core';
 import type { Transaction } from '@medlarlever/core';
@@ -27,8 +27,8 @@
   }
 }
 
-const createLeaseManager = (table: MemoryTable, name: string) =>
-  new LeaseManager({
+const createLeases = (table: MemoryTable, name: string) =>
+  new Leases({
     table,
     self: { name, incarnation: `${name}#1` },
     random: createSeededRandom(11),
@@ -36,13 +36,13 @@
     leaseDurationMs,
   });
 
-const acquire = async (manager: LeaseManager) =>
+const acquire = async (manager: Leases) =>
   (await manager.acquireLease(leaseName)).unsafeCoerce();
 
 test.serial('a restore ends a lease that the backup still contains', t =>
   withFakeClock(async () => {
     const table = new MemoryTable();
-    const lease = await acquire(createLeaseManager(table, 'a'));
+    const lease = await acquire(createLeases(table, 'a'));
     const backup = table.createBackup();
     table.restoreBackup(backup);
     t.false(lease.isHeld);
@@ -62,9 +62,9 @@
     withFakeClock(async clock => {
       const table = new MemoryTable();
       const backup = table.createBackup();
-      const first = await acquire(createLeaseManager(table, 'a'));
+      const first = await acquire(createLeases(table, 'a'));
       table.restoreBackup(backup);
-      const successor = createLeaseManager(table, 'b');
+      const successor = createLeases(table, 'b');
       const refusal = (await successor.acquireLease(leaseName))
         .swap()
         .unsafeCoerce();
@@ -80,7 +80,7 @@
   withFakeClock(async clock => {
     const table = new MemoryTable();
     const backup = table.createBackup();
-    const manager = createLeaseManager(table, 'a');
+    const manager = createLeases(table, 'a');
     const tokens: number[] = [];
     for (let era = 0; era < 3; era += 1) {
       for (let i = 0; i < 4; i += 1) {
@@ -106,7 +106,7 @@
       table.beforeCommit = () => undefined;
       table.restoreBackup(backup);
     };
-    const lease = await createLeaseManager(table, 'a').acquireLease(leaseName);
+    const lease = await createLeases(table, 'a').acquireLease(leaseName);
     t.is(lease.swap().unsafeCoerce().code, 'authority_lost');
   }),
 );
--- a/packages/bench/src/explore/command-scenario.ts
+++ b/packages/bench/src/explore/command-scenario.ts
@@ -1,6 +1,6 @@
 /** Exploration scenario: two processes send conflicting commands to one engine. */
 import {
-  LeaseManager,
+  Leases,
   CommandCoordinator,
   getCommandRowKey,
   getCommandLeaseName,
@@ -101,7 +101,7 @@
     random: createSeededRandom(seed),
     log: new SilentLog(),
   };
-  const leaseManager = new LeaseManager(commonOptions);
+  const leaseManager = new Leases(commonOptions);
   const scheduledEngine = new ScheduledEngine(scheduler, name, engine);
   const coordinator = new CommandCoordinator({
     ...commonOptions,
--- a/packages/bench/src/explore/lease-scenario.ts
+++ b/packages/bench/src/explore/lease-scenario.ts
@@ -2,12 +2,7 @@
  * Exploration scenario: two processes compete for a lease and send commands under
  * it to an engine, while the table is restored from a backup.
  */
-import {
-  commitUnderLease,
-  LeaseManager,
-  SilentLog,
-  sleep,
-} from '@medlarlever/core';
+import { commitUnderLease, Leases, SilentLog, sleep } from '@medlarlever/core';
 import type { Lease, Write, EraTracker } from '@medlarlever/core';
 import { MemoryTable } from '@medlarlever/stand-ins';
 import type { TableBackup } from '@medlarlever/stand-ins';
@@ -162,7 +157,7 @@
     scenario.alterTransaction,
     scenario.createEras?.(),
   );
-  const leases = new LeaseManager({
+  const leases = new Leases({
     table,
     self: { name: actor.name, incarnation: `${actor.name}#1` },
     random: createSeededRandom(seed),
--- a/packages/bench/src/plans/plan-fleet.ts
+++ b/packages/bench/src/plans/plan-fleet.ts
@@ -6,7 +6,7 @@
   FleetWatcher,
   InstanceRegistry,
   Kernel,
-  LeaseManager,
+  Leases,
   MemoryLog,
   CommandCoordinator,
   PlanCommandRunner,
@@ -118,7 +118,7 @@
       random,
     });
     const self = { name, incarnation: this.record.incarnation };
-    const leases = new LeaseManager({ table, self, random, log });
+    const leases = new Leases({ table, self, random, log });
     const commands = new CommandCoordinator({
       table,
       fleet: fleetList,
--- a/packages/core/src/authority/command-coordinator.ts
+++ b/packages/core/src/authority/command-coordinator.ts
@@ -15,7 +15,7 @@
 import type { Engine, EngineCommandStatus } from '../target/target.js';
 
 import { createLeaseLostFailure } from './commit-under-lease.js';
-import type { ProcessIdentity } from './lease-manager.js';
+import type { ProcessIdentity } from './leases.js';
 import type { Lease } from './lease.js';
 import type { CommandRecord, CommandSender } from './command-record.js';
 import { getCommandLeaseName } from './command-request.js';
--- a/packages/core/src/authority/command-senders.ts
+++ b/packages/core/src/authority/command-senders.ts
@@ -1,7 +1,7 @@
 /** Determines which processes may still send a command. */
 import type { FleetList } from '../fleet/fleet-list.js';
 
-import type { ProcessIdentity } from './lease-manager.js';
+import type { ProcessIdentity } from './leases.js';
 import type { CommandRecord, CommandSender } from './command-record.js';
 
 export interface CommandSenderResolverOptions {
--- a/packages/core/src/authority/lease-manager.ts
+++ b/packages/core/src/authority/leases.ts
@@ -45,7 +45,7 @@
   readonly incarnation: string;
 }
 
-export interface LeaseManagerOptions {
+export interface LeasesOptions {
   readonly table: Table;
   readonly self: ProcessIdentity;
   readonly random: () => number;
@@ -79,13 +79,13 @@
   );
 
 /** Detects expired leases by the monotonic clock of this process. */
-export class LeaseManager {
-  readonly #options: LeaseManagerOptions;
+export class Leases {
+  readonly #options: LeasesOptions;
   readonly #observations = new Map<string, LeaseObservation>();
   readonly #heldLeases = new Set<Lease>();
   readonly #durationMs: number;
 
-  constructor(options: LeaseManagerOptions) {
+  constructor(options: LeasesOptions) {
     this.#options = options;
     this.#durationMs = options.leaseDurationMs ?? defaultLeaseDurationMs;
     options.table.eras.onChange(() => {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -110,7 +110,7 @@
 export * from './config/template-diff.js';
 export * from './config/validate-template.js';
 export * from './authority/lease.js';
-export * from './authority/lease-manager.js';
+export * from './authority/leases.js';
 export * from './authority/commit-under-lease.js';
 export * from './authority/command-record.js';
 export * from './authority/command-request.js';
--- a/packages/core/src/plans/plan-command-runner.ts
+++ b/packages/core/src/plans/plan-command-runner.ts
@@ -1,7 +1,7 @@
 /** Runs the engine command of a plan in the background. */
 import type { Either } from 'purify-ts';
 
-import type { LeaseManager } from '../authority/lease-manager.js';
+import type { Leases } from '../authority/leases.js';
 import type { Lease } from '../authority/lease.js';
 import type { CommandCoordinator } from '../authority/command-coordinator.js';
 import type { CommandRecord } from '../authority/command-record.js';
@@ -19,7 +19,7 @@
   | { readonly kind: 'failed'; readonly reason: string };
 
 export interface PlanCommandRunnerOptions {
-  readonly leases: LeaseManager;
+  readonly leases: Leases;
   readonly commands: CommandCoordinator;
 }
 
@@ -101,10 +101,7 @@
   }
 }
 
-const tryReleaseLease = async (
-  leases: LeaseManager,
-  lease: Lease,
-): Promise<void> => {
+const tryReleaseLease = async (leases: Leases, lease: Lease): Promise<void> => {
   await leases.releaseLease(lease);
 };
 
--- a/packages/core/src/plans/plan-lease.ts
+++ b/packages/core/src/plans/plan-lease.ts
@@ -2,11 +2,11 @@
 import { Just, Nothing } from 'purify-ts';
 import type { Maybe } from 'purify-ts';
 
-import type { LeaseManager } from '../authority/lease-manager.js';
+import type { Leases } from '../authority/leases.js';
 import type { Lease } from '../authority/lease.js';
 
 export interface PlanLeaseOptions {
-  readonly leases: LeaseManager;
+  readonly leases: Leases;
   readonly dataCenter: string;
 }
 
--- a/packages/daemon/src/kernel/tokens.ts
+++ b/packages/daemon/src/kernel/tokens.ts
@@ -12,7 +12,7 @@
   FleetList,
   FleetWatcher,
   InstanceRegistry,
-  LeaseManager,
+  Leases,
   LoadEstimator,
   LoadPoller,
   IdempotentExecutor,
@@ -129,7 +129,7 @@
 export const serviceTargetsToken = new InjectionToken<ServiceTargets>(
   'service-targets',
 );
-export const leaseManagerToken = new InjectionToken<LeaseManager>('leases');
+export const leaseManagerToken = new InjectionToken<Leases>('leases');
 export const commandCoordinatorToken = new InjectionToken<CommandCoordinator>(
   'orders',
 );
--- a/packages/daemon/src/plans/app.ts
+++ b/packages/daemon/src/plans/app.ts
@@ -6,7 +6,7 @@
   ClosedTargets,
   TargetCloser,
   Engine,
-  LeaseManager,
+  Leases,
   CommandCoordinator,
   PlanCommandRunner,
   PlanLease,
@@ -45,8 +45,8 @@
   incarnation: kernel.get(incarnationToken),
 });
 
-const createLeaseManager = (kernel: DaemonKernel): LeaseManager =>
-  new LeaseManager({
+const createLeases = (kernel: DaemonKernel): Leases =>
+  new Leases({
     table: kernel.get(tableToken),
     self: getLeaseHolder(kernel),
     random: kernel.get(randomSourceToken),
@@ -117,7 +117,7 @@
 };
 
 registerFeature('plans', kernel => {
-  kernel.provide(leaseManagerToken, () => createLeaseManager(kernel));
+  kernel.provide(leaseManagerToken, () => createLeases(kernel));
   kernel.provide(commandCoordinatorToken, () =>
     createCommandCoordinator(kernel),
   );
--- a/packages/relay/src/roles/app.ts
+++ b/packages/relay/src/roles/app.ts
@@ -1,5 +1,5 @@
 /** Plugin that assigns roles to engines from a leader elected by lease. */
-import { LeaseManager } from '@medlarlever/core';
+import { Leases } from '@medlarlever/core';
 import type { Kernel, Plugin } from '@medlarlever/core';
 
 import {
@@ -31,7 +31,7 @@
   const table = kernel.get(tableToken);
   const random = kernel.get(randomToken);
   const log = kernel.get(logToken);
-  const leases = new LeaseManager({
+  const leases = new Leases({
     table,
     self: { name: instance, incarnation: kernel.get(incarnationToken) },
     random,
--- a/packages/relay/src/roles/role-leader.test.ts
+++ b/packages/relay/src/roles/role-leader.test.ts
@@ -1,5 +1,5 @@
 import FakeTimers from '@sinonjs/fake-timers';
-import { InstanceRegistry, LeaseManager } from '@medlarlever/core';
+import { InstanceRegistry, Leases } from '@medlarlever/core';
 import type { CommitResult, Failure, Transaction } from '@medlarlever/core';
 import { MemoryTable } from '@medlarlever/stand-ins';
 import test from 'ava';
@@ -108,7 +108,7 @@
     const leader = new RoleLeader({
       isCutOff: () => false,
       table,
-      leases: new LeaseManager({
+      leases: new Leases({
         table,
         self: { name, incarnation: name },
         random,
--- a/packages/relay/src/roles/role-leader.ts
+++ b/packages/relay/src/roles/role-leader.ts
@@ -9,7 +9,7 @@
   FleetView,
   InstanceRegistry,
   Lease,
-  LeaseManager,
+  Leases,
   Log,
   RoleChange,
   Table,
@@ -65,7 +65,7 @@
 
 /** Dependencies and timing of {@link RoleLeader}. */
 export interface RoleLeaderOptions {
-  readonly leases: LeaseManager;
+  readonly leases: Leases;
   readonly table: Table;
   readonly registry: InstanceRegistry;
   readonly routes: RouteTableHolder;
