--- a/packages/relay/src/relay/generation-runner.ts
+++ b/packages/relay/src/relay/generation-runner.ts
@@ -7,7 +7,7 @@
 import type { Either } from 'purify-ts';
 
 import { AnswerProgress } from '../crashes/answer-progress.js';
-import type { CrashCause } from '../crashes/crash-cause.js';
+import { createPoisonPromptFailure } from '../crashes/poison-prompt-failure.js';
 import { selectSharedParts } from '../crashes/target-crash.js';
 import type { SharedParts } from '../crashes/target-crash.js';
 import { EventGapMeter } from '../placement/event-gaps.js';
@@ -24,11 +24,8 @@
 import { GenerationPlacer } from './generation-placer.js';
 import type { RequestContext } from './request-context.js';
 import type { RelayDependencies } from './relay.js';
-import {
-  RequestRunner,
-  minServerErrorStatus,
-  isConnectFailure,
-} from './request-runner.js';
+import { RequestRunner, minServerErrorStatus } from './request-runner.js';
+import { isConnectFailure } from './send-failures.js';
 import { SendWatchdog } from './send-watchdog.js';
 import { recordTargetFailure, recordTargetSuccess } from './target-outcomes.js';
 import type { FailedSend } from './target-outcomes.js';
@@ -442,18 +439,3 @@
     return this.handleSendFailure(send, outcome);
   }
 }
-
-/** Retry delay for the caller of a prompt that crashes targets. */
-const poisonPromptRetryAfterMs = 5_000;
-
-const createPoisonPromptFailure = (
-  { parts, crashes }: CrashCause,
-  mayHaveExecuted: boolean,
-): Failure => {
-  const reason = `${crashes.length} targets crashed when they began to answer prompts with the same part (${parts.join(', ')})`;
-  return mayHaveExecuted
-    ? new Failure('target_failed', reason, { executed: 'unknown' })
-    : new Failure('poison_prompt', reason, {
-        retryAfterMs: poisonPromptRetryAfterMs,
-      });
-};
--- a/packages/relay/src/relay/request-runner.ts
+++ b/packages/relay/src/relay/request-runner.ts
@@ -1,7 +1,6 @@
 /** Attempts and failure handling shared by plain requests and generations. */
 import { Failure } from '@medlarlever/core';
 
-import type { Forwarding } from '../forwarding/request-forwarder.js';
 import { canContinueStream } from '../origins/stream-origin.js';
 import type { StreamOrigin } from '../origins/stream-origin.js';
 import type { TargetRecord } from '../targets/target-record.js';
@@ -9,7 +8,16 @@
 
 import type { RequestContext } from './request-context.js';
 import type { RelayDependencies } from './relay.js';
+import { RequestForwarding } from './request-forwarding.js';
 import type { ServiceState } from './service-state.js';
+import {
+  createTargetFailure,
+  createTruncatedOutcome,
+  getFailureReason,
+  isConnectFailure,
+  isNotExecuted,
+} from './send-failures.js';
+import type { FailedSendOutcome } from './send-failures.js';
 import { recordTargetFailure } from './target-outcomes.js';
 import type { FailedSend } from './target-outcomes.js';
 import { BufferedResponseSink } from './response-sinks.js';
@@ -56,50 +64,20 @@
 /** Lowest response status after which a retryable request is retried. */
 export const minServerErrorStatus = 500;
 
-/** Other instances to which one request is handed, one after the other. */
-const maxForwardings = 2;
-
-/** Failures for which yet another instance may do better. */
-const elsewhereCodes: ReadonlySet<string> = new Set([
-  'no_target',
-  'not_ready',
-  'not_found',
-  'shutting_down',
-  'overloaded',
-]);
-
-type FailedSendOutcome = Exclude<SendOutcome, { kind: 'whole' }>;
-
-/** True when the target has certainly not executed the request. */
-const isNotExecuted = (outcome: FailedSendOutcome): boolean =>
-  outcome.kind === 'not_executed' || isConnectFailure(outcome);
-
-/** True when no byte of the request reached the target. */
-export const isConnectFailure = (outcome: {
-  kind: string;
-  phase?: string;
-}): boolean => outcome.kind === 'broken' && outcome.phase === 'connecting';
-
-const getFailureReason = (outcome: FailedSendOutcome): string => {
-  if (outcome.kind === 'broken') return outcome.reason;
-  if (outcome.kind === 'aborted') return 'no answer within the time limit';
-  return `response status ${outcome.status}`;
-};
-
 /** Base class that runs one request, with retries at other targets. */
 export abstract class RequestRunner {
   /** Targets at which an attempt of this request failed. */
   protected readonly excludedTargets = new Set<TargetState>();
   /** Number of failed sends that a target may have executed. */
   protected possibleExecutionCount = 0;
-  /** Names of the instances that could not take this request. */
-  readonly #failedInstances = new Set<string>();
-  #hasTriedForwarding = false;
+  readonly #forwarding: RequestForwarding;
 
   constructor(
     protected readonly dependencies: RelayDependencies,
     protected readonly context: RequestContext,
-  ) {}
+  ) {
+    this.#forwarding = new RequestForwarding(dependencies, context);
+  }
 
   /** Runs the request until it has been answered or has failed. */
   abstract run(): Promise<void>;
@@ -133,18 +111,16 @@
   protected async tryForward(
     sink: BufferedResponseSink | StreamingResponseSink,
   ): Promise<boolean> {
-    const { targetLink } = this.dependencies;
-    const { request } = this.context;
-    if (!targetLink.isCutOff || request.forwardedBy !== undefined) return false;
-    if (this.#hasTriedForwarding) return false;
-    this.#hasTriedForwarding = true;
-    while (this.#failedInstances.size < maxForwardings) {
-      const forwarding = await this.#forwardOnce(sink);
-      if (forwarding === undefined) return false;
-      if (this.#endForwarding(forwarding, sink)) return true;
-      this.#failedInstances.add(forwarding.instance);
+    if (!this.#forwarding.isNeeded) return false;
+    const end = await this.#forwarding.run(sink);
+    if (end === undefined) return false;
+    if (end instanceof Failure) {
+      this.failRequest(end);
+      return true;
     }
-    return false;
+    sink.finish();
+    this.context.completeForwarded(end.status, end.instance);
+    return true;
   }
 
   /**
@@ -152,78 +128,9 @@
    * target and others may be asked.
    */
   protected async isCutOffAfterAll(): Promise<boolean> {
-    const { targetLink } = this.dependencies;
-    if (this.context.request.forwardedBy !== undefined) return false;
-    if (this.#hasTriedForwarding) return false;
-    await targetLink.settle();
-    return targetLink.isCutOff;
-  }
-
-  async #forwardOnce(
-    sink: BufferedResponseSink | StreamingResponseSink,
-  ): Promise<Forwarding | undefined> {
-    const { dependencies, context } = this;
-    const forwarding = await dependencies.forwarder.forward(
-      context.request,
-      {
-        remainingMs: context.remainingMs,
-        lastEventId:
-          sink instanceof BufferedResponseSink ? undefined : sink.lastEventId,
-        excluded: this.#failedInstances,
-        signal: context.signal,
-      },
-      sink,
-    );
-    const { instance, outcome } = forwarding ?? {};
-    dependencies.metrics.recordForwarding(outcome?.kind ?? 'no_instance');
-    context.logEvent('request_forwarded', {
-      instance,
-      outcome: outcome?.kind ?? 'no_instance',
-    });
-    return forwarding;
-  }
-
-  /** Ends the request by what came of it elsewhere; false if it may be tried again. */
-  #endForwarding(
-    { instance, outcome }: Forwarding,
-    sink: BufferedResponseSink | StreamingResponseSink,
-  ): boolean {
-    const { context } = this;
-    const truncation =
-      sink instanceof BufferedResponseSink ? undefined : sink.findTruncation();
-    if (outcome.kind === 'whole' && truncation === undefined) {
-      sink.finish();
-      context.completeForwarded(outcome.status, instance);
-      return true;
-    }
-    if (context.signal.aborted) {
-      context.mayHaveExecuted = true;
-      this.failRequest(context.createDeadlineFailure());
-      return true;
-    }
-    if (outcome.kind === 'failed')
-      return this.#endFailedForwarding(outcome.failure);
-    if (isConnectFailure(outcome)) return false;
-    context.mayHaveExecuted = true;
-    this.failRequest(
-      createTargetFailure(
-        `the answer by way of instance ${instance} broke off`,
-      ),
-    );
-    return true;
-  }
-
-  #endFailedForwarding(failure: Failure): boolean {
-    const { context } = this;
-    if (failure.executed === 'no' && elsewhereCodes.has(failure.code))
-      return false;
-    if (failure.executed === 'unknown') context.mayHaveExecuted = true;
-    this.failRequest(
-      context.mayHaveExecuted && failure.executed === 'no'
-        ? createTargetFailure(failure.message)
-        : failure,
-    );
-    return true;
+    if (!this.#forwarding.isPossible) return false;
+    await this.dependencies.targetLink.settle();
+    return this.#forwarding.isNeeded;
   }
 
   /**
@@ -321,14 +228,3 @@
     );
   }
 }
-
-const createTruncatedOutcome = (reason: string): SendOutcome => ({
-  kind: 'broken',
-  phase: 'answering',
-  reason,
-});
-
-const createTargetFailure = (reason: string): Failure =>
-  new Failure('target_failed', `the target failed: ${reason}`, {
-    executed: 'unknown',
-  });
