Count crashes by parts of prompts also while no target is reached

Cause: when all targets of a deployment crash within moments, no probed target answers, and the instance takes its own link for down; then it counted no crash, so the part that crashes them was not found. Now crashes count by the parts of prompts all the time, since other instances refute those that are none; counts by the whole request, which nobody refutes, still rest.

--- a/packages/relay/src/crashes/crash-tracker.ts
+++ b/packages/relay/src/crashes/crash-tracker.ts
@@ -23,7 +23,8 @@
 
 /** A request that was under way at a target when the connection broke. */
 export interface CrashSuspect {
-  readonly fingerprint: string;
+  /** Absent if the crash does not count against the request itself. */
+  readonly fingerprint?: string;
   /**
    * Parts of the prompt that others may share, if the request may have crashed the
    * target by them.
@@ -86,6 +87,7 @@
       confirmed_after_ms: Math.round(nowMs - first.suspectedAtMs),
     });
     for (const { fingerprint } of suspects) {
+      if (fingerprint === undefined) continue;
       this.recordCrash(fingerprint, targetId);
       this.#unreportedCrashes.push([fingerprint, targetId]);
     }
--- a/packages/relay/src/forwarding/request-forwarding.test.ts
+++ b/packages/relay/src/forwarding/request-forwarding.test.ts
@@ -240,3 +240,41 @@
     undefined,
   );
 });
+
+test('crashes of all targets at once are counted, though they look like a broken link', async t => {
+  const [instance] = await startInstances(t, ['only'], {
+    kind: 'stream',
+    resumable: true,
+    services: [{ name: 'engines', weight: 1 }],
+  });
+  if (instance === undefined) return t.fail();
+  const { client, targetRegistry, log } = instance;
+  targetRegistry.registerTarget({
+    id: 'd1',
+    service: 'engines',
+    address: '10.0.0.1:1',
+    dataCenter: 'a',
+    slots: 8,
+    leaving: false,
+    role: 'decode',
+  });
+  await cutOff(instance);
+  client.goneTargetIds.add('d1');
+  client.onSend = () =>
+    Promise.resolve({ kind: 'broken', phase: 'answering', reason: 'reset' });
+  await instance.serve({
+    prompt: {
+      model: 'm',
+      tokens: 20,
+      maxOutputTokens: 10,
+      segments: [
+        { id: 'shared', tokens: 10 },
+        { id: 'own', tokens: 10 },
+      ],
+    },
+  });
+  await pause(20);
+  t.true(log.entries.some(({ name }) => name === 'target_crashed'));
+  t.false(instance.crashes.isPoisonRequest('f1'));
+  t.is(instance.promptQuarantine.listCrashes(false).length, 1);
+});
--- a/packages/relay/src/relay/target-outcomes.ts
+++ b/packages/relay/src/relay/target-outcomes.ts
@@ -57,15 +57,17 @@
   if (outcome.kind !== 'broken' && outcome.kind !== 'aborted') return;
   const { crashTracker, dataCenterReachability, checkCrash, targetLink } =
     dependencies;
-  // The link has failed, and not the targets.
-  if (targetLink.isCutOff) return;
+  const { isCutOff } = targetLink;
   if (outcome.kind === 'broken') targetLink.recordFailure(record);
   if (outcome.kind === 'broken' && outcome.phase === 'connecting') {
-    dataCenterReachability.recordConnectFailure(record.dataCenter, record.id);
+    if (!isCutOff)
+      dataCenterReachability.recordConnectFailure(record.dataCenter, record.id);
     if (crashTracker.hasSuspects(record.id)) checkCrash(target);
     return;
   }
-  const { fingerprint } = request;
+  // All targets may have crashed, or the link is down. Other instances refute what isn't
+  // a crash, but only crashes with the parts of prompts.
+  const fingerprint = isCutOff ? undefined : request.fingerprint;
   crashTracker.recordSuspectedCrash(
     { fingerprint, parts: suspectParts },
     record,
