Keep crashes that show a cause, and bound the work of finding it

When many targets crash at once, as in a loss of power, the oldest crashes were forgotten, and with them the part that had been found; failing before: 'crashes that show a cause are kept when many others follow'.

--- a/packages/relay/src/crashes/crash-cause.ts
+++ b/packages/relay/src/crashes/crash-cause.ts
@@ -79,6 +79,8 @@
   readonly part: string;
   /** Crashes since the last answer, in order of time. */
   readonly crashes: readonly TargetCrash[];
+  /** Suspected prompts of these crashes with the part. */
+  readonly prompts: readonly SharedParts[];
   readonly lastAnswerMs: number;
 }
 
@@ -89,25 +91,15 @@
  * True if all suspected prompts with the first part also have the second one, which is
  * in further ones: it may just be common.
  */
-const isPartOf = (specific: Candidate, common: Candidate): boolean => {
-  const specificPrompts = listPrompts(specific);
-  return (
-    specificPrompts.every(parts => parts.includes(common.part)) &&
-    specificPrompts.length < listPrompts(common).length
-  );
-};
-
-/** Lists the suspected prompts with the part. */
-const listPrompts = ({ part, crashes }: Candidate): SharedParts[] =>
-  crashes.flatMap(({ suspects }) =>
-    suspects.filter(parts => parts.includes(part)),
-  );
+const isPartOf = (specific: Candidate, common: Candidate): boolean =>
+  specific.prompts.length < common.prompts.length &&
+  specific.prompts.every(parts => parts.includes(common.part));
 
 const compareCandidates = (a: Candidate, b: Candidate): number => {
   if (wasAnswered(a) !== wasAnswered(b)) return wasAnswered(a) ? 1 : -1;
   if (a.crashes.length !== b.crashes.length)
     return b.crashes.length - a.crashes.length;
-  const morePrompts = listPrompts(a).length - listPrompts(b).length;
+  const morePrompts = a.prompts.length - b.prompts.length;
   if (morePrompts !== 0) return morePrompts;
   return a.lastAnswerMs < b.lastAnswerMs ? -1 : 1;
 };
@@ -116,14 +108,25 @@
   crashes: readonly TargetCrash[],
   getLastAnswerMs: AnswerTime,
 ): Candidate[] => {
-  const candidates = new Map<string, Candidate & { crashes: TargetCrash[] }>();
+  const candidates = new Map<
+    string,
+    Candidate & { crashes: TargetCrash[]; prompts: SharedParts[] }
+  >();
   for (const crash of [...crashes].sort((a, b) => a.atMs - b.atMs)) {
-    for (const part of new Set(crash.suspects.flat())) {
-      const lastAnswerMs = getLastAnswerMs(part);
-      if (lastAnswerMs > crash.atMs) continue;
-      const candidate = candidates.get(part);
-      if (candidate !== undefined) candidate.crashes.push(crash);
-      else candidates.set(part, { part, crashes: [crash], lastAnswerMs });
+    for (const prompt of crash.suspects) {
+      for (const part of new Set(prompt)) {
+        const lastAnswerMs = getLastAnswerMs(part);
+        if (lastAnswerMs > crash.atMs) continue;
+        const candidate = candidates.get(part) ?? {
+          part,
+          crashes: [],
+          prompts: [],
+          lastAnswerMs,
+        };
+        candidates.set(part, candidate);
+        candidate.prompts.push(prompt);
+        if (candidate.crashes.at(-1) !== crash) candidate.crashes.push(crash);
+      }
     }
   }
   return [...candidates.values()];
@@ -149,8 +152,7 @@
   candidate: Candidate,
   getLastAnswerMs: AnswerTime,
 ): SharedParts => {
-  const { part } = candidate;
-  const prompts = listPrompts(candidate);
+  const { part, prompts } = candidate;
   const [firstPrompt = [part]] = prompts;
   return firstPrompt.filter(
     other =>
--- a/packages/relay/src/crashes/prompt-quarantine.test.ts
+++ b/packages/relay/src/crashes/prompt-quarantine.test.ts
@@ -187,3 +187,18 @@
     recordCrash(instances[0], `t${i}`, [`p${i}`]);
   t.true((instances[0]?.listCrashes(true).length ?? 0) < 300);
 });
+
+test.serial(
+  'crashes that show a cause are kept when many others follow',
+  async t => {
+    const clock = installPausedClock(t);
+    const { instances } = createInstances(1);
+    for (const target of ['t1', 't2', 't3']) {
+      recordCrash(instances[0], target);
+      await clock.tickAsync(400);
+    }
+    for (let i = 0; i < 500; i += 1)
+      recordCrash(instances[0], `other-${i}`, [`part-${i}`]);
+    t.truthy(instances[0]?.findCause(['rules', 'bad']));
+  },
+);
--- a/packages/relay/src/crashes/prompt-quarantine.ts
+++ b/packages/relay/src/crashes/prompt-quarantine.ts
@@ -20,8 +20,8 @@
 const maxAnsweredParts = 20_000;
 const answerTtlMs = 600_000;
 
-/** Crashes that are remembered, oldest first. */
-const maxCrashes = 200;
+/** Crashes that are remembered, apart from those that show a cause. */
+const maxCrashes = 128;
 
 /** Crashes without a known cause are forgotten after this time. */
 const crashTtlMs = 60_000;
@@ -90,6 +90,8 @@
   #suspectParts = new Set<string>();
   #unreportedAnswers = new Set<string>();
   #hasUnreportedCrash = false;
+  /** True if evidence has come since the causes were found. */
+  #isOutdated = false;
   #causes: readonly CrashCause[] = [];
   #lastCauseReportMs = -Infinity;
 
@@ -123,11 +125,13 @@
       this.#lastAnswerMs.set(part, nowMs);
       if (this.#suspectParts.has(part)) this.#unreportedAnswers.add(part);
     }
-    if (parts.some(part => this.#suspectParts.has(part))) this.#update();
+    if (parts.some(part => this.#suspectParts.has(part)))
+      this.#isOutdated = true;
   }
 
   /** Returns why a prompt with the parts is refused; undefined if it is not. */
   findCause(parts: SharedParts): CrashCause | undefined {
+    if (this.#isOutdated) this.#update();
     const nowMs = performance.now();
     const cause = this.#causes.find(
       candidate =>
@@ -209,8 +213,19 @@
     const key = getIncarnationKey(entry.crash);
     if (this.#refuted.has(key)) return;
     this.#entries.set(key, mergeEntries(this.#entries.get(key), entry));
-    const [oldestKey = ''] = this.#entries.keys();
-    if (this.#entries.size > maxCrashes) this.#entries.delete(oldestKey);
+    if (this.#entries.size > maxCrashes) this.#forgetOldestUnexplained();
+  }
+
+  #forgetOldestUnexplained(): void {
+    const explained = this.#listExplainedKeys();
+    const oldest = [...this.#entries.keys()].find(key => !explained.has(key));
+    if (oldest !== undefined) this.#entries.delete(oldest);
+  }
+
+  #listExplainedKeys(): Set<string> {
+    return new Set(
+      this.#causes.flatMap(({ crashes }) => crashes.map(getIncarnationKey)),
+    );
   }
 
   #refute(key: string): void {
@@ -222,7 +237,8 @@
 
   /** Brings the causes up to date with the crashes and answers. */
   #update(): void {
-    if (this.#entries.size === 0) return;
+    this.#isOutdated = false;
+    if (this.#entries.size === 0 && this.#causes.length === 0) return;
     const nowMs = performance.now();
     this.#refuteByAnswers(nowMs);
     this.#forgetOldCrashes(nowMs);
@@ -245,9 +261,7 @@
   }
 
   #forgetOldCrashes(nowMs: number): void {
-    const explained = new Set(
-      this.#causes.flatMap(({ crashes }) => crashes.map(getIncarnationKey)),
-    );
+    const explained = this.#listExplainedKeys();
     for (const [key, { crash, lastRefusalMs }] of this.#entries) {
       const lastUseMs = Math.max(crash.atMs, lastRefusalMs);
       const ttlMs = explained.has(key) ? causeTtlMs : crashTtlMs;
--- a/packages/relay/src/crashes/target-crash.ts
+++ b/packages/relay/src/crashes/target-crash.ts
@@ -6,7 +6,7 @@
 
 /** Bounds of a report, so that a caller's prompts can't make it large. */
 const maxPartsPerSuspect = 24;
-const maxSuspects = 32;
+const maxSuspects = 16;
 
 /** Ids of the parts of a prompt that other prompts may share, in prompt order. */
 export type SharedParts = readonly string[];
