--- a/packages/relay/src/crashes/prompt-quarantine.ts
+++ b/packages/relay/src/crashes/prompt-quarantine.ts
@@ -111,10 +111,6 @@
   recordCrash(crash: TargetCrash): void {
     this.#addCrash({ crash, isOwn: true, lastRefusalMs: -Infinity });
     this.#hasUnreportedCrash = true;
-    this.options.log.writeEvent('target_crashed', {
-      target: crash.target,
-      suspects: crash.suspects.length,
-    });
     this.#update();
   }
 
