Let a stream be empty that is taken up after its last event

Found when reading: an answer that ends with its connection before any event was taken for broken off, also where the caller had got all events before. Failing before: 'a stream that is taken up after its last event may be empty'.

--- a/packages/relay/src/relay/generation-runner.ts
+++ b/packages/relay/src/relay/generation-runner.ts
@@ -100,6 +100,7 @@
       acceptsStatus,
       onBytes,
       isResumable: route.resumable,
+      mayBeEmpty: context.request.resumeAfterEventId !== undefined,
     });
   }
 
--- a/packages/relay/src/relay/plain-request-runner.ts
+++ b/packages/relay/src/relay/plain-request-runner.ts
@@ -181,6 +181,7 @@
       acceptsStatus,
       onBytes,
       isResumable: false,
+      mayBeEmpty: this.context.request.resumeAfterEventId !== undefined,
     });
   }
 }
--- a/packages/relay/src/relay/response-sinks.ts
+++ b/packages/relay/src/relay/response-sinks.ts
@@ -75,6 +75,8 @@
   readonly onBytes: () => void;
   /** True if only whole events are forwarded, so that another target can go on. */
   readonly isResumable: boolean;
+  /** True if the caller takes up a stream, of which nothing may be left. */
+  readonly mayBeEmpty: boolean;
 }
 
 const okStatus = 200;
@@ -152,8 +154,11 @@
     const head = this.#currentHead;
     if (head === undefined || !isEventStream(head)) return undefined;
     if (this.#isInsideEvent) return 'the stream ended inside an event';
+    const mayBeEmpty = this.#options.mayBeEmpty || this.#writeCount > 0;
     const isEmpty = head.isCloseDelimited && this.#currentBytes === 0;
-    return isEmpty ? 'the connection ended before the first event' : undefined;
+    return isEmpty && !mayBeEmpty
+      ? 'the connection ended before the first event'
+      : undefined;
   }
 
   /** Ends an answer that arrived completely. */
