--- a/packages/core/src/shared/numbers.test.ts
+++ b/packages/core/src/shared/numbers.test.ts
@@ -3,15 +3,17 @@
 import { logEvents } from './events.js';
 import { resultCodes } from './result-codes.js';
 
-for (const [name, table] of [
-  ['result code', resultCodes],
-  ['event', logEvents],
-] as const) {
-  test(`no two ${name}s have the same number`, t => {
-    const numbers = Object.values(table).map(({ number }) => number);
-    const repeated = numbers.filter(
-      (number, i) => numbers.indexOf(number) !== i,
-    );
-    t.deepEqual(repeated, []);
-  });
-}
+const findRepeated = (
+  entries: readonly { readonly number: number }[],
+): number[] => {
+  const numbers = entries.map(({ number }) => number);
+  return numbers.filter((number, i) => numbers.indexOf(number) !== i);
+};
+
+test('no two result codes have the same number', t => {
+  t.deepEqual(findRepeated(Object.values(resultCodes)), []);
+});
+
+test('no two events have the same number', t => {
+  t.deepEqual(findRepeated(Object.values(logEvents)), []);
+});
