--- a/packages/relay/src/forwarding/http-request-forwarder.ts
+++ b/packages/relay/src/forwarding/http-request-forwarder.ts
@@ -1,16 +1,12 @@
 /** Forwards requests over HTTP/1.1 to the peer interfaces of other instances. */
-import { Failure, errorBodySchema, resultCodes } from '@medlarlever/core';
-import type { InstanceRegistry, ResultName } from '@medlarlever/core';
+import type { InstanceRegistry } from '@medlarlever/core';
 import { Pool } from 'undici';
 
 import type { RelayRequest } from '../requests/relay-request.js';
 import type { ResponseSink } from '../relay/target-client.js';
 
-import {
-  encodeForwardedRequest,
-  failureHeaderName,
-  forwardPath,
-} from './forwarded-request.js';
+import { ForwardExchange } from './forward-exchange.js';
+import { encodeForwardedRequest, forwardPath } from './forwarded-request.js';
 import { chooseNeighbor } from './neighbor-selection.js';
 import type { Neighbor } from './neighbor-selection.js';
 import { RequestForwarder } from './request-forwarder.js';
@@ -27,18 +23,6 @@
 const maxConnections = 64;
 const idleTimeoutMs = 15_000;
 
-/** An error body is short; more comes from no instance. */
-const maxFailureBytes = 64 * 1024;
-
-/** Headers of the connection between the instances. */
-const connectionHeaderNames: ReadonlySet<string> = new Set([
-  'connection',
-  'keep-alive',
-  'transfer-encoding',
-  'date',
-  failureHeaderName,
-]);
-
 /** Dependencies of {@link HttpRequestForwarder}. */
 export interface HttpRequestForwarderOptions {
   readonly registry: Pick<InstanceRegistry, 'self' | 'listInstances'>;
@@ -48,39 +32,6 @@
   readonly random: () => number;
 }
 
-type HeaderRecord = Readonly<Record<string, string | string[] | undefined>>;
-
-const toRawHeaders = (headers: HeaderRecord): string[] =>
-  Object.entries(headers)
-    .filter(([name]) => !connectionHeaderNames.has(name))
-    .flatMap(([name, value = []]) =>
-      [value].flat().flatMap(item => [name, item]),
-    );
-
-const isResultName = (name: string): name is ResultName => name in resultCodes;
-
-/** Reads the failure in the body; one that can't be read may have run. */
-const decodeFailure = (text: string): Failure => {
-  try {
-    const { error } = errorBodySchema.parse(JSON.parse(text));
-    if (isResultName(error.name))
-      return new Failure(error.name, error.message, {
-        executed: error.executed,
-        retryAfterMs: error.retry_after_ms,
-      });
-  } catch (error) {
-    return createUnreadableFailure(String(error));
-  }
-  return createUnreadableFailure('the result code is unknown');
-};
-
-const createUnreadableFailure = (reason: string): Failure =>
-  new Failure(
-    'target_failed',
-    `the failure of the other instance can't be read: ${reason}`,
-    { executed: 'unknown' },
-  );
-
 /** Keeps connections to the instances to which requests were forwarded. */
 export class HttpRequestForwarder extends RequestForwarder {
   readonly #poolsByAddress = new Map<string, Pool>();
@@ -156,81 +107,18 @@
     { remainingMs, lastEventId, signal }: ForwardOptions,
     sink: ResponseSink,
   ): Promise<ForwardOutcome> {
+    if (signal.aborted) return Promise.resolve({ kind: 'aborted' });
     const body = JSON.stringify(
       encodeForwardedRequest(request, remainingMs, lastEventId),
     );
-    return new Promise(resolve => {
-      let phase: 'connecting' | 'sent' | 'answering' = 'connecting';
-      let status = 0;
-      let isAccepted = false;
-      let failureText: string | undefined;
-      let abortDispatch: () => void = () => undefined;
-      const finish = (outcome: ForwardOutcome) => {
-        signal.removeEventListener('abort', abort);
-        resolve(outcome);
-      };
-      const abort = () => {
-        finish({ kind: 'aborted' });
-        abortDispatch();
-      };
-      if (signal.aborted) {
-        resolve({ kind: 'aborted' });
-        return;
-      }
-      signal.addEventListener('abort', abort, { once: true });
+    const headers = {
+      'content-type': 'application/json',
+      'x-instance': this.options.registry.self.name,
+    };
+    return new Promise(onEnd => {
       this.#getPool(address).dispatch(
-        {
-          method: 'POST',
-          path: forwardPath,
-          headers: {
-            'content-type': 'application/json',
-            'x-instance': this.options.registry.self.name,
-          },
-          body,
-        },
-        {
-          onRequestStart(controller) {
-            abortDispatch = () => {
-              controller.abort(new Error('the request was aborted'));
-            };
-            if (signal.aborted) abortDispatch();
-            else phase = 'sent';
-          },
-          onResponseStart(_controller, statusCode, headers) {
-            phase = 'answering';
-            status = statusCode;
-            if (headers[failureHeaderName] !== undefined) {
-              failureText = '';
-              return;
-            }
-            isAccepted = sink.onHead({
-              status,
-              headers: toRawHeaders(headers),
-              isCloseDelimited: false,
-            });
-          },
-          onResponseData(controller, chunk) {
-            if (failureText !== undefined) {
-              failureText += chunk.toString();
-              if (failureText.length > maxFailureBytes)
-                controller.abort(new Error('the failure is too long'));
-              return;
-            }
-            if (!isAccepted || signal.aborted || sink.onData(chunk)) return;
-            controller.pause();
-            void sink.waitForDrain().then(() => {
-              controller.resume();
-            });
-          },
-          onResponseEnd() {
-            if (failureText !== undefined)
-              finish({ kind: 'failed', failure: decodeFailure(failureText) });
-            else finish({ kind: isAccepted ? 'whole' : 'declined', status });
-          },
-          onResponseError(_controller, error) {
-            finish({ kind: 'broken', phase, reason: error.message });
-          },
-        },
+        { method: 'POST', path: forwardPath, headers, body },
+        new ForwardExchange({ sink, signal, onEnd }),
       );
     });
   }
