Pass on only answers that another instance's relay gave, and say truly what has run

Found when reading the forwarding of requests. Callers of an instance that reaches no target could have got the 404 of an instance that does not know the path, as in a release of the daemon, or the 413 or 500 of its HTTP server, as if a target had answered; and where another instance failed by a defect while it served, its failure said that the request had not run. Cause: only failures were marked, so all else counted as an answer, and one catch stood around decoding and serving. Now each answer of the relay is marked, what is not marked has not run and another instance is asked, and a defect while serving is unknown. Five tests failed before: 'an answer with 404 (413, 500, 200) that no target gave is not passed on', 'an instance that fails while it serves ...'.

--- a/packages/relay/src/forwarding/forward-exchange.ts
+++ b/packages/relay/src/forwarding/forward-exchange.ts
@@ -3,8 +3,15 @@
 
 import type { ResponseSink } from '../relay/target-client.js';
 
-import { decodeForwardedFailure } from './forwarded-failure.js';
-import { failureHeaderName } from './forwarded-request.js';
+import {
+  createUnknownAnswerFailure,
+  decodeForwardedFailure,
+} from './forwarded-failure.js';
+import {
+  answerResult,
+  failureResult,
+  resultHeaderName,
+} from './forwarded-request.js';
 import type { ForwardOutcome } from './request-forwarder.js';
 
 /** An error body is short; more comes from no instance. */
@@ -16,7 +23,7 @@
   'keep-alive',
   'transfer-encoding',
   'date',
-  failureHeaderName,
+  resultHeaderName,
 ]);
 
 type HeaderRecord = Readonly<Record<string, string | string[] | undefined>>;
@@ -70,10 +77,19 @@
   ): void {
     this.#phase = 'answering';
     this.#status = status;
-    if (headers[failureHeaderName] !== undefined) {
+    const result = headers[resultHeaderName];
+    if (result === failureResult) {
       this.#failureText = '';
       return;
     }
+    if (result !== answerResult) {
+      this.#end({
+        kind: 'failed',
+        failure: createUnknownAnswerFailure(status),
+      });
+      this.#abort('the answer is not one of an instance');
+      return;
+    }
     this.#isAccepted = this.#options.sink.onHead({
       status,
       headers: toRawHeaders(headers),
--- a/packages/relay/src/forwarding/forwarded-failure.ts
+++ b/packages/relay/src/forwarding/forwarded-failure.ts
@@ -25,3 +25,10 @@
     return createUnreadableFailure(String(error));
   }
 };
+
+/** Creates the failure of an answer that no relay of an instance gave. */
+export const createUnknownAnswerFailure = (status: number): Failure =>
+  new Failure(
+    'not_ready',
+    `the instance does not take forwarded requests: it answered with status ${status}`,
+  );
--- a/packages/relay/src/forwarding/forwarded-request-handler.ts
+++ b/packages/relay/src/forwarding/forwarded-request-handler.ts
@@ -3,14 +3,18 @@
 
 import { Failure } from '@medlarlever/core';
 import type { Log } from '@medlarlever/core';
+import { Either } from 'purify-ts';
 
 import type { Relay } from '../relay/relay.js';
+import type { RelayRequest } from '../requests/relay-request.js';
 import { HttpCaller } from '../server/http-caller.js';
 import type { RequestDrainer } from '../server/request-drainer.js';
 
 import {
+  answerResult,
   decodeForwardedRequest,
-  failureHeaderName,
+  failureResult,
+  resultHeaderName,
 } from './forwarded-request.js';
 
 /** Dependencies of {@link createForwardedRequestHandler}. */
@@ -27,6 +31,7 @@
   response: ServerResponse,
 ) => Promise<void>;
 
+/** Creates the handler of the peer interface. */
 export const createForwardedRequestHandler =
   ({
     relay,
@@ -36,23 +41,48 @@
   async (message, from, response) => {
     const caller = new HttpCaller(response, {
       isClosing: () => false,
-      failureHeaders: [failureHeaderName, '1'],
+      resultHeader: {
+        name: resultHeaderName,
+        answer: answerResult,
+        failure: failureResult,
+      },
       // The end of the connection would not tell the other instance a whole answer.
       endsByFraming: true,
     });
     const finishRequest = drainer.startRequest();
     try {
-      await relay.serve(decodeForwardedRequest(message, from), caller);
+      const request = decodeRequest(message, from);
+      if (request.isLeft()) caller.sendFailure(request.extract());
+      else await relay.serve(request.unsafeCoerce(), caller);
     } catch (error) {
       log.writeEvent('step_failed', {
         step: 'forwarded request',
         from,
         reason: String(error),
       });
-      caller.sendFailure(
-        new Failure('malformed_body', 'the forwarded request is not valid'),
-      );
+      endAfterDefect(caller, error);
     } finally {
       finishRequest();
     }
   };
+
+const decodeRequest = (
+  message: unknown,
+  from: string,
+): Either<Failure, RelayRequest> =>
+  Either.encase(() => decodeForwardedRequest(message, from)).mapLeft(
+    error =>
+      new Failure('malformed_body', `the forwarded request: ${error.message}`),
+  );
+
+const endAfterDefect = (caller: HttpCaller, error: unknown): void => {
+  if (caller.hasStarted) {
+    caller.abortResponse();
+    return;
+  }
+  caller.sendFailure(
+    new Failure('target_failed', `the instance failed: ${String(error)}`, {
+      executed: 'unknown',
+    }),
+  );
+};
--- a/packages/relay/src/forwarding/forwarded-request.ts
+++ b/packages/relay/src/forwarding/forwarded-request.ts
@@ -6,8 +6,14 @@
 /** Path of forwarded requests at the peer interface. */
 export const forwardPath = '/forwarded-requests';
 
-/** Marks an answer as a failure of the other instance, with its error body. */
-export const failureHeaderName = 'x-instance-failure';
+/**
+ * Header of each answer of the other instance's relay: `answer` for that of a target,
+ * `failure` for an error body of its own. An answer without it comes from something that
+ * has not run the request, such as an instance that does not know the path.
+ */
+export const resultHeaderName = 'x-instance-result';
+export const answerResult = 'answer';
+export const failureResult = 'failure';
 
 /** Longest request with its body in base64. */
 export const maxForwardedBytes = 32 * 1024 * 1024;
--- a/packages/relay/src/forwarding/request-forwarding.test.ts
+++ b/packages/relay/src/forwarding/request-forwarding.test.ts
@@ -1,4 +1,7 @@
 /** Requests that one instance hands to another over HTTP. */
+import { createServer } from 'node:http';
+import type { ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
 import { setTimeout as pause } from 'node:timers/promises';
 
 import test from 'ava';
@@ -21,8 +24,8 @@
   t: ExecutionContext,
   names: readonly string[],
   route: Partial<Route> = {},
+  deployment = new FakeDeployment(),
 ) => {
-  const deployment = new FakeDeployment();
   return Promise.all(
     names.map(async self => {
       const stop = new AbortController();
@@ -279,3 +282,58 @@
   t.false(instance.crashes.isPoisonRequest('f1'));
   t.is(instance.promptQuarantine.listCrashes(false).length, 1);
 });
+
+/** Adds an instance whose peer interface answers forwarded requests otherwise. */
+const startOtherServer = async (
+  t: ExecutionContext,
+  deployment: FakeDeployment,
+  respond: (response: ServerResponse) => void,
+) => {
+  const server = createServer((message, response) => {
+    message.resume();
+    message.once('end', () => {
+      respond(response);
+    });
+  });
+  await new Promise<void>(resolve => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  t.teardown(() => {
+    server.closeAllConnections();
+    server.close();
+  });
+  const { port } = server.address() as AddressInfo;
+  const [known] = deployment.instanceRecords;
+  if (known === undefined) throw new Error('there is no instance yet');
+  deployment.instanceRecords.push({
+    ...known,
+    name: 'old',
+    address: `127.0.0.1:${port}`,
+  });
+};
+
+for (const status of [404, 413, 500, 200]) {
+  test(`an answer with ${status} that no target gave is not passed on`, async t => {
+    const deployment = new FakeDeployment();
+    const [cut] = await startInstances(t, ['cut'], {}, deployment);
+    if (cut === undefined) return t.fail();
+    await startOtherServer(t, deployment, response => {
+      response.writeHead(status).end('not an answer');
+    });
+    await cutOff(cut);
+    const caller = await cut.serve();
+    t.is(caller.status, undefined);
+    t.is(caller.failure?.code, 'no_target');
+    t.is(caller.failure?.executed, 'no');
+  });
+}
+
+test('an instance that fails while it serves does not say that the request has not run', async t => {
+  const [cut, other] = await startInstances(t, ['cut', 'other']);
+  if (cut === undefined || other === undefined) return t.fail();
+  await cutOff(cut);
+  other.relay.serve = () => Promise.reject(new Error('a defect'));
+  const caller = await cut.serve();
+  t.is(caller.failure?.executed, 'unknown');
+  t.is(caller.failure?.status, 502);
+});
--- a/packages/relay/src/relay/request-forwarding.ts
+++ b/packages/relay/src/relay/request-forwarding.ts
@@ -17,6 +17,7 @@
   'no_target',
   'not_ready',
   'not_found',
+  'malformed_body',
   'shutting_down',
   'overloaded',
 ]);
--- a/packages/relay/src/server/http-caller.ts
+++ b/packages/relay/src/server/http-caller.ts
@@ -12,8 +12,12 @@
 export interface HttpCallerOptions {
   /** Returns true if the connection must close after this response. */
   readonly isClosing: () => boolean;
-  /** Names and values of headers that failures get; none by default. */
-  readonly failureHeaders?: readonly string[];
+  /** Header that tells answers of targets from failures; none by default. */
+  readonly resultHeader?: {
+    readonly name: string;
+    readonly answer: string;
+    readonly failure: string;
+  };
   /** True if a response without a length is sent in chunks; false by default. */
   readonly endsByFraming?: boolean;
 }
@@ -60,7 +64,7 @@
     if (this.#isCloseDelimited) {
       this.#response.useChunkedEncodingByDefault = false;
     }
-    const headers = [...head.headers];
+    const headers = [...head.headers, ...this.#createResultHeader('answer')];
     if (this.#isCloseDelimited || this.options.isClosing()) {
       headers.push('Connection', 'close');
     }
@@ -109,11 +113,18 @@
     this.#sendFailure(failure, true);
   }
 
+  #createResultHeader(result: 'answer' | 'failure'): string[] {
+    const { resultHeader } = this.options;
+    return resultHeader === undefined
+      ? []
+      : [resultHeader.name, resultHeader[result]];
+  }
+
   #sendFailure(failure: Failure, closesConnection: boolean): void {
     this.#hasStarted = true;
     const body = JSON.stringify(failure.toBody());
     const headers = [
-      ...(this.options.failureHeaders ?? []),
+      ...this.#createResultHeader('failure'),
       'Content-Type',
       'application/json',
       'Content-Length',
