Check answers from targets and from instances in one place, and keep one start time and probe permit

Read as a newcomer: each caller of a sink asked which kind of sink it was, and the check for an event without end was made for sends to targets only, where a forwarded answer relied on the other instance. Sinks have one abstract class now, and runCheckedSend serves both. The start of a target that states none stood in two files, the rule for probes in two; crashes imported targets and the reverse. No check is looser.

--- a/packages/relay/src/crashes/crash-check.ts
+++ b/packages/relay/src/crashes/crash-check.ts
@@ -16,8 +16,7 @@
   return target => {
     const { record } = target;
     if (pendingChecks.has(record.id)) return;
-    // A probe would break the pause or the limit that the target asked for.
-    if (target.remainingQuietMs > 0 || !target.limiter.tryTakePermit()) return;
+    if (!target.tryTakeProbePermit()) return;
     pendingChecks.add(record.id);
     void client
       .checkGone(record)
--- a/packages/relay/src/crashes/crash-tracker.ts
+++ b/packages/relay/src/crashes/crash-tracker.ts
@@ -6,9 +6,9 @@
 import type { Log } from '@medlarlever/core';
 import { LRUCache } from 'lru-cache';
 
+import { getStartMs } from '../targets/target-record.js';
 import type { TargetRecord } from '../targets/target-record.js';
 
-import { unknownStartMs } from './target-crash.js';
 import type { SharedParts, TargetCrash } from './target-crash.js';
 
 /** Number of crashed targets at which a request is rejected. */
@@ -58,8 +58,10 @@
   /** Records that a connection broke while the target ran the request. */
   recordSuspectedCrash(
     suspect: CrashSuspect,
-    { id, startedAtMs = unknownStartMs }: TargetIncarnation,
+    incarnation: TargetIncarnation,
   ): void {
+    const { id } = incarnation;
+    const startedAtMs = getStartMs(incarnation);
     const nowMs = performance.now();
     const recentSuspects = this.#listRecentSuspects(id, nowMs);
     recentSuspects.push({ ...suspect, startedAtMs, suspectedAtMs: nowMs });
--- a/packages/relay/src/crashes/target-crash.ts
+++ b/packages/relay/src/crashes/target-crash.ts
@@ -22,9 +22,6 @@
   readonly suspects: readonly SharedParts[];
 }
 
-/** Start time of targets that do not state theirs. */
-export const unknownStartMs = 0;
-
 /** Identifies the incarnation of a target. */
 export const getIncarnationKey = ({
   target,
--- a/packages/relay/src/forwarding/http-request-forwarder.ts
+++ b/packages/relay/src/forwarding/http-request-forwarder.ts
@@ -3,7 +3,8 @@
 import { Pool } from 'undici';
 
 import type { RelayRequest } from '../requests/relay-request.js';
-import type { ResponseSink } from '../relay/target-client.js';
+import { runCheckedSend } from '../relay/checked-send.js';
+import type { CallerSink } from '../relay/response-sinks.js';
 
 import { ForwardExchange } from './forward-exchange.js';
 import { encodeForwardedRequest, forwardPath } from './forwarded-request.js';
@@ -44,7 +45,7 @@
   override async forward(
     request: RelayRequest,
     options: ForwardOptions,
-    sink: ResponseSink,
+    sink: CallerSink,
   ): Promise<Forwarding | undefined> {
     const neighbor = chooseNeighbor(
       this.#listNeighbors(options.excluded),
@@ -53,7 +54,9 @@
     if (neighbor === undefined) return undefined;
     const { name, address, forwardedCount } = neighbor;
     this.#countsByInstance.set(name, forwardedCount + 1);
-    const outcome = await this.#send(address, request, options, sink);
+    const outcome = await runCheckedSend(sink, options.signal, signal =>
+      this.#send(address, request, { ...options, signal }, sink),
+    );
     const count = this.#countsByInstance.get(name) ?? 1;
     this.#countsByInstance.set(name, count - 1);
     return { instance: name, outcome };
@@ -105,7 +108,7 @@
     address: string,
     request: RelayRequest,
     { remainingMs, lastEventId, signal }: ForwardOptions,
-    sink: ResponseSink,
+    sink: CallerSink,
   ): Promise<ForwardOutcome> {
     if (signal.aborted) return Promise.resolve({ kind: 'aborted' });
     const body = JSON.stringify(
--- a/packages/relay/src/forwarding/request-forwarder.ts
+++ b/packages/relay/src/forwarding/request-forwarder.ts
@@ -2,7 +2,8 @@
 import type { Failure } from '@medlarlever/core';
 
 import type { RelayRequest } from '../requests/relay-request.js';
-import type { ResponseSink, SendOutcome } from '../relay/target-client.js';
+import type { CallerSink } from '../relay/response-sinks.js';
+import type { SendOutcome } from '../relay/target-client.js';
 
 /** Options of a forwarded request. */
 export interface ForwardOptions {
@@ -31,6 +32,6 @@
   abstract forward(
     request: RelayRequest,
     options: ForwardOptions,
-    sink: ResponseSink,
+    sink: CallerSink,
   ): Promise<Forwarding | undefined>;
 }
--- a/packages/relay/src/peers/limit-reports.ts
+++ b/packages/relay/src/peers/limit-reports.ts
@@ -3,15 +3,12 @@
 
 import type { ReportedLimit } from '../limits/reported-limit.js';
 import { logTargetLimit } from '../targets/target-announcements.js';
+import { getStartMs } from '../targets/target-record.js';
 import type { TargetRegistry } from '../targets/target-registry.js';
-import type { TargetState } from '../targets/target-state.js';
 
 /** Observations are repeated for this long, because reports may be lost. */
 const repetitionMs = 3_000;
 
-/** Start time in reports of targets that do not state theirs. */
-const unknownStartMs = 0;
-
 /** Dependencies of {@link LimitReports}. */
 export interface LimitReportsOptions {
   readonly targets: TargetRegistry;
@@ -41,7 +38,8 @@
     const nowMs = performance.now();
     for (const [id, startedAtMs, requestsPerSecond, ageMs] of limits) {
       const state = this.options.targets.findTarget(id);
-      if (state === undefined || getStartMs(state) !== startedAtMs) continue;
+      if (state === undefined || getStartMs(state.record) !== startedAtMs)
+        continue;
       const { statement } = state.limiter;
       const hasChanged =
         requestsPerSecond === null
@@ -62,14 +60,11 @@
         const ageMs = Math.round(nowMs - atMs);
         if (ageMs > repetitionMs) return [];
         const { id } = state.record;
-        return [[id, getStartMs(state), requestsPerSecond, ageMs]];
+        return [[id, getStartMs(state.record), requestsPerSecond, ageMs]];
       });
   }
 }
 
-const getStartMs = ({ record }: TargetState): number =>
-  record.startedAtMs ?? unknownStartMs;
-
 const serializeLimits = (limits: readonly ReportedLimit[]): string =>
   JSON.stringify(limits.map(limit => limit.slice(0, 3)));
 
--- a/packages/relay/src/relay/app.ts
+++ b/packages/relay/src/relay/app.ts
@@ -25,7 +25,7 @@
 } from '../kernel/tokens.js';
 import { createCrashCheck } from '../crashes/crash-check.js';
 import { PromptQuarantine } from '../crashes/prompt-quarantine.js';
-import { findAnswerAgeMs } from '../targets/target-registry.js';
+import { findAnswerAgeMs } from '../crashes/answer-age.js';
 import { RelayMetrics } from '../metrics/relay-metrics.js';
 import { CrashTracker } from '../crashes/crash-tracker.js';
 import { DataCenterReachability } from '../targets/data-center-reachability.js';
--- a/packages/relay/src/relay/generation-runner.ts
+++ b/packages/relay/src/relay/generation-runner.ts
@@ -26,14 +26,11 @@
 import type { RelayDependencies } from './relay.js';
 import { RequestRunner, minServerErrorStatus } from './request-runner.js';
 import { isConnectFailure } from './send-failures.js';
+import type { FailedSendOutcome } from './send-failures.js';
 import { SendWatchdog } from './send-watchdog.js';
 import { recordTargetFailure, recordTargetSuccess } from './target-outcomes.js';
 import type { FailedSend } from './target-outcomes.js';
-import type {
-  KvCacheHandle,
-  PrefillOutcome,
-  SendOutcome,
-} from './target-client.js';
+import type { KvCacheHandle, PrefillOutcome } from './target-client.js';
 
 /**
  * Shortest silence after which a resumable stream is moved to another target:
@@ -417,10 +414,7 @@
     });
   }
 
-  #handleStreamFailure(
-    send: FailedSend,
-    outcome: Exclude<SendOutcome, { kind: 'whole' }>,
-  ): boolean {
+  #handleStreamFailure(send: FailedSend, outcome: FailedSendOutcome): boolean {
     const { context } = this;
     const { id, softwareVersion } = send.record;
     context.logEvent('attempt_failed', {
--- a/packages/relay/src/relay/liveness-check.ts
+++ b/packages/relay/src/relay/liveness-check.ts
@@ -11,9 +11,7 @@
     const { record } = target;
     const pendingCheck = pendingChecks.get(record.id);
     if (pendingCheck !== undefined) return pendingCheck;
-    // A probe would break the pause or the limit that the target asked for.
-    if (target.remainingQuietMs > 0 || !target.limiter.tryTakePermit())
-      return Promise.resolve(true);
+    if (!target.tryTakeProbePermit()) return Promise.resolve(true);
     const livenessCheck = client.checkLiveness(record).finally(() => {
       pendingChecks.delete(record.id);
     });
--- a/packages/relay/src/relay/request-forwarding.ts
+++ b/packages/relay/src/relay/request-forwarding.ts
@@ -5,8 +5,7 @@
 
 import type { RequestContext } from './request-context.js';
 import type { RelayDependencies } from './relay.js';
-import { BufferedResponseSink } from './response-sinks.js';
-import type { StreamingResponseSink } from './response-sinks.js';
+import type { CallerSink } from './response-sinks.js';
 import { createTargetFailure, isConnectFailure } from './send-failures.js';
 
 /** Other instances to which one request is handed, one after the other. */
@@ -22,8 +21,6 @@
   'overloaded',
 ]);
 
-type AnySink = BufferedResponseSink | StreamingResponseSink;
-
 /** A whole answer that another instance has got. */
 export interface ForwardedAnswer {
   readonly status: number;
@@ -55,26 +52,25 @@
   }
 
   /** Forwards the request; the answer is written to the sink, which is not finished. */
-  async run(sink: AnySink): Promise<ForwardingEnd> {
+  async run(sink: CallerSink): Promise<ForwardingEnd> {
     this.#hasRun = true;
     while (this.#failedInstances.size < maxForwardings) {
       const forwarding = await this.#forwardOnce(sink);
       if (forwarding === undefined) return undefined;
-      const end = this.#judge(forwarding, sink);
+      const end = this.#judge(forwarding);
       if (end !== undefined) return end;
       this.#failedInstances.add(forwarding.instance);
     }
     return undefined;
   }
 
-  async #forwardOnce(sink: AnySink): Promise<Forwarding | undefined> {
+  async #forwardOnce(sink: CallerSink): Promise<Forwarding | undefined> {
     const { dependencies, context } = this;
     const forwarding = await dependencies.forwarder.forward(
       context.request,
       {
         remainingMs: context.remainingMs,
-        lastEventId:
-          sink instanceof BufferedResponseSink ? undefined : sink.lastEventId,
+        lastEventId: sink.lastEventId,
         excluded: this.#failedInstances,
         signal: context.signal,
       },
@@ -90,13 +86,10 @@
   }
 
   /** Returns how the request ends; undefined if another instance may be asked. */
-  #judge({ instance, outcome }: Forwarding, sink: AnySink): ForwardingEnd {
+  #judge({ instance, outcome }: Forwarding): ForwardingEnd {
     const { context } = this;
     if (outcome.kind === 'failed') return this.#judgeFailure(outcome.failure);
-    const truncation =
-      sink instanceof BufferedResponseSink ? undefined : sink.findTruncation();
-    if (outcome.kind === 'whole' && truncation === undefined)
-      return { status: outcome.status, instance };
+    if (outcome.kind === 'whole') return { status: outcome.status, instance };
     if (!context.signal.aborted && isConnectFailure(outcome)) return undefined;
     context.mayHaveExecuted = true;
     return context.signal.aborted
--- a/packages/relay/src/relay/request-runner.ts
+++ b/packages/relay/src/relay/request-runner.ts
@@ -8,11 +8,11 @@
 
 import type { RequestContext } from './request-context.js';
 import type { RelayDependencies } from './relay.js';
+import { runCheckedSend } from './checked-send.js';
 import { RequestForwarding } from './request-forwarding.js';
 import type { ServiceState } from './service-state.js';
 import {
   createTargetFailure,
-  createTruncatedOutcome,
   getFailureReason,
   isConnectFailure,
   isNotExecuted,
@@ -20,8 +20,7 @@
 import type { FailedSendOutcome } from './send-failures.js';
 import { recordTargetFailure } from './target-outcomes.js';
 import type { FailedSend } from './target-outcomes.js';
-import { BufferedResponseSink } from './response-sinks.js';
-import type { StreamingResponseSink } from './response-sinks.js';
+import type { CallerSink } from './response-sinks.js';
 import type { SendOptions, SendOutcome } from './target-client.js';
 
 /** Retry delay for the caller when no target can take the request. */
@@ -108,9 +107,7 @@
    * Hands the request to another instance if this one reaches no target; true when the
    * request has ended.
    */
-  protected async tryForward(
-    sink: BufferedResponseSink | StreamingResponseSink,
-  ): Promise<boolean> {
+  protected async tryForward(sink: CallerSink): Promise<boolean> {
     if (!this.#forwarding.isNeeded) return false;
     const end = await this.#forwarding.run(sink);
     if (end === undefined) return false;
@@ -133,37 +130,17 @@
     return this.#forwarding.isNeeded;
   }
 
-  /**
-   * Sends the request once. A stream that breaks off without an error of the connection
-   * is broken as well.
-   */
-  protected async sendOnce(
+  /** Sends the request to the target once. */
+  protected sendOnce(
     record: TargetRecord,
     options: SendOptions,
-    sink: BufferedResponseSink | StreamingResponseSink,
+    sink: CallerSink,
   ): Promise<SendOutcome> {
     const { targetClient } = this.dependencies;
     const { request } = this.context;
-    if (sink instanceof BufferedResponseSink)
-      return targetClient.send(record, request, options, sink);
-    const overlong = new AbortController();
-    sink.onOverlongEvent = () => {
-      overlong.abort();
-    };
-    const signal = AbortSignal.any([options.signal, overlong.signal]);
-    const outcome = await targetClient.send(
-      record,
-      request,
-      { ...options, signal },
-      sink,
+    return runCheckedSend(sink, options.signal, signal =>
+      targetClient.send(record, request, { ...options, signal }, sink),
     );
-    if (overlong.signal.aborted)
-      return createTruncatedOutcome('an event of the stream has no end');
-    if (outcome.kind !== 'whole') return outcome;
-    const truncation = sink.findTruncation();
-    return truncation === undefined
-      ? outcome
-      : createTruncatedOutcome(truncation);
   }
 
   /** Counts a request at the target; the returned function removes it. */
--- a/packages/relay/src/relay/response-sinks.ts
+++ b/packages/relay/src/relay/response-sinks.ts
@@ -13,11 +13,33 @@
 /** Returns whether an answer with this status is forwarded. */
 export type StatusPredicate = (status: number) => boolean;
 
+/** Passes the answers to one request on to its caller. */
+export abstract class CallerSink extends ResponseSink {
+  /** Called when the current answer has an event that is too long to be one. */
+  onOverlongEvent: () => void = () => undefined;
+
+  /** Id of the last forwarded event; undefined if no stream can go on after it. */
+  get lastEventId(): string | undefined {
+    return undefined;
+  }
+
+  /**
+   * Returns why the current answer, whose end has arrived, was broken off; undefined if
+   * it is complete.
+   */
+  findTruncation(): string | undefined {
+    return undefined;
+  }
+
+  /** Ends an answer that arrived completely. */
+  abstract finish(): void;
+}
+
 /**
  * Buffers a short answer until it is complete, so that the request can be retried if
  * the answer breaks off. Longer answers are forwarded as they arrive.
  */
-export class BufferedResponseSink extends ResponseSink {
+export class BufferedResponseSink extends CallerSink {
   #head: ResponseHead | undefined;
   #bufferedChunks: Buffer[] = [];
   #bufferedBytes = 0;
@@ -50,8 +72,7 @@
     return this.caller.waitForDrain();
   }
 
-  /** Forwards the buffered bytes and ends the answer. */
-  finish(): void {
+  override finish(): void {
     if (!this.#isForwarding) this.#forwardBufferedResponse();
     this.caller.end();
   }
@@ -98,12 +119,10 @@
  * Forwards the bytes of a stream as they arrive, or whole events if the stream is
  * resumable. The head is sent with the first bytes.
  */
-export class StreamingResponseSink extends ResponseSink {
+export class StreamingResponseSink extends CallerSink {
   readonly #options: StreamingResponseSinkOptions;
   readonly #eventBuffer = new ServerSentEventBuffer();
   #boundary = new EventBoundary();
-  /** Called when the current answer has an event that is too long to be one. */
-  onOverlongEvent: () => void = () => undefined;
   /** Head that the caller gets. */
   #head: ResponseHead | undefined;
   /** Head of the answer that arrives at present. */
@@ -116,8 +135,7 @@
     this.#options = options;
   }
 
-  /** Id of the last forwarded event; undefined if the stream is not resumable. */
-  get lastEventId(): string | undefined {
+  override get lastEventId(): string | undefined {
     return this.#eventBuffer.lastEventId;
   }
 
@@ -146,11 +164,7 @@
     return this.#options.caller.waitForDrain();
   }
 
-  /**
-   * Returns why the current answer, whose end has arrived, was broken off; undefined if
-   * it is complete.
-   */
-  findTruncation(): string | undefined {
+  override findTruncation(): string | undefined {
     const head = this.#currentHead;
     if (head === undefined || !isEventStream(head)) return undefined;
     if (this.#isInsideEvent) return 'the stream ended inside an event';
@@ -161,8 +175,7 @@
       : undefined;
   }
 
-  /** Ends an answer that arrived completely. */
-  finish(): void {
+  override finish(): void {
     const incompleteEvent = this.#eventBuffer.takeIncompleteEvent();
     if (incompleteEvent.length > 0) this.#writeBytes(incompleteEvent);
     this.#writeHeadOnce();
--- a/packages/relay/src/relay/send-failures.ts
+++ b/packages/relay/src/relay/send-failures.ts
@@ -27,10 +27,3 @@
   new Failure('target_failed', `the target failed: ${reason}`, {
     executed: 'unknown',
   });
-
-/** Creates the outcome of a send whose answer was not complete at its end. */
-export const createTruncatedOutcome = (reason: string): SendOutcome => ({
-  kind: 'broken',
-  phase: 'answering',
-  reason,
-});
--- a/packages/relay/src/targets/target-record.ts
+++ b/packages/relay/src/targets/target-record.ts
@@ -29,3 +29,11 @@
   startedAtMs: z.number().optional(),
 });
 export type TargetRecord = z.infer<typeof targetRecordSchema>;
+
+/** Stands for the start of targets that do not state theirs. */
+const unknownStartMs = 0;
+
+/** Returns the start of the target's process, which tells its incarnations apart. */
+export const getStartMs = ({
+  startedAtMs = unknownStartMs,
+}: Pick<TargetRecord, 'startedAtMs'>): number => startedAtMs;
--- a/packages/relay/src/targets/target-registry.ts
+++ b/packages/relay/src/targets/target-registry.ts
@@ -1,8 +1,6 @@
 /** Registry of all known targets and their state. */
 import type { Log } from '@medlarlever/core';
 
-import { unknownStartMs } from '../crashes/target-crash.js';
-import type { TargetCrash } from '../crashes/target-crash.js';
 import type { RequestLimiter } from '../limits/request-limiter.js';
 
 import type { TargetRecord } from './target-record.js';
@@ -222,17 +220,3 @@
     });
   }
 }
-
-/**
- * Returns the time in milliseconds since an answer of the incarnation last arrived here;
- * undefined if the incarnation is not registered.
- */
-export const findAnswerAgeMs = (
-  targets: TargetRegistry,
-  { target, startedAtMs }: Pick<TargetCrash, 'target' | 'startedAtMs'>,
-): number | undefined => {
-  const state = targets.findTarget(target);
-  const isSameIncarnation =
-    (state?.record.startedAtMs ?? unknownStartMs) === startedAtMs;
-  return isSameIncarnation ? state?.msSinceLastAnswer : undefined;
-};
--- a/packages/relay/src/targets/target-state.ts
+++ b/packages/relay/src/targets/target-state.ts
@@ -136,6 +136,14 @@
     return this.remainingQuietMs === 0 && this.limiter.hasPermit;
   }
 
+  /**
+   * Counts a probe and returns true, or returns false if it would break the pause or the
+   * limit that the target asked for.
+   */
+  tryTakeProbePermit(): boolean {
+    return this.remainingQuietMs === 0 && this.limiter.tryTakePermit();
+  }
+
   /** True while the target names a limit for the requests of all instances. */
   get isLimited(): boolean {
     return this.limiter.statement.requestsPerSecond !== undefined;
