--- a/packages/relay/src/crashes/prompt-quarantine.test.ts
+++ b/packages/relay/src/crashes/prompt-quarantine.test.ts
@@ -1,3 +1,4 @@
+import type { Clock } from '@sinonjs/fake-timers';
 import test from 'ava';
 
 import { installPausedClock } from '../fixtures/paused-clock.js';
@@ -44,6 +45,18 @@
   });
 };
 
+/** Records as many crashes as show a cause, some time apart. */
+const recordThreeCrashes = async (
+  clock: Clock,
+  instance: PromptQuarantine | undefined,
+  parts?: string[],
+) => {
+  for (const target of ['t1', 't2', 't3']) {
+    recordCrash(instance, target, parts);
+    await clock.tickAsync(400);
+  }
+};
+
 test.serial(
   'crashes at several instances add up, and one crash that all see counts once',
   async t => {
@@ -69,10 +82,7 @@
   async t => {
     const clock = installPausedClock(t);
     const { instances, exchange } = createInstances(2);
-    for (const target of ['t1', 't2', 't3']) {
-      recordCrash(instances[0], target);
-      await clock.tickAsync(400);
-    }
+    await recordThreeCrashes(clock, instances[0]);
     exchange();
     for (let i = 0; i < 100; i += 1) {
       await clock.tickAsync(3_000);
@@ -93,10 +103,7 @@
   async t => {
     const clock = installPausedClock(t);
     const { instances, exchange } = createInstances(2);
-    for (const target of ['t1', 't2', 't3']) {
-      recordCrash(instances[0], target);
-      await clock.tickAsync(400);
-    }
+    await recordThreeCrashes(clock, instances[0]);
     for (let i = 0; i < 61; i += 1) {
       await clock.tickAsync(10_000);
       exchange();
@@ -111,10 +118,7 @@
 test.serial('an answer that comes late releases a part everywhere', async t => {
   const clock = installPausedClock(t);
   const { instances, exchange } = createInstances(2);
-  for (const target of ['t1', 't2', 't3']) {
-    recordCrash(instances[0], target, ['part']);
-    await clock.tickAsync(400);
-  }
+  await recordThreeCrashes(clock, instances[0], ['part']);
   exchange();
   t.truthy(instances[1]?.findCause(['part']));
   instances[0]?.recordAnswer(['part']);
@@ -193,10 +197,7 @@
   async t => {
     const clock = installPausedClock(t);
     const { instances } = createInstances(1);
-    for (const target of ['t1', 't2', 't3']) {
-      recordCrash(instances[0], target);
-      await clock.tickAsync(400);
-    }
+    await recordThreeCrashes(clock, instances[0]);
     for (let i = 0; i < 500; i += 1)
       recordCrash(instances[0], `other-${i}`, [`part-${i}`]);
     t.truthy(instances[0]?.findCause(['rules', 'bad']));
