Keep the recorded crashes apart from the judgement on them

prompt-quarantine.ts held the store of crashes, their merging and their age beside the refusals, in 351 lines; it has 282 now. No behaviour changes.

--- a/packages/relay/src/crashes/prompt-quarantine.ts
+++ b/packages/relay/src/crashes/prompt-quarantine.ts
@@ -8,7 +8,9 @@
 
 import { findCrashCauses } from './crash-cause.js';
 import type { CrashCause } from './crash-cause.js';
-import { getIncarnationKey, mergeSuspects } from './target-crash.js';
+import { RecordedCrashes, createCrashReport } from './recorded-crashes.js';
+import type { RecordedCrash } from './recorded-crashes.js';
+import { getIncarnationKey } from './target-crash.js';
 import type {
   AnsweredPart,
   ReportedCrash,
@@ -20,15 +22,6 @@
 const maxAnsweredParts = 20_000;
 const answerTtlMs = 600_000;
 
-/** Crashes that are remembered, apart from those that show a cause. */
-const maxCrashes = 128;
-
-/** Crashes without a known cause are forgotten after this time. */
-const crashTtlMs = 60_000;
-
-/** A cause is forgotten once no request with its parts has come for this long. */
-const causeTtlMs = 600_000;
-
 /**
  * Time from the last crash for which a part is refused that was answered before, and
  * may only be in every prompt; doubles with each further crash.
@@ -36,6 +29,10 @@
 const answeredPartRefusalMs = 5_000;
 const firstDoublingCrashCount = 5;
 
+/** Refuted crashes that are remembered, longer than instances report them. */
+const maxRefuted = 128;
+const refutedTtlMs = 60_000;
+
 /** New crashes are repeated for this long, because reports may be lost. */
 const repetitionMs = 3_000;
 
@@ -66,25 +63,17 @@
   ) => number | undefined;
 }
 
-interface CrashEntry {
-  readonly crash: TargetCrash;
-  /** True if this instance saw the crash itself. */
-  readonly isOwn: boolean;
-  /** Monotonic time at which a request was last refused because of the crash. */
-  lastRefusalMs: number;
-}
-
 /** Crashes of targets, their causes, and the requests that are refused. */
 export class PromptQuarantine {
   readonly #lastAnswerMs = new LRUCache<string, number>({
     max: maxAnsweredParts,
     ttl: answerTtlMs,
   });
-  readonly #entries = new Map<string, CrashEntry>();
+  readonly #crashes = new RecordedCrashes();
   /** Incarnations that were reported as crashed and have answered since. */
   readonly #refuted = new LRUCache<string, number>({
-    max: maxCrashes,
-    ttl: crashTtlMs,
+    max: maxRefuted,
+    ttl: refutedTtlMs,
   });
   /** Parts that were in a prompt at a crash. */
   #suspectParts = new Set<string>();
@@ -134,10 +123,7 @@
         isInForce(candidate, nowMs) &&
         candidate.parts.every(part => parts.includes(part)),
     );
-    for (const crash of cause?.crashes ?? []) {
-      const entry = this.#entries.get(getIncarnationKey(crash));
-      if (entry !== undefined) entry.lastRefusalMs = nowMs;
-    }
+    if (cause !== undefined) this.#crashes.recordRefusal(cause.crashes, nowMs);
     return cause;
   }
 
@@ -149,9 +135,10 @@
     this.#update();
     this.#hasUnreportedCrash = false;
     const nowMs = performance.now();
-    const recent = [...this.#entries.values()]
+    const recent = this.#crashes
+      .list()
       .filter(({ isOwn, crash }) => isOwn && nowMs - crash.atMs <= repetitionMs)
-      .map(entry => toReport(entry, entry.crash.suspects, nowMs));
+      .map(entry => createCrashReport(entry, entry.crash.suspects, nowMs));
     const isCauseReportDue =
       nowMs - this.#lastCauseReportMs >= causeReportIntervalMs;
     if (!includesCauses || !isCauseReportDue) return recent;
@@ -205,40 +192,26 @@
     return this.#lastAnswerMs.get(part) ?? -Infinity;
   }
 
-  #addCrash(entry: CrashEntry): void {
-    const key = getIncarnationKey(entry.crash);
-    if (this.#refuted.has(key)) return;
-    this.#entries.set(key, mergeEntries(this.#entries.get(key), entry));
-    if (this.#entries.size > maxCrashes) this.#forgetOldestUnexplained();
-  }
-
-  #forgetOldestUnexplained(): void {
-    const explained = this.#listExplainedKeys();
-    const oldest = [...this.#entries.keys()].find(key => !explained.has(key));
-    if (oldest !== undefined) this.#entries.delete(oldest);
-  }
-
-  #listExplainedKeys(): Set<string> {
-    return new Set(
-      this.#causes.flatMap(({ crashes }) => crashes.map(getIncarnationKey)),
-    );
+  #addCrash(record: RecordedCrash): void {
+    if (this.#refuted.has(getIncarnationKey(record.crash))) return;
+    this.#crashes.add(record, this.#causes);
   }
 
   #refute(key: string): void {
     if (this.#refuted.has(key)) return;
     this.#refuted.set(key, performance.now());
-    if (!this.#entries.delete(key)) return;
+    if (!this.#crashes.delete(key)) return;
     this.options.log.writeEvent('target_crash_refuted', { target: key });
   }
 
   /** Brings the causes up to date with the crashes and answers. */
   #update(): void {
     this.#isOutdated = false;
-    if (this.#entries.size === 0 && this.#causes.length === 0) return;
+    if (this.#crashes.size === 0 && this.#causes.length === 0) return;
     const nowMs = performance.now();
     this.#refuteByAnswers(nowMs);
-    this.#forgetOldCrashes(nowMs);
-    const crashes = [...this.#entries.values()].map(({ crash }) => crash);
+    this.#crashes.forgetOld(this.#causes, nowMs);
+    const crashes = this.#crashes.list().map(({ crash }) => crash);
     this.#updateSuspectParts(crashes);
     const causes = findCrashCauses(crashes, part =>
       this.#getLastAnswerMs(part),
@@ -248,20 +221,12 @@
   }
 
   #refuteByAnswers(nowMs: number): void {
-    for (const [key, { crash }] of this.#entries) {
+    for (const { crash } of this.#crashes.list()) {
       const crashAgeMs = nowMs - crash.atMs;
       if (crashAgeMs > refutationWindowMs) continue;
       const answerAgeMs = this.options.getAnswerAgeMs(crash) ?? Infinity;
-      if (answerAgeMs < crashAgeMs - refutationMarginMs) this.#refute(key);
-    }
-  }
-
-  #forgetOldCrashes(nowMs: number): void {
-    const explained = this.#listExplainedKeys();
-    for (const [key, { crash, lastRefusalMs }] of this.#entries) {
-      const lastUseMs = Math.max(crash.atMs, lastRefusalMs);
-      const ttlMs = explained.has(key) ? causeTtlMs : crashTtlMs;
-      if (nowMs - lastUseMs > ttlMs) this.#entries.delete(key);
+      if (answerAgeMs < crashAgeMs - refutationMarginMs)
+        this.#refute(getIncarnationKey(crash));
     }
   }
 
@@ -298,8 +263,8 @@
     return this.#causes.flatMap(({ parts, crashes }) =>
       crashes
         .slice(-reportedCrashesPerCause)
-        .flatMap(crash => this.#entries.get(getIncarnationKey(crash)) ?? [])
-        .map(entry => toReport(entry, [parts], nowMs)),
+        .flatMap(crash => this.#crashes.find(crash) ?? [])
+        .map(entry => createCrashReport(entry, [parts], nowMs)),
     );
   }
 }
@@ -315,37 +280,3 @@
   const doublings = crashes.length - firstDoublingCrashCount;
   return nowMs - lastCrashMs < answeredPartRefusalMs * 2 ** doublings;
 };
-
-const mergeEntries = (
-  known: CrashEntry | undefined,
-  added: CrashEntry,
-): CrashEntry => {
-  if (known === undefined) return added;
-  const { target, startedAtMs } = known.crash;
-  return {
-    crash: {
-      target,
-      startedAtMs,
-      atMs: Math.min(known.crash.atMs, added.crash.atMs),
-      suspects: mergeSuspects(known.crash.suspects, added.crash.suspects),
-    },
-    isOwn: known.isOwn || added.isOwn,
-    lastRefusalMs: Math.max(known.lastRefusalMs, added.lastRefusalMs),
-  };
-};
-
-const toReport = (
-  { crash, lastRefusalMs }: CrashEntry,
-  suspects: readonly SharedParts[],
-  nowMs: number,
-): ReportedCrash => {
-  const { target, startedAtMs, atMs } = crash;
-  const idleMs = nowMs - Math.max(atMs, lastRefusalMs);
-  return [
-    target,
-    startedAtMs,
-    Math.floor(nowMs - atMs),
-    Math.floor(idleMs),
-    suspects.map(parts => [...parts]),
-  ];
-};
