--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -42,5 +42,6 @@
 export * from './roles/queue-wait-policy.js';
 export type * from './change-streams/table-source.js';
 export * from './kernel/tokens.js';
+export * from './duties/duty-client.js';
 export * from './settings/relay-settings.js';
 export * from './relay-daemon.js';
--- a/packages/relay/src/requests/relay-request.ts
+++ b/packages/relay/src/requests/relay-request.ts
@@ -57,6 +57,10 @@
   readonly resumeAfterEventId: string | undefined;
   /** Name of the instance that handed the request over; undefined if the caller sent it. */
   readonly forwardedBy?: string;
+  /** SHA-256 hash of the caller's key in base64url; undefined if it sent none. */
+  readonly keyHash?: string;
+  /** Name of the customer whose key was checked; undefined before the check and without one. */
+  readonly customer?: string;
 }
 
 /** The caller of one request, to which its answer is written. */
--- a/packages/relay/src/routes/route-configuration.ts
+++ b/packages/relay/src/routes/route-configuration.ts
@@ -33,6 +33,8 @@
   maxAttempts: z.number().int().positive(),
   /** True when a stream may be resumed at another target after its last event. */
   resumable: z.boolean(),
+  /** True when the requests of the route need no customer key. */
+  anonymous: z.boolean().default(false),
 });
 export type Route = z.infer<typeof routeSchema>;
 
@@ -49,6 +51,20 @@
 });
 export type EngineSettings = z.infer<typeof engineSettingsSchema>;
 
+/** Bounds and prices for ordering targets of a service. */
+export const scalingSettingsSchema = z.object({
+  /** Fewest and most targets in each data centre, on-demand and spot ones together. */
+  min: z.number().int().nonnegative(),
+  max: z.number().int().nonnegative(),
+  /** Time from an order until a new target serves, in milliseconds. */
+  startupMs: z.number().nonnegative(),
+  /** Price of a spot target, as a fraction of that of an on-demand target. */
+  spotPrice: z.number().nonnegative(),
+  /** Price of an on-demand target for one second, by data centre. */
+  prices: z.record(z.string(), z.number().nonnegative()),
+});
+export type ScalingSettings = z.infer<typeof scalingSettingsSchema>;
+
 /** A service that routes refer to by its name. */
 export const serviceSchema = z.object({
   name: z.string(),
@@ -56,6 +72,8 @@
   maxConnections: z.number().int().positive(),
   /** Present for language model engines. */
   engine: engineSettingsSchema.optional(),
+  /** Present if targets of the service can be ordered. */
+  scaling: scalingSettingsSchema.optional(),
 });
 export type Service = z.infer<typeof serviceSchema>;
 
@@ -68,6 +86,16 @@
 });
 export type CallerLimits = z.infer<typeof callerLimitsSchema>;
 
+/** A customer and the hashes of the keys that its requests carry. */
+export const customerSchema = z.object({
+  name: z.string(),
+  /** SHA-256 hashes of the keys, in base64url. */
+  keyHashes: z.array(z.string()),
+  /** Priority that replaces the rank of the route; 0 is the most urgent. */
+  rank: z.number().int().nonnegative().optional(),
+});
+export type Customer = z.infer<typeof customerSchema>;
+
 /** The whole configuration of the relay. */
 export const routeConfigurationSchema = z.object({
   /** Increases with each change, not always by 1. */
@@ -75,5 +103,7 @@
   routes: z.array(routeSchema),
   services: z.array(serviceSchema),
   limits: callerLimitsSchema,
+  /** Undefined if requests need no key. */
+  customers: z.array(customerSchema).optional(),
 });
 export type RouteConfiguration = z.infer<typeof routeConfigurationSchema>;
--- a/packages/relay/src/settings/relay-settings.ts
+++ b/packages/relay/src/settings/relay-settings.ts
@@ -7,6 +7,30 @@
   readonly port: number;
 }
 
+/** How long a withdrawn key may still be used. */
+export interface RevocationSettings {
+  /** Longest time from the acceptance of a configuration without the key, in milliseconds. */
+  readonly maxDelayMs: number;
+}
+
+/** Usage reports to the platform. */
+export interface UsageSettings {
+  /** Length of the windows; window 0 begins at the Unix epoch. */
+  readonly windowMs: number;
+  /** Time after the end of a window within which its report is due, in milliseconds. */
+  readonly maxDelayMs: number;
+}
+
+/** The platform's interface for calls that one instance at a time may send. */
+export interface DutySettings {
+  /** Calls a second that the platform accepts from all instances together. */
+  readonly callsPerSecond: number;
+  /** True if the platform takes usage reports. */
+  readonly reportsUsage: boolean;
+  /** True if the platform takes orders for targets. */
+  readonly ordersTargets: boolean;
+}
+
 /** Settings of one relay process. */
 export interface RelaySettings {
   /** Name of this instance. */
@@ -44,6 +68,14 @@
    * engine within this time.
    */
   readonly roleLeaseDurationMs: number;
+  /** Memory limit of the process in bytes; undefined if none is known. */
+  readonly memoryBytes?: number;
+  /** Undefined if the platform sets no limit for withdrawn keys. */
+  readonly revocation?: RevocationSettings;
+  /** Undefined if the platform states no reporting windows. */
+  readonly usage?: UsageSettings;
+  /** Undefined if the platform has no interface for duties. */
+  readonly duties?: DutySettings;
 }
 
 /** Holds the settings in force and applies updates. */
--- a/packages/relay/src/targets/target-record.ts
+++ b/packages/relay/src/targets/target-record.ts
@@ -27,6 +27,10 @@
   softwareVersion: z.string().optional(),
   /** Start time of the process, in epoch milliseconds of the target's clock. */
   startedAtMs: z.number().optional(),
+  /** True if the platform may reclaim the target at any time. */
+  isSpot: z.boolean().optional(),
+  /** Milliseconds until a leaving target ends, as of the registration; absent if unknown. */
+  leavesInMs: z.number().nonnegative().optional(),
 });
 export type TargetRecord = z.infer<typeof targetRecordSchema>;
 
