Check customers' keys where a request comes in

Cause: a configuration may name customers with keys; requests without a known key must get 401, a withdrawn key must end within a bound on every instance, and targets get the customer's name.

ConfigurationFreshness holds the time up to which all accepted configurations are known, from own reads and from answers of other instances; KeyGate checks each request once. Requests that are handed over carry the customer's name and are taken only from addresses of known instances. Without customers requests take the same path as before.

--- a/packages/core/src/shared/events.ts
+++ b/packages/core/src/shared/events.ts
@@ -302,6 +302,16 @@
     'info',
     'A request was handed to another instance, as this one reaches no target.',
   ),
+  key_refused: defineEvent(
+    530,
+    'warn',
+    'A request was refused because its key is missing or unknown.',
+  ),
+  keys_unverifiable: defineEvent(
+    531,
+    'warn',
+    'The instance began, or ceased, to refuse keys because its configuration may be outdated.',
+  ),
 } as const satisfies Record<string, LogEvent>;
 
 /** Name of a log event, written to the log as the field `name`. */
--- a/packages/core/src/shared/result-codes.ts
+++ b/packages/core/src/shared/result-codes.ts
@@ -228,6 +228,11 @@
     409,
     'The plan would leave a role or model without a target.',
   ),
+  key_unverifiable: defineResultCode(
+    4012,
+    503,
+    'The instance does not know whether the key of the request is still valid.',
+  ),
 
   // 5000: the platform
   platform_unavailable: defineResultCode(
--- a/packages/relay/src/change-streams/app.ts
+++ b/packages/relay/src/change-streams/app.ts
@@ -2,6 +2,7 @@
 import type { Kernel, Plugin } from '@medlarlever/core';
 
 import {
+  configurationFreshnessToken,
   crashTrackerToken,
   limitGroupToken,
   logToken,
@@ -23,8 +24,11 @@
   peerTopologyToken,
 } from '../kernel/tokens.js';
 import { startOrder } from '../kernel/start-order.js';
+import { getMaxLongPollMs } from '../customers/app.js';
+import { TimedChangeStream } from '../customers/timed-change-stream.js';
 import { RequestLimiter } from '../limits/request-limiter.js';
 import { RouteTableHolder } from '../routes/route-table-holder.js';
+import { readClocks } from '../shared/clock-reading.js';
 import { PrefixCacheLoader } from '../targets/prefix-cache-loader.js';
 import { TargetAnnouncements } from '../targets/target-announcements.js';
 import { TargetRegistry } from '../targets/target-registry.js';
@@ -90,6 +94,17 @@
     .shareChangeStream(source.changeStream),
 });
 
+/** Wraps the source so that its reads tell how recent the configuration is. */
+const timeTableSource = <T>(
+  kernel: Kernel,
+  source: TableSource<T>,
+): TableSource<T> => ({
+  ...source,
+  changeStream: new TimedChangeStream(source.changeStream, () =>
+    getMaxLongPollMs(kernel),
+  ),
+});
+
 /** Provides routes and targets and starts their table watchers. */
 export const changeStreamsPlugin: Plugin = {
   name: 'feed',
@@ -122,7 +137,15 @@
     kernel.provide(routeWatcherToken, resolver =>
       createRouteWatcher(
         {
-          source: shareTableSource(resolver, resolver.get(routeSourceToken)),
+          source: shareTableSource(
+            resolver,
+            timeTableSource(resolver, resolver.get(routeSourceToken)),
+          ),
+          onRead: read => {
+            resolver
+              .get(configurationFreshnessToken)
+              .recordRead(read, readClocks());
+          },
           log: resolver.get(logToken),
           random: resolver.get(randomToken),
           waitMs: resolver.get(settingsToken).current.longPollMs,
--- a/packages/relay/src/change-streams/change-stream.ts
+++ b/packages/relay/src/change-streams/change-stream.ts
@@ -4,6 +4,8 @@
 
 import type { Failure } from '@medlarlever/core';
 
+import type { ClockReading } from '../shared/clock-reading.js';
+
 /**
  * Position in a change stream. After a restore, the platform gives versions out
  * again, so positions of different eras cannot be compared.
@@ -30,6 +32,8 @@
   readonly rows: readonly ChangedRow[];
   /** The page contains all changes up to and including this position. */
   readonly position: StreamPosition;
+  /** When this instance sent the read; undefined for a page that another one has sent. */
+  readonly sentAt?: ClockReading;
 }
 
 /**
@@ -52,4 +56,9 @@
     after: StreamPosition,
     waitMs: number,
   ): Promise<Either<Failure, ChangesResult>>;
+
+  /** Removes what no instance may keep from a row that another instance has passed on. */
+  removeSecrets(row: ChangedRow): ChangedRow {
+    return row;
+  }
 }
--- a/packages/relay/src/change-streams/shared-change-stream.ts
+++ b/packages/relay/src/change-streams/shared-change-stream.ts
@@ -87,7 +87,9 @@
     if (!this.#options.eras.recordEra(era)) return;
     const latest = this.#latestPage?.position;
     if (latest?.era === era && version < latest.version) return;
-    this.#latestPage = page;
+    const { changeStream } = this.#options;
+    const rows = page.rows.map(row => changeStream.removeSecrets(row));
+    this.#latestPage = { ...page, rows };
     this.#freshUntilMs = performance.now() + aggregatorFreshnessMs;
     this.#notifyWaiter?.();
   }
--- a/packages/relay/src/change-streams/table-watcher.ts
+++ b/packages/relay/src/change-streams/table-watcher.ts
@@ -47,6 +47,8 @@
     keys: ReadonlySet<string>,
     origin: SnapshotOrigin,
   ) => void;
+  /** Called after the rows of a page were applied, those of a snapshot included. */
+  readonly onPage?: (page: ChangePage) => void;
 }
 
 /** Reads a table once and then waits for its changes, with retries. */
@@ -94,6 +96,21 @@
     return this.#versionsByKey.has(key) && !this.#removedKeys.has(key);
   }
 
+  /** Version of the row in the current era; undefined if it is not known. */
+  getRowVersion(key: string): number | undefined {
+    return this.#versionsByKey.get(key);
+  }
+
+  /** Reads the whole table once, beside the watch, and applies what is new. */
+  async readNow(): Promise<void> {
+    const snapshot = await this.#options.changeStream.listRows();
+    snapshot.ifRight(page => {
+      if (this.#lastPosition?.era !== page.position.era)
+        this.#lastPosition = undefined;
+      this.#applySnapshot(page, false);
+    });
+  }
+
   /** Watches the table until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
@@ -172,12 +189,14 @@
     return !isFirstEra;
   }
 
-  #applyPage({ rows, position }: ChangePage, afterRestore = false): void {
+  #applyPage(page: ChangePage, afterRestore = false): void {
+    const { rows, position } = page;
     for (const row of rows) this.#applyRow(row, afterRestore);
     this.#lastPosition = {
       era: position.era,
       version: Math.max(this.#lastPosition?.version ?? 0, position.version),
     };
+    this.#options.onPage?.(page);
   }
 
   #applyRow(row: ChangedRow, afterRestore: boolean): void {
--- a/packages/relay/src/change-streams/watcher-factories.ts
+++ b/packages/relay/src/change-streams/watcher-factories.ts
@@ -1,6 +1,7 @@
 /** Creates the watchers that update routes and targets from platform tables. */
 import type { Log } from '@medlarlever/core';
 
+import type { ConfigurationRead } from '../customers/configuration-freshness.js';
 import type { RouteTableHolder } from '../routes/route-table-holder.js';
 import type { RouteConfiguration } from '../routes/route-configuration.js';
 import { registrationGraceMs } from '../targets/target-registry.js';
@@ -9,7 +10,7 @@
 
 import { TableWatcher } from './table-watcher.js';
 import type { SnapshotOrigin } from './table-watcher.js';
-import type { ChangedRow } from './change-stream.js';
+import type { ChangedRow, ChangePage } from './change-stream.js';
 import type { TableSource } from './table-source.js';
 
 /** Options that all table watchers share. */
@@ -21,31 +22,55 @@
   readonly waitMs: number;
 }
 
+/** Options of the watcher of the operator's configuration. */
+interface RouteWatcherOptions extends WatcherFactoryOptions<RouteConfiguration> {
+  /** Called after each read of this instance, unless the configuration can't be decoded. */
+  readonly onRead?: (read: ConfigurationRead) => void;
+}
+
 /** Creates a watcher that applies the operator's configuration to the routes. */
 export const createRouteWatcher = (
-  options: WatcherFactoryOptions<RouteConfiguration>,
+  options: RouteWatcherOptions,
   routes: RouteTableHolder,
 ): TableWatcher => {
-  const { source, ...rest } = options;
+  const { source, onRead, ...rest } = options;
   const { log } = options;
+  let configurationKey: string | undefined;
+  let isReadable = true;
   const onRowChange = ({ key, value }: ChangedRow) => {
     if (value === undefined) return;
-    source
-      .decodeRow(key, value)
-      ?.ifLeft(({ message: reason }) => {
+    const decoded = source.decodeRow(key, value);
+    if (decoded === undefined) return;
+    configurationKey = key;
+    isReadable = decoded.isRight();
+    decoded
+      .ifLeft(({ message: reason }) => {
         log.writeEvent('row_unreadable', { row: key, reason });
       })
       .ifRight(configuration => {
         routes.applyIfNewer(configuration, 'platform');
       });
   };
-  const onSnapshot = () => undefined;
-  return new TableWatcher({
+  const onPage = ({ sentAt, position }: ChangePage) => {
+    if (sentAt === undefined || !isReadable) return;
+    onRead?.({
+      sentAt,
+      era: position.era,
+      tableVersion: position.version,
+      rowVersion:
+        configurationKey === undefined
+          ? undefined
+          : watcher.getRowVersion(configurationKey),
+    });
+  };
+  const watcher = new TableWatcher({
     changeStream: source.changeStream,
     ...rest,
     onRowChange,
-    onSnapshot,
+    onSnapshot: () => undefined,
+    onPage,
   });
+  return watcher;
 };
 
 /**
--- a/packages/relay/src/forwarding/forwarded-request-handler.ts
+++ b/packages/relay/src/forwarding/forwarded-request-handler.ts
@@ -22,6 +22,8 @@
   readonly relay: Relay;
   readonly drainer: RequestDrainer;
   readonly log: Log;
+  /** True if requests are taken from the address, the remote one of the connection. */
+  readonly isAccepted: (remoteAddress: string | undefined) => boolean;
 }
 
 /** Answers the message of another instance on the response. */
@@ -37,6 +39,7 @@
     relay,
     drainer,
     log,
+    isAccepted,
   }: ForwardedRequestHandlerOptions): ForwardedRequestHandler =>
   async (message, from, response) => {
     const caller = new HttpCaller(response, {
@@ -49,6 +52,10 @@
       // The end of the connection would not tell the other instance a whole answer.
       endsByFraming: true,
     });
+    if (!isAccepted(response.socket?.remoteAddress)) {
+      caller.sendFailure(createForbiddenFailure());
+      return;
+    }
     const finishRequest = drainer.startRequest();
     try {
       const request = decodeRequest(message, from);
@@ -66,6 +73,13 @@
     }
   };
 
+/** Failure of a sender that may be no instance and so may not vouch for a customer. */
+const createForbiddenFailure = (): Failure =>
+  new Failure(
+    'forbidden',
+    'requests are taken over only from the addresses of known instances',
+  );
+
 const decodeRequest = (
   message: unknown,
   from: string,
--- a/packages/relay/src/forwarding/forwarded-request.ts
+++ b/packages/relay/src/forwarding/forwarded-request.ts
@@ -6,6 +6,12 @@
 /** Path of forwarded requests at the peer interface. */
 export const forwardPath = '/forwarded-requests';
 
+/**
+ * Path of forwarded requests with a customer. An older instance, which would send the
+ * request to a target without the customer's name, does not know it.
+ */
+export const customerForwardPath = '/forwarded-customer-requests';
+
 /**
  * Header of each answer of the other instance's relay: `answer` for that of a target,
  * `failure` for an error body of its own. An answer without it comes from something that
@@ -39,6 +45,8 @@
   resumedRequestId: z.string().optional(),
   prompt: promptSchema.optional(),
   resumeAfterEventId: z.string().optional(),
+  /** Name of the customer whose key the sender has checked. */
+  customer: z.string().optional(),
 });
 export type ForwardedRequest = z.infer<typeof forwardedRequestSchema>;
 
@@ -62,6 +70,7 @@
     resumedRequestId: request.resumedRequestId ?? firstRequestId,
     prompt: prompt && { ...prompt, segments: [...prompt.segments] },
     resumeAfterEventId: lastEventId ?? request.resumeAfterEventId,
+    customer: request.customer,
   };
 };
 
--- a/packages/relay/src/forwarding/http-request-forwarder.ts
+++ b/packages/relay/src/forwarding/http-request-forwarder.ts
@@ -7,7 +7,11 @@
 import type { CallerSink } from '../relay/response-sinks.js';
 
 import { ForwardExchange } from './forward-exchange.js';
-import { encodeForwardedRequest, forwardPath } from './forwarded-request.js';
+import {
+  customerForwardPath,
+  encodeForwardedRequest,
+  forwardPath,
+} from './forwarded-request.js';
 import { chooseNeighbor } from './neighbor-selection.js';
 import type { Neighbor } from './neighbor-selection.js';
 import { RequestForwarder } from './request-forwarder.js';
@@ -118,9 +122,11 @@
       'content-type': 'application/json',
       'x-instance': this.options.registry.self.name,
     };
+    const path =
+      request.customer === undefined ? forwardPath : customerForwardPath;
     return new Promise(onEnd => {
       this.#getPool(address).dispatch(
-        { method: 'POST', path: forwardPath, headers, body },
+        { method: 'POST', path, headers, body },
         new ForwardExchange({ sink, signal, onEnd }),
       );
     });
--- a/packages/relay/src/kernel/tokens.ts
+++ b/packages/relay/src/kernel/tokens.ts
@@ -6,6 +6,10 @@
 import type { TableWatcher } from '../change-streams/table-watcher.js';
 import type { ChangeDistributor } from '../change-streams/change-distributor.js';
 import type { TableSource } from '../change-streams/table-source.js';
+import type { ConfigurationFreshness } from '../customers/configuration-freshness.js';
+import type { ConfigurationReader } from '../customers/configuration-reader.js';
+import type { FreshnessExchange } from '../customers/freshness-exchange.js';
+import type { KeyGate } from '../customers/key-gate.js';
 import type { LimitGroup } from '../limits/limit-share.js';
 import type { StreamOriginFinder } from '../origins/stream-origin-finder.js';
 import type { StreamOrigins } from '../origins/stream-origins.js';
@@ -131,6 +135,15 @@
 export const targetClosureBroadcasterToken =
   new InjectionToken<TargetClosureBroadcaster>('role-news');
 export const roleLeaderToken = new InjectionToken<RoleLeader>('role-leader');
+export const configurationFreshnessToken =
+  new InjectionToken<ConfigurationFreshness>('configuration-freshness');
+export const configurationReaderToken = new InjectionToken<ConfigurationReader>(
+  'configuration-reader',
+);
+export const freshnessExchangeToken = new InjectionToken<FreshnessExchange>(
+  'freshness-exchange',
+);
+export const keyGateToken = new InjectionToken<KeyGate>('key-gate');
 export const relayToken = new InjectionToken<Relay>('relay');
 export const requestDrainerToken = new InjectionToken<RequestDrainer>('drain');
 export const eventLoopDelayMonitorToken =
--- a/packages/relay/src/peers/app.ts
+++ b/packages/relay/src/peers/app.ts
@@ -11,6 +11,7 @@
   requestDrainerToken,
   targetLinkToken,
   prefillDemandToken,
+  freshnessExchangeToken,
   promptQuarantineToken,
   incarnationToken,
   instanceCountToken,
@@ -41,6 +42,7 @@
 import { StreamOriginFinder } from '../origins/stream-origin-finder.js';
 import { StreamOrigins } from '../origins/stream-origins.js';
 import { startOrder } from '../kernel/start-order.js';
+import { isKnownAddress } from '../forwarding/known-addresses.js';
 import { createForwardedRequestHandler } from '../forwarding/forwarded-request-handler.js';
 import { openPeerInterface } from '../server/peer-interface.js';
 
@@ -199,6 +201,24 @@
   });
 };
 
+/**
+ * True if an instance has the address. Without customers no request is vouched for, and
+ * every sender is taken for an instance, as the platform's network rules allow no other.
+ */
+const isInstanceAddress = (
+  kernel: Kernel,
+  remoteAddress: string | undefined,
+): boolean => {
+  if (!kernel.get(routesToken).currentTable?.requiresKeys) return true;
+  return isKnownAddress(remoteAddress, [
+    ...kernel
+      .get(instanceRegistryToken)
+      .listInstances()
+      .map(({ address }) => address),
+    ...kernel.get(instanceDirectoryToken).peerAddresses,
+  ]);
+};
+
 /** Starts the peer interface and the background tasks; returns its close function. */
 const startPeerInterface = async (
   kernel: Kernel,
@@ -210,6 +230,7 @@
   kernel.get(changeDistributorToken).registerMethods(kernel);
   kernel.get(targetAnnouncementsToken).registerMethods(kernel);
   kernel.get(streamOriginFinderToken).registerMethods(kernel);
+  kernel.get(freshnessExchangeToken).registerMethods(kernel);
   const close = await openPeerInterface({
     kernel,
     log: kernel.get(logToken),
@@ -217,6 +238,7 @@
       relay: kernel.get(relayToken),
       drainer: kernel.get(requestDrainerToken),
       log: kernel.get(logToken),
+      isAccepted: remoteAddress => isInstanceAddress(kernel, remoteAddress),
     }),
     ...kernel.get(settingsToken).current.peers,
   });
@@ -259,6 +281,8 @@
           routes: resolver.get(routesToken),
           targets: resolver.get(targetRegistryToken),
           log: resolver.get(logToken),
+          mayHaveCustomers: () =>
+            resolver.get(settingsToken).current.revocation !== undefined,
         }),
     );
     kernel.addLifecycleHook({
--- a/packages/relay/src/peers/peer-snapshots.ts
+++ b/packages/relay/src/peers/peer-snapshots.ts
@@ -17,6 +17,8 @@
 const snapshotSchema = z.object({
   configuration: routeConfigurationSchema.optional(),
   targets: z.array(targetRecordSchema),
+  /** False in the snapshot of an older instance, which knows no customers. */
+  includesCustomers: z.boolean().default(false),
 });
 
 /** Dependencies of {@link PeerSnapshots}. */
@@ -25,6 +27,8 @@
   readonly routes: RouteTableHolder;
   readonly targets: TargetRegistry;
   readonly log: Log;
+  /** True if the platform bounds the delay of withdrawn keys, so that there may be some. */
+  readonly mayHaveCustomers: () => boolean;
 }
 
 /** Serves snapshots of this instance's state and requests those of peers. */
@@ -40,6 +44,7 @@
       return Promise.resolve(
         Right({
           configuration: routes.currentTable?.configuration,
+          includesCustomers: true,
           targets: targets.listTargets().map(({ record, isLeaving }) => ({
             ...record,
             leaving: isLeaving,
@@ -72,6 +77,16 @@
     }
   }
 
+  /**
+   * A configuration without its customers would let every request in, so it is not used
+   * where there are customers or may be some.
+   */
+  #isWhole(includesCustomers: boolean): boolean {
+    const { routes, mayHaveCustomers } = this.options;
+    const hasCustomers = routes.currentTable?.requiresKeys ?? false;
+    return includesCustomers || !(hasCustomers || mayHaveCustomers());
+  }
+
   #applySnapshot(value: unknown, name: string): void {
     const { routes, targets, log } = this.options;
     const parsed = snapshotSchema.safeParse(value);
@@ -82,8 +97,9 @@
       });
       return;
     }
-    const { configuration, targets: records } = parsed.data;
-    if (configuration !== undefined) routes.applyIfNewer(configuration, name);
+    const { configuration, targets: records, includesCustomers } = parsed.data;
+    if (configuration !== undefined && this.#isWhole(includesCustomers))
+      routes.applyIfNewer(configuration, name);
     if (targets.targetCount > 0) return;
     log.writeEvent('peer_heard', { from: name, targets: records.length });
     for (const record of records) targets.registerTarget(record);
--- a/packages/relay/src/relay-daemon.ts
+++ b/packages/relay/src/relay-daemon.ts
@@ -4,6 +4,7 @@
 import { Kernel } from '@medlarlever/core';
 
 import { changeStreamsPlugin } from './change-streams/app.js';
+import { customersPlugin } from './customers/app.js';
 import { forwardingPlugin } from './forwarding/app.js';
 import {
   requestDrainerToken,
@@ -21,6 +22,7 @@
 
 const plugins = [
   changeStreamsPlugin,
+  customersPlugin,
   forwardingPlugin,
   peersPlugin,
   relayApp,
--- a/packages/relay/src/relay/app.ts
+++ b/packages/relay/src/relay/app.ts
@@ -5,6 +5,7 @@
   crashTrackerToken,
   requestDrainerToken,
   instanceCountToken,
+  keyGateToken,
   logToken,
   eventLoopDelayMonitorToken,
   metricsRegistryToken,
@@ -91,6 +92,7 @@
           resolver.get(eventLoopDelayMonitorToken).currentDelayMs,
         getRemainingMs: () => resolver.get(requestDrainerToken).remainingMs,
         originFinder: resolver.get(streamOriginFinderToken),
+        keyGate: resolver.get(keyGateToken),
         onStreamBegin: (request, origin) => {
           resolver.get(streamOriginsToken).record(request, origin);
           resolver.get(loadExchangeToken).scheduleReport();
--- a/packages/relay/src/relay/generation-runner.ts
+++ b/packages/relay/src/relay/generation-runner.ts
@@ -193,7 +193,8 @@
 
   /** Urgency level for the admission of an engine that must compute the tokens. */
   #computeUrgency(prefillTokens: number): number {
-    const { rank, latencyTargetMs } = this.context.route;
+    const { rank, route } = this.context;
+    const { latencyTargetMs } = route;
     const { prefillSpeed } = this.serviceState;
     const prefillMs = prefillSpeed.estimatePrefillMs(prefillTokens);
     return computeUrgency({ rank, prefillMs, latencyTargetMs });
--- a/packages/relay/src/relay/relay.ts
+++ b/packages/relay/src/relay/relay.ts
@@ -8,6 +8,7 @@
   StreamOriginFinder,
 } from '../origins/stream-origin-finder.js';
 import type { RequestForwarder } from '../forwarding/request-forwarder.js';
+import type { AdmittedRequest, KeyGate } from '../customers/key-gate.js';
 import type { RelayMetrics } from '../metrics/relay-metrics.js';
 import type {
   Caller,
@@ -17,8 +18,9 @@
 import type { CrashCheck } from '../crashes/crash-check.js';
 import type { PromptQuarantine } from '../crashes/prompt-quarantine.js';
 import type { CrashTracker } from '../crashes/crash-tracker.js';
-import type { Route } from '../routes/route-configuration.js';
+import type { Customer, Route } from '../routes/route-configuration.js';
 import { pickService } from '../routes/route-table.js';
+import type { RouteTable } from '../routes/route-table.js';
 import type { RouteTableHolder } from '../routes/route-table-holder.js';
 import type { DataCenterReachability } from '../targets/data-center-reachability.js';
 import type { TargetLink } from '../targets/target-link.js';
@@ -51,6 +53,12 @@
   kind === 'stream' &&
   (resumedRequestId !== undefined || resumeAfterEventId !== undefined);
 
+const findCustomer = (
+  table: RouteTable,
+  { customer }: RelayRequest,
+): Customer | undefined =>
+  customer === undefined ? undefined : table.findCustomer(customer);
+
 /** Retry delay for the caller of a stream of which another instance may know more. */
 const originUnknownRetryAfterMs = 100;
 
@@ -97,6 +105,7 @@
   /** Longest time that a new request may still run before the shutdown. */
   readonly getRemainingMs: () => number;
   readonly originFinder: StreamOriginFinder;
+  readonly keyGate: KeyGate;
   /** Called before a request that begins a resumable stream is sent to a target. */
   readonly onStreamBegin: (request: string, origin: StreamOrigin) => void;
   /** Called when a prefill of prompt segments is sent to an engine. */
@@ -129,13 +138,27 @@
   }
 
   async #routeRequest(request: RelayRequest, caller: Caller): Promise<void> {
-    const { routes, random, log, metrics } = this.dependencies;
-    const routeTable = routes.currentTable;
+    const routeTable = this.dependencies.routes.currentTable;
     const route = routeTable?.findRoute(request.host, request.url);
     if (routeTable === undefined || route === undefined) {
       this.#rejectUnroutedRequest(request, caller);
       return;
     }
+    const { keyGate } = this.dependencies;
+    const admission = keyGate.admit(request, routeTable, route);
+    const admitted = (
+      admission instanceof Promise ? await admission : admission
+    ).extract();
+    if (admitted instanceof Failure)
+      this.#rejectForKey(request, route, admitted, caller);
+    else await this.#runAdmittedRequest(admitted, caller);
+  }
+
+  async #runAdmittedRequest(
+    { request, table: routeTable, route }: AdmittedRequest,
+    caller: Caller,
+  ): Promise<void> {
+    const { random, log, metrics } = this.dependencies;
     const found = isResumption(request, route)
       ? await this.dependencies.originFinder.find(
           request.resumedRequestId,
@@ -149,6 +172,7 @@
       route,
       service,
       origin: found?.origin,
+      customer: findCustomer(routeTable, request),
       revision: routeTable.version,
       log,
       metrics,
@@ -226,6 +250,27 @@
     }
   }
 
+  #rejectForKey(
+    request: RelayRequest,
+    route: Route,
+    failure: Failure,
+    caller: Caller,
+  ): void {
+    const { log, metrics, routes } = this.dependencies;
+    const totalMs = Math.round(performance.now() - request.arrivedAtMs);
+    metrics.recordRequestEnd(route, failure.code, totalMs, totalMs);
+    log.writeEvent('request_ended', {
+      request: request.id,
+      route: route.name,
+      outcome: failure.code,
+      reason: failure.message,
+      executed: failure.executed,
+      total_ms: totalMs,
+      revision: routes.version,
+    });
+    caller.sendFailure(failure);
+  }
+
   #rejectUnroutedRequest(request: RelayRequest, caller: Caller): void {
     const hasConfiguration =
       this.dependencies.routes.currentTable !== undefined;
--- a/packages/relay/src/relay/request-context.ts
+++ b/packages/relay/src/relay/request-context.ts
@@ -4,7 +4,7 @@
 
 import type { StreamOrigin } from '../origins/stream-origin.js';
 import type { Caller, RelayRequest } from '../requests/relay-request.js';
-import type { Route } from '../routes/route-configuration.js';
+import type { Customer, Route } from '../routes/route-configuration.js';
 import type { TargetRecord } from '../targets/target-record.js';
 import type { RelayMetrics } from '../metrics/relay-metrics.js';
 
@@ -17,6 +17,8 @@
   readonly service: string;
   /** Where the stream began that the caller takes up again. */
   readonly origin?: StreamOrigin;
+  /** The customer whose key was checked; undefined if the request needs none. */
+  readonly customer?: Customer;
   /** Version of the configuration under which the request was admitted. */
   readonly revision: number;
   readonly log: Log;
@@ -88,6 +90,11 @@
     return performance.now() - this.request.arrivedAtMs;
   }
 
+  /** Priority of the request: that of the customer, if it has one, or of the route. */
+  get rank(): number {
+    return this.#options.customer?.rank ?? this.route.rank;
+  }
+
   /** True once the request has been answered or has failed. */
   get hasEnded(): boolean {
     return this.#hasEnded;
@@ -184,6 +191,7 @@
       {
         request: this.request.id,
         route: this.route.name,
+        customer: this.request.customer,
         service: this.service,
         outcome,
         first_ms: firstMs,
--- a/packages/relay/src/relay/request-forwarding.ts
+++ b/packages/relay/src/relay/request-forwarding.ts
@@ -19,6 +19,7 @@
   'malformed_body',
   'shutting_down',
   'overloaded',
+  'forbidden',
 ]);
 
 /** A whole answer that another instance has got. */
--- a/packages/relay/src/routes/route-table-holder.ts
+++ b/packages/relay/src/routes/route-table-holder.ts
@@ -39,13 +39,19 @@
 
   /**
    * Applies the configuration if it is newer than the current one and returns
-   * whether it was applied. `source` names its origin in the log.
+   * whether it was applied. `source` names its origin in the log. One of the same
+   * version replaces one without customers, which an older instance has passed on.
    */
   applyIfNewer(configuration: RouteConfiguration, source: string): boolean {
     const currentVersion = this.#table?.version;
+    const addsCustomers =
+      configuration.version === currentVersion &&
+      configuration.customers !== undefined &&
+      !this.#table?.requiresKeys;
     if (
       currentVersion !== undefined &&
-      configuration.version <= currentVersion
+      configuration.version <= currentVersion &&
+      !addsCustomers
     ) {
       if (configuration.version < currentVersion) {
         this.log.writeEvent('revision_refused', {
--- a/packages/relay/src/routes/route-table.ts
+++ b/packages/relay/src/routes/route-table.ts
@@ -1,5 +1,6 @@
 /** Finds the route and picks the service of a request. */
 import type {
+  Customer,
   Route,
   RouteConfiguration,
   Service,
@@ -19,6 +20,8 @@
   readonly version: number;
   readonly #routesByHost = new Map<string, Route[]>();
   readonly #servicesByName: ReadonlyMap<string, Service>;
+  readonly #customersByKey: ReadonlyMap<string, Customer>;
+  readonly #customersByName: ReadonlyMap<string, Customer>;
 
   constructor(readonly configuration: RouteConfiguration) {
     this.version = configuration.version;
@@ -32,6 +35,28 @@
     this.#servicesByName = new Map(
       configuration.services.map(service => [service.name, service]),
     );
+    const customers = configuration.customers ?? [];
+    this.#customersByKey = new Map(
+      customers.flatMap(customer =>
+        customer.keyHashes.map(hash => [hash, customer]),
+      ),
+    );
+    this.#customersByName = new Map(
+      customers.map(customer => [customer.name, customer]),
+    );
+  }
+
+  /** True if requests carry a customer's key, except those of anonymous routes. */
+  get requiresKeys(): boolean {
+    return this.configuration.customers !== undefined;
+  }
+
+  findCustomerByKey(keyHash: string): Customer | undefined {
+    return this.#customersByKey.get(keyHash);
+  }
+
+  findCustomer(name: string): Customer | undefined {
+    return this.#customersByName.get(name);
   }
 
   /** Returns the host's route with the longest prefix of the URL's path. */
--- a/packages/relay/src/server/peer-interface.ts
+++ b/packages/relay/src/server/peer-interface.ts
@@ -5,6 +5,7 @@
 import { isJSONRPCRequest } from 'json-rpc-2.0';
 
 import {
+  customerForwardPath,
   forwardPath,
   maxForwardedBytes,
 } from '../forwarding/forwarded-request.js';
@@ -47,15 +48,17 @@
     return reply.send(response);
   });
   const { serveForwardedRequest } = options;
-  fastify.post(
-    forwardPath,
-    { bodyLimit: maxForwardedBytes },
-    async (request, reply) => {
-      const from = String(request.headers['x-instance'] ?? '');
-      reply.hijack();
-      await serveForwardedRequest(request.body, from, reply.raw);
-    },
-  );
+  for (const path of [forwardPath, customerForwardPath]) {
+    fastify.post(
+      path,
+      { bodyLimit: maxForwardedBytes },
+      async (request, reply) => {
+        const from = String(request.headers['x-instance'] ?? '');
+        reply.hijack();
+        await serveForwardedRequest(request.body, from, reply.raw);
+      },
+    );
+  }
   await fastify.listen({ host: options.host, port: options.port });
   return () => fastify.close();
 };
