Run the assignment of roles as a duty of one leader

Usage reports and orders for targets need the same lease, waits and confirmation as role commands. DutyLeader holds the lease, DutyAuthority confirms it before a call, and a Duty is what runs under it. Name, timing and order of the lease are those of the role leader.

The six tests of the role leader pass; only their set-up changed.

--- a/packages/relay/src/kernel/tokens.ts
+++ b/packages/relay/src/kernel/tokens.ts
@@ -9,6 +9,8 @@
 import type { LimitGroup } from '../limits/limit-share.js';
 import type { StreamOriginFinder } from '../origins/stream-origin-finder.js';
 import type { StreamOrigins } from '../origins/stream-origins.js';
+import type { DutyClient } from '../duties/duty-client.js';
+import type { DutyLeader } from '../duties/duty-leader.js';
 import type { InstanceDirectory } from '../peers/instance-directory.js';
 import type { LoadExchange } from '../peers/load-exchange.js';
 import type { PeerTopology } from '../peers/peer-topology.js';
@@ -23,7 +25,6 @@
 import type { PromptQuarantine } from '../crashes/prompt-quarantine.js';
 import type { EngineControlClient } from '../roles/engine-control-client.js';
 import type { PrefillDemand } from '../roles/prefill-demand.js';
-import type { RoleLeader } from '../roles/role-leader.js';
 import type { TargetClosureBroadcaster } from '../roles/target-closure-broadcaster.js';
 import type { RouteTableHolder } from '../routes/route-table-holder.js';
 import type { RouteConfiguration } from '../routes/route-configuration.js';
@@ -58,6 +59,9 @@
   'target-source',
 );
 
+/** Provided only if the settings have `duties`. */
+export const dutyClientToken = new InjectionToken<DutyClient>('duty-client');
+
 // Tokens provided by the daemon and the plugins.
 export const randomToken = new InjectionToken<() => number>('random');
 export const incarnationToken = new InjectionToken<string>('incarnation');
@@ -130,7 +134,7 @@
 );
 export const targetClosureBroadcasterToken =
   new InjectionToken<TargetClosureBroadcaster>('role-news');
-export const roleLeaderToken = new InjectionToken<RoleLeader>('role-leader');
+export const dutyLeaderToken = new InjectionToken<DutyLeader>('duty-leader');
 export const relayToken = new InjectionToken<Relay>('relay');
 export const requestDrainerToken = new InjectionToken<RequestDrainer>('drain');
 export const eventLoopDelayMonitorToken =
--- a/packages/relay/src/relay-daemon.ts
+++ b/packages/relay/src/relay-daemon.ts
@@ -4,6 +4,7 @@
 import { Kernel } from '@medlarlever/core';
 
 import { changeStreamsPlugin } from './change-streams/app.js';
+import { dutiesPlugin } from './duties/app.js';
 import { forwardingPlugin } from './forwarding/app.js';
 import {
   requestDrainerToken,
@@ -24,6 +25,7 @@
   forwardingPlugin,
   peersPlugin,
   relayApp,
+  dutiesPlugin,
   rolesPlugin,
   serverPlugin,
 ];
--- a/packages/relay/src/roles/app.ts
+++ b/packages/relay/src/roles/app.ts
@@ -1,21 +1,15 @@
-/** Plugin that assigns roles to engines from a leader elected by lease. */
-import { Leases } from '@medlarlever/core';
+/** Plugin that assigns roles to engines, as a duty of the leader. */
 import type { Kernel, Plugin } from '@medlarlever/core';
 
 import {
+  dutyLeaderToken,
   prefillDemandToken,
   engineControlClientToken,
-  incarnationToken,
-  shutdownStartControllerToken,
   logToken,
-  randomToken,
   instanceRegistryToken,
-  roleLeaderToken,
   targetClosureBroadcasterToken,
   routesToken,
   serviceStatesToken,
-  settingsToken,
-  tableToken,
   targetLinkToken,
   targetRegistryToken,
   peerTopologyToken,
@@ -23,24 +17,11 @@
 import { startOrder } from '../kernel/start-order.js';
 
 import { PrefillDemand } from './prefill-demand.js';
-import { RoleLeader } from './role-leader.js';
+import { RoleDuty } from './role-duty.js';
 import { TargetClosureBroadcaster } from './target-closure-broadcaster.js';
 
-const createRoleLeader = (kernel: Kernel): RoleLeader => {
-  const { instance, roleLeaseDurationMs } = kernel.get(settingsToken).current;
-  const table = kernel.get(tableToken);
-  const random = kernel.get(randomToken);
-  const log = kernel.get(logToken);
-  const leases = new Leases({
-    table,
-    self: { name: instance, incarnation: kernel.get(incarnationToken) },
-    random,
-    log,
-    leaseDurationMs: roleLeaseDurationMs,
-  });
-  return new RoleLeader({
-    table,
-    leases,
+const createRoleDuty = (kernel: Kernel): RoleDuty =>
+  new RoleDuty({
     registry: kernel.get(instanceRegistryToken),
     routes: kernel.get(routesToken),
     targets: kernel.get(targetRegistryToken),
@@ -49,13 +30,10 @@
     demand: kernel.get(prefillDemandToken),
     engineControl: kernel.get(engineControlClientToken),
     closures: kernel.get(targetClosureBroadcasterToken),
-    log,
-    random,
-    leaseDurationMs: roleLeaseDurationMs,
+    log: kernel.get(logToken),
   });
-};
 
-/** Provides the role leader and starts it at the `control` start order. */
+/** Provides the parts and registers the duty. */
 export const rolesPlugin: Plugin = {
   name: 'roles',
   register: kernel => {
@@ -68,13 +46,11 @@
           resolver.get(targetRegistryToken),
         ),
     );
-    kernel.provide(roleLeaderToken, createRoleLeader);
     kernel.addLifecycleHook({
       name: 'roles',
       rank: startOrder.control,
       start: () => {
-        const { signal } = kernel.get(shutdownStartControllerToken);
-        void kernel.get(roleLeaderToken).run(signal);
+        kernel.get(dutyLeaderToken).addDuty(createRoleDuty(kernel));
         return Promise.resolve();
       },
     });
--- a/packages/relay/src/roles/role-leader.test.ts
+++ b/packages/relay/src/roles/role-duty.test.ts
@@ -7,6 +7,7 @@
 import { Right } from 'purify-ts';
 import type { Either } from 'purify-ts';
 
+import { DutyLeader } from '../duties/duty-leader.js';
 import { FakeTopology, FakeDeployment } from '../fixtures/fake-topology.js';
 import {
   createConfiguration,
@@ -25,7 +26,7 @@
   RoleChangeCommand,
 } from './engine-control-client.js';
 import { PrefillDemand } from './prefill-demand.js';
-import { RoleLeader } from './role-leader.js';
+import { RoleDuty } from './role-duty.js';
 import { TargetClosureBroadcaster } from './target-closure-broadcaster.js';
 
 const leaseDurationMs = 3_000;
@@ -105,8 +106,17 @@
     }
     targets.findTarget('p1')?.startPrefill([], 90_000);
     const engineControl = new FakeEngineControlClient();
-    const leader = new RoleLeader({
-      isCutOff: () => false,
+    const registry = new InstanceRegistry({
+      name,
+      dataCenter: 'a',
+      incarnation: name,
+      address: '10.0.0.1:1',
+      state: 'live',
+      revision: 0,
+      startedAtMs: 0,
+      version: 0,
+    });
+    const leader = new DutyLeader({
       table,
       leases: new Leases({
         table,
@@ -115,16 +125,14 @@
         log,
         leaseDurationMs,
       }),
-      registry: new InstanceRegistry({
-        name,
-        dataCenter: 'a',
-        incarnation: name,
-        address: '10.0.0.1:1',
-        state: 'live',
-        revision: 0,
-        startedAtMs: 0,
-        version: 0,
-      }),
+      registry,
+      log,
+      random,
+      leaseDurationMs,
+    });
+    const duty = new RoleDuty({
+      isCutOff: () => false,
+      registry,
       routes,
       targets,
       services: new ServiceStates({
@@ -142,9 +150,8 @@
         targets,
       ),
       log,
-      random,
-      leaseDurationMs,
     });
+    leader.addDuty(duty);
     void leader.run(signal);
     return { engineControl, log, targets };
   };
--- a/packages/relay/src/roles/role-leader.ts
+++ b/packages/relay/src/roles/role-duty.ts
@@ -1,21 +1,19 @@
 /**
- * Assigns roles to engines from one elected instance. The leader holds a lease
- * in the platform's table and sends a command to an engine only right after the
- * table has confirmed that lease.
+ * Assigns roles to engines from one elected instance. It sends a command to an
+ * engine only right after the table has confirmed the lease of the leader.
  */
-import { commitUnderLease, sleep, toFailure } from '@medlarlever/core';
+import { sleep, toFailure } from '@medlarlever/core';
 import type {
   EngineView,
   FleetView,
   InstanceRegistry,
-  Lease,
-  Leases,
   Log,
   RoleChange,
-  Table,
   Write,
 } from '@medlarlever/core';
 
+import { Duty } from '../duties/duty.js';
+import type { DutyAuthority } from '../duties/duty-authority.js';
 import type { ServiceStates } from '../relay/service-state.js';
 import type { RouteTableHolder } from '../routes/route-table-holder.js';
 import type { Service } from '../routes/route-configuration.js';
@@ -29,20 +27,6 @@
 import type { TargetClosureBroadcaster } from './target-closure-broadcaster.js';
 import { QueueWaitPolicy } from './queue-wait-policy.js';
 
-/** Name of the lease whose holder is the leader. */
-const roleLeaseName = 'roles';
-const decisionIntervalMs = 500;
-
-/** Number of instances that try to acquire the lease, in order of their names. */
-const maxLeaseCandidates = 3;
-const leaseAcquireIntervalMs = 1_500;
-
-/**
- * Maximum age of a lease confirmation when a command is sent. With an older
- * confirmation, another instance may hold the lease in the meantime.
- */
-const leaseConfirmationTimeoutMs = 400;
-
 /** Time for the other instances to stop sending requests to a closed engine. */
 const closurePropagationMs = 60;
 
@@ -63,10 +47,8 @@
 const settlingTimeFactor = 1.5;
 const msPerSecond = 1_000;
 
-/** Dependencies and timing of {@link RoleLeader}. */
-export interface RoleLeaderOptions {
-  readonly leases: Leases;
-  readonly table: Table;
+/** Dependencies of {@link RoleDuty}. */
+export interface RoleDutyOptions {
   readonly registry: InstanceRegistry;
   readonly routes: RouteTableHolder;
   readonly targets: TargetRegistry;
@@ -77,79 +59,44 @@
   readonly engineControl: EngineControlClient;
   readonly closures: TargetClosureBroadcaster;
   readonly log: Log;
-  readonly random: () => number;
-  /**
-   * Duration of the lease. A new leader waits this long before its first
-   * decision, so that engines never get commands from two instances at once.
-   */
-  readonly leaseDurationMs: number;
 }
 
-/** Competes for the role lease and assigns engine roles while holding it. */
-export class RoleLeader {
-  readonly #options: RoleLeaderOptions;
+/** Decides and changes the roles of engines. */
+export class RoleDuty extends Duty {
+  override readonly name = 'roles';
+  readonly #options: RoleDutyOptions;
   readonly #policiesByService = new Map<string, QueueWaitPolicy>();
   readonly #changingEngineIds = new Set<string>();
 
-  constructor(options: RoleLeaderOptions) {
+  constructor(options: RoleDutyOptions) {
+    super();
     this.#options = options;
   }
 
-  /** Tries to acquire the lease until `signal` aborts; leads while holding it. */
-  async run(signal: AbortSignal): Promise<void> {
-    while (await sleep(leaseAcquireIntervalMs, signal)) {
-      if (!this.#isCandidate()) continue;
-      const lease = await this.#options.leases.acquireLease(roleLeaseName);
-      if (lease.isRight())
-        await this.#decideWhileLeaseHeld(lease.extract(), signal);
-    }
+  override get isImpeded(): boolean {
+    return this.#options.isCutOff();
   }
 
-  /** Limits the number of instances that contend for the lease, to save table load. */
-  #isCandidate(): boolean {
-    const { registry, isCutOff } = this.#options;
-    if (isCutOff()) return false;
-    const live = registry
-      .listInstances()
-      .filter(({ state }) => state === 'live')
-      .map(({ name }) => name)
-      .sort();
-    const position = live.indexOf(registry.self.name);
-    return position !== -1 && position < maxLeaseCandidates;
+  override startTerm(): void {
+    this.#policiesByService.clear();
   }
 
-  /**
-   * Decides roles while the lease is held. Waits one lease duration first,
-   * because commands of the previous holder may still arrive during that time.
-   */
-  async #decideWhileLeaseHeld(
-    lease: Lease,
-    stopSignal: AbortSignal,
-  ): Promise<void> {
-    const signal = AbortSignal.any([lease.signal, stopSignal]);
-    this.#policiesByService.clear();
-    const { isCutOff, leases } = this.#options;
-    if (!(await sleep(this.#options.leaseDurationMs, signal))) return;
-    while (
-      lease.isHeld &&
-      !isCutOff() &&
-      (await sleep(decisionIntervalMs, signal))
-    ) {
-      for (const service of this.#options.routes.currentTable?.services ?? []) {
-        if (service.engine !== undefined) this.#decideRoles(service, lease);
-      }
+  /** Decides on the roles; the changes go on after the step. */
+  override takeStep(authority: DutyAuthority): Promise<void> {
+    for (const service of this.#options.routes.currentTable?.services ?? []) {
+      if (service.engine !== undefined) this.#decideRoles(service, authority);
     }
-    if (stopSignal.aborted || isCutOff()) await leases.releaseLease(lease);
+    return Promise.resolve();
   }
 
-  #decideRoles(service: Service, lease: Lease): void {
+  #decideRoles(service: Service, authority: DutyAuthority): void {
     const policy = this.#getOrCreatePolicy(service);
     const { changes } = policy.decideChanges(
       this.#buildFleetView(service.name),
     );
     for (const change of changes) {
       this.#options.log.writeEvent('role_decided', { ...change });
-      void this.#executeRoleChange(change, service, lease);
+      void this.#executeRoleChange(change, service, authority);
     }
   }
 
@@ -223,13 +170,13 @@
   async #executeRoleChange(
     change: RoleChange,
     service: Service,
-    lease: Lease,
+    authority: DutyAuthority,
   ): Promise<void> {
     const state = this.#options.targets.findTarget(change.engine);
     if (state === undefined || change.to === 'mixed') return;
     this.#changingEngineIds.add(change.engine);
     try {
-      await this.#changeRole(state, change.to, lease);
+      await this.#changeRole(state, change.to, authority);
     } catch (error) {
       this.#options.log.writeEvent('step_failed', {
         step: 'role change',
@@ -246,7 +193,7 @@
   async #changeRole(
     state: TargetState,
     role: TargetRole,
-    lease: Lease,
+    authority: DutyAuthority,
   ): Promise<void> {
     const { engineControl, closures, registry, log } = this.#options;
     state.limiter.takePermit();
@@ -256,19 +203,18 @@
     if (status.busy || status.role === role) return;
     closures.closeTarget(state.record.id, roleChangeTimeoutMs);
     await sleep(closurePropagationMs);
-    if (!(await this.#confirmLease(lease, state.record.id, role))) return;
+    const fencing = authority.fencingToken;
+    const write = createCommandWrite(state.record.id, { role, fencing });
+    const confirmation = await authority.confirm([write]);
+    if (confirmation.isLeft()) return;
     state.limiter.takePermit();
     const pendingResult = engineControl.changeRole(state.record, {
       role,
       holder: registry.self.name,
-      fencing: lease.fencingToken,
+      fencing,
       acceptedCommandCount: status.acceptedCommandCount,
     });
-    const fields = {
-      target: state.record.id,
-      role,
-      fencing: lease.fencingToken,
-    };
+    const fields = { target: state.record.id, role, fencing };
     log.writeEvent('order_sent', fields);
     const result = await pendingResult;
     const outcome = result.caseOf<string>({
@@ -279,40 +225,6 @@
     if (outcome !== 'refused') await this.#waitForRole(state, role);
   }
 
-  /**
-   * Records the command in the table under the lease. Returns true if the table
-   * confirmed the lease within `leaseConfirmationTimeoutMs`, measured on both
-   * the monotonic clock and the wall clock, so that a process that was suspended
-   * in between sends no command.
-   */
-  async #confirmLease(
-    lease: Lease,
-    target: string,
-    role: TargetRole,
-  ): Promise<boolean> {
-    const { table, random, log } = this.#options;
-    const startedMonotonicMs = performance.now();
-    const startedWallClockMs = Date.now();
-    const commit = await commitUnderLease({
-      table,
-      lease,
-      writes: [
-        createCommandWrite(target, { role, fencing: lease.fencingToken }),
-      ],
-      random,
-      log,
-      retryTimeoutMs: leaseConfirmationTimeoutMs,
-    });
-    const committed = commit
-      .map(({ kind }) => kind === 'committed')
-      .orDefault(false);
-    if (!committed) return false;
-    const isConfirmationRecent =
-      performance.now() - startedMonotonicMs < leaseConfirmationTimeoutMs &&
-      Math.abs(Date.now() - startedWallClockMs) < leaseConfirmationTimeoutMs;
-    return isConfirmationRecent && lease.isHeld;
-  }
-
   /** Polls the engine until it reports the role, then updates its record. */
   async #waitForRole(state: TargetState, role: TargetRole): Promise<void> {
     const deadlineMs = performance.now() + roleChangeTimeoutMs;
