--- a/packages/relay/src/relay-daemon.ts
+++ b/packages/relay/src/relay-daemon.ts
@@ -5,6 +5,7 @@
 
 import { changeStreamsPlugin } from './change-streams/app.js';
 import { customersPlugin } from './customers/app.js';
+import { dutiesPlugin } from './duties/app.js';
 import { forwardingPlugin } from './forwarding/app.js';
 import {
   requestDrainerToken,
@@ -26,6 +27,7 @@
   forwardingPlugin,
   peersPlugin,
   relayApp,
+  dutiesPlugin,
   rolesPlugin,
   serverPlugin,
 ];
