--- a/packages/relay/src/roles/queue-wait-policy.ts
+++ b/packages/relay/src/roles/queue-wait-policy.ts
@@ -33,7 +33,7 @@
  * Fraction of its time that a prefill engine can be busy. Prompt lengths vary widely,
  * so queues grow long before an engine is always busy.
  */
-const targetPrefillUtilization = 0.5;
+export const targetPrefillUtilization = 0.5;
 
 /**
  * Average prefill wait above which adding an engine is worth the role change, as a
@@ -45,20 +45,20 @@
  * Maximum fraction of decode slots in use after decode engines have moved to
  * prefill.
  */
-const maxDecodeUtilizationAfterRemoval = 0.55;
+export const maxDecodeUtilizationAfterRemoval = 0.55;
 
 /**
  * Minimum fraction of the engines that decode, if decoding is a considerable part of
  * the work: a burst of requests comes faster than an engine can move back, and decode
  * engines may leave.
  */
-const decodeReserveFraction = 0.4;
+export const decodeReserveFraction = 0.4;
 
 /**
  * Fraction of the slots of all engines that the recent peak of running requests must
  * have taken for the reserve to apply.
  */
-const minPeakUtilizationForReserve = 0.2;
+export const minPeakUtilizationForReserve = 0.2;
 
 /** Average prefill wait below which a prefill engine can be removed. */
 const shortPrefillWaitMs = 15;
