Order targets as a duty of the leader

ScalingDuty builds the view of each service with bounds from the registrations, the load reports and the measured speeds, and sends the policy's orders, each one after a confirmation of the lease. It is registered only where the settings name the duty. It watches from the begin of the term, so that the demand is known at the first step.

--- a/packages/core/src/shared/events.ts
+++ b/packages/core/src/shared/events.ts
@@ -302,6 +302,21 @@
     'info',
     'A request was handed to another instance, as this one reaches no target.',
   ),
+  targets_ordered: defineEvent(
+    550,
+    'info',
+    'The leader ordered another number of targets of a service in a data centre.',
+  ),
+  order_unavailable: defineEvent(
+    551,
+    'warn',
+    'The platform did not take an order for targets, or has none to be had.',
+  ),
+  ordering_paused: defineEvent(
+    552,
+    'info',
+    'The leader began to order no targets for the stated reason, or orders again.',
+  ),
 } as const satisfies Record<string, LogEvent>;
 
 /** Name of a log event, written to the log as the field `name`. */
--- a/packages/relay/src/relay-daemon.ts
+++ b/packages/relay/src/relay-daemon.ts
@@ -18,6 +18,7 @@
 import { peersPlugin } from './peers/app.js';
 import { relayApp } from './relay/app.js';
 import { rolesPlugin } from './roles/app.js';
+import { scalingPlugin } from './scaling/app.js';
 import { serverPlugin } from './server/app.js';
 
 const plugins = [
@@ -27,6 +28,7 @@
   relayApp,
   dutiesPlugin,
   rolesPlugin,
+  scalingPlugin,
   serverPlugin,
 ];
 
--- a/packages/relay/src/roles/prefill-demand.ts
+++ b/packages/relay/src/roles/prefill-demand.ts
@@ -6,6 +6,9 @@
 /** Length of the window over which the rate is averaged. */
 const rateWindowMs = 2_500;
 
+/** Length of the window in which bursts show; reports come every 150 to 600 ms. */
+const burstWindowMs = 1_000;
+
 const msPerSecond = 1_000;
 
 /** Running total of prompt tokens at one point in time. */
@@ -56,8 +59,37 @@
     }
     return tokensPerSecond;
   }
+
+  /**
+   * Returns the service's prompt tokens per second in the last second, by the instance
+   * that sent them or that reported the sum of its data centre.
+   */
+  listBurstRates(service: string): readonly (readonly [string, number])[] {
+    return [...this.#totalsByInstance].map(([instance, samplesByService]) => [
+      instance,
+      computeBurstRate(samplesByService.get(service) ?? []),
+    ]);
+  }
 }
 
+/**
+ * Totals are reported when they change, so that the last one before the window may be
+ * old. Its increase counts for no more than `rateWindowMs`.
+ */
+const computeBurstRate = (samples: readonly TokenTotal[]): number => {
+  const startMs = performance.now() - burstWindowMs;
+  const first =
+    samples.findLast(({ atMs }) => atMs <= startMs) ?? samples.at(0);
+  const last = samples.at(-1);
+  if (first === undefined || last === undefined || last.atMs <= startMs)
+    return 0;
+  const elapsedMs = Math.min(
+    rateWindowMs,
+    Math.max(burstWindowMs, last.atMs - first.atMs),
+  );
+  return ((last.tokens - first.tokens) * msPerSecond) / elapsedMs;
+};
+
 const computeTokensPerSecond = (samples: readonly TokenTotal[]): number => {
   const [first] = samples;
   const last = samples.at(-1);
