Copy from a leaving engine until its stated end, and give it no new role

An engine that names its end was copied from for 2 s whatever it said: too long for one that ends in a second, too short for one that is reclaimed with more notice. A role change that was decided before its engine began to leave was still commanded.

--- a/packages/relay/src/roles/role-duty.test.ts
+++ b/packages/relay/src/roles/role-duty.test.ts
@@ -192,6 +192,29 @@
   },
 );
 
+test.serial(
+  'an engine that began to leave after the decision gets no command',
+  async t => {
+    const { clock, startInstance, stop } = setUp(t);
+    const { engineControl, targets, log } = startInstance('one', stop.signal);
+    engineControl.onStatusRequest = () => {
+      for (const id of ['d1', 'd2'])
+        targets.registerTarget(
+          createTargetRecord(id, {
+            service: 'engines',
+            role: 'decode',
+            slots: 8,
+            leaving: true,
+            leavesInMs: 4_000,
+          }),
+        );
+    };
+    await clock.tickAsync(7_000);
+    t.true(log.entries.some(({ name }) => name === 'role_decided'));
+    t.is(engineControl.receivedCommands.length, 0);
+  },
+);
+
 test.serial(
   'a stopping leader releases the lease, and the next one waits a lease duration',
   async t => {
--- a/packages/relay/src/roles/role-duty.ts
+++ b/packages/relay/src/roles/role-duty.ts
@@ -206,7 +206,8 @@
     const fencing = authority.fencingToken;
     const write = createCommandWrite(state.record.id, { role, fencing });
     const confirmation = await authority.confirm([write]);
-    if (confirmation.isLeft()) return;
+    // The platform may have chosen the engine to be given back in the meantime.
+    if (confirmation.isLeft() || state.isLeaving) return;
     state.limiter.takePermit();
     const pendingResult = engineControl.changeRole(state.record, {
       role,
--- a/packages/relay/src/targets/target-registry.test.ts
+++ b/packages/relay/src/targets/target-registry.test.ts
@@ -138,3 +138,40 @@
     t.deepEqual(registry.listRecentlyLeavingTargets('api'), []);
   },
 );
+
+test.serial(
+  'the cache of a leaving target that names its end may be copied until shortly before',
+  async t => {
+    const clock = FakeTimers.install({ now: 10_000 });
+    t.teardown(() => {
+      clock.uninstall();
+    });
+    const registry = new TargetRegistry({
+      log: createMemoryLog(),
+      getKvCacheTokens: () => 1_000,
+    });
+    const listIds = () =>
+      registry.listRecentlyLeavingTargets('api').map(({ record }) => record.id);
+    registry.registerTarget(
+      createTargetRecord('soon', { leaving: true, leavesInMs: 1_000 }),
+    );
+    registry.registerTarget(
+      createTargetRecord('later', { leaving: true, leavesInMs: 8_000 }),
+    );
+    t.deepEqual(registry.listOpenTargets('api'), []);
+    await clock.tickAsync(900);
+    t.deepEqual(listIds(), ['later']);
+    // The same registration once more, for example from a whole read of the table.
+    registry.registerTarget(
+      createTargetRecord('later', { leaving: true, leavesInMs: 8_000 }),
+    );
+    await clock.tickAsync(6_800);
+    t.deepEqual(listIds(), ['later']);
+    await clock.tickAsync(200);
+    t.deepEqual(listIds(), []);
+    registry.registerTarget(
+      createTargetRecord('later', { startedAtMs: 5, leaving: true }),
+    );
+    t.deepEqual(listIds(), ['later']);
+  },
+);
--- a/packages/relay/src/targets/target-registry.ts
+++ b/packages/relay/src/targets/target-registry.ts
@@ -15,11 +15,14 @@
 export const registrationGraceMs = 2_200;
 
 /**
- * Time after an engine began to leave during which its cache may be copied. Leaving
- * engines keep serving for a few seconds longer.
+ * Time after an engine began to leave during which its cache may be copied, if it does
+ * not say when it ends. Leaving engines keep serving for a few seconds longer.
  */
 const leavingCopyWindowMs = 2_000;
 
+/** Time before the end of an engine in which no copy is begun, as it would be cut off. */
+const copyMarginMs = 200;
+
 /**
  * Number of targets that have left and are remembered, so that an outdated
  * registration does not bring them back.
@@ -89,12 +92,17 @@
     return this.#softwareVersions.findOnlyVersion(service, records, knownForMs);
   }
 
-  /** Engines that began to leave so recently that they can still be copied from. */
+  /** Engines that take no new work, but from which can still be copied. */
   listRecentlyLeavingTargets(service: string): TargetState[] {
-    const sinceMs = performance.now() - leavingCopyWindowMs;
+    const nowMs = performance.now();
     return this.listTargets().filter(
-      ({ record, leavingSinceMs = -Infinity }) =>
-        record.service === service && leavingSinceMs > sinceMs,
+      ({ record, leavingSinceMs, endsAtMs }) =>
+        record.service === service &&
+        leavingSinceMs !== undefined &&
+        nowMs <
+          (endsAtMs === undefined
+            ? leavingSinceMs + leavingCopyWindowMs
+            : endsAtMs - copyMarginMs),
     );
   }
 
@@ -205,12 +213,14 @@
 
   #cancelLeaving(state: TargetState): void {
     state.leavingSinceMs = undefined;
+    state.endsAtMs = undefined;
     this.#options.log.writeEvent('target_registered', {
       target: state.record.id,
     });
   }
 
   #markLeaving(state: TargetState, reason: string): void {
+    this.#recordEnd(state);
     if (state.isLeaving) return;
     state.leavingSinceMs = performance.now();
     this.#options.log.writeEvent('target_leaving', {
@@ -219,4 +229,17 @@
       reason,
     });
   }
+
+  /**
+   * Records when the target ends. A registration that arrives late, or again, names a
+   * time that has partly passed, so the earliest end counts.
+   */
+  #recordEnd(state: TargetState): void {
+    const { leaving, leavesInMs } = state.record;
+    if (!leaving || leavesInMs === undefined) return;
+    state.endsAtMs = Math.min(
+      state.endsAtMs ?? Infinity,
+      performance.now() + leavesInMs,
+    );
+  }
 }
--- a/packages/relay/src/targets/target-state.ts
+++ b/packages/relay/src/targets/target-state.ts
@@ -52,6 +52,8 @@
   record: TargetRecord;
   /** Monotonic milliseconds at which the target began to leave, if it did. */
   leavingSinceMs: number | undefined;
+  /** Monotonic milliseconds at which the leaving target ends, if it said so. */
+  endsAtMs: number | undefined;
   /**
    * True if the target itself announced in a response that it leaves. Its
    * registration does not revoke that.
@@ -291,6 +293,7 @@
   resetAfterRestart(record: TargetRecord): void {
     this.record = record;
     this.leavingSinceMs = undefined;
+    this.endsAtMs = undefined;
     this.hasAnnouncedLeaving = false;
     this.prefixCache.clear();
     this.#consecutiveFailures = 0;
