--- a/packages/bench/src/measure/main.ts
+++ b/packages/bench/src/measure/main.ts
@@ -1,20 +1,21 @@
 /**
- * Command `npm run measure -- requests|control|capacity [--seed N] [--json]`:
+ * Command `npm run measure -- requests|control|capacity|costs [--seed N] [--json]`:
  * runs a measurement suite and prints its measurements.
  */
 import { cpus } from 'node:os';
 
 import meow from 'meow';
 
-import { measureCapacity } from './capacity.js';
-import { measureControl } from './control.js';
 import type { Measurement, MeasurementSuite } from './measurement.js';
-import { measureRequests } from './requests.js';
 
-const measurementSuites: Readonly<Record<string, MeasurementSuite>> = {
-  requests: measureRequests,
-  control: measureControl,
-  capacity: measureCapacity,
+/** Loads only the suite that runs, so that the others don't add to its memory. */
+const measurementSuites: Readonly<
+  Record<string, () => Promise<MeasurementSuite>>
+> = {
+  requests: async () => (await import('./requests.js')).measureRequests,
+  control: async () => (await import('./control.js')).measureControl,
+  capacity: async () => (await import('./capacity.js')).measureCapacity,
+  costs: async () => (await import('./costs/costs.js')).measureCosts,
 };
 
 const cli = meow(
@@ -40,8 +41,9 @@
   return `${measurement.name}: ${measurement.value} ${measurement.unit}${target}${result}`;
 };
 
-const suite = measurementSuites[cli.input[0] ?? ''];
-if (suite === undefined) cli.showHelp(2);
+const loadSuite = measurementSuites[cli.input[0] ?? ''];
+if (loadSuite === undefined) cli.showHelp(2);
+const suite = await loadSuite?.();
 const measurements = (await suite?.({ seed: cli.flags.seed })) ?? [];
 if (cli.flags.json) {
   console.log(JSON.stringify(measurements));
