Let periodic work rest while an instance has no requests

Judging the link to targets (100 ms), load reports (150 ms) and the probe of the event loop (50 ms) woke each idle instance 37 times a second, and the timer of the aggregator 5 times a second on instances that have no members.

--- a/packages/relay/src/peers/load-aggregator.ts
+++ b/packages/relay/src/peers/load-aggregator.ts
@@ -31,6 +31,8 @@
   readonly #options: LoadAggregatorOptions;
   readonly #memberReports = new MemberReports();
   #publishCount = 0;
+  /** Ends the wait for a member. */
+  #onFirstMember: (() => void) | undefined;
   /** Events of this data centre not yet sent to the other aggregators. */
   #pendingRemoteEvents = createNoEvents();
 
@@ -49,6 +51,7 @@
   /** Records the report of a member. */
   addReport(report: LoadReport): void {
     this.#memberReports.addReport(report);
+    this.#onFirstMember?.();
   }
 
   /**
@@ -63,13 +66,30 @@
     }
   }
 
-  /** Publishes combined reports at a fixed interval until the signal aborts. */
+  /**
+   * Publishes combined reports at a fixed interval while there are members, until the
+   * signal aborts.
+   */
   async run(signal: AbortSignal): Promise<void> {
-    while (await sleep(publishIntervalMs, signal)) {
+    while (!signal.aborted) {
       if (this.listMembers().length > 0) this.#publishReport();
+      else await this.#waitForMember(signal);
+      await sleep(publishIntervalMs, signal);
     }
   }
 
+  #waitForMember(signal: AbortSignal): Promise<void> {
+    return new Promise(resolve => {
+      const end = () => {
+        this.#onFirstMember = undefined;
+        signal.removeEventListener('abort', end);
+        resolve();
+      };
+      this.#onFirstMember = end;
+      signal.addEventListener('abort', end, { once: true });
+    });
+  }
+
   #publishReport(): void {
     const { topology, takeOwnReport } = this.#options;
     const report = this.#memberReports.takeCombinedReport(takeOwnReport());
--- a/packages/relay/src/peers/load-exchange.ts
+++ b/packages/relay/src/peers/load-exchange.ts
@@ -4,7 +4,6 @@
  */
 import { Right } from 'purify-ts';
 
-import { sleep } from '@medlarlever/core';
 import type { Kernel } from '@medlarlever/core';
 
 import type { CutOffInstances } from '../forwarding/cut-off-instances.js';
@@ -44,6 +43,9 @@
 /** Unchanged loads are reported again before they expire at the receivers. */
 const maxReportIntervalMs = 600;
 
+/** Timers may end a little early or late; a repetition that is nearly due is sent. */
+const repetitionToleranceMs = 20;
+
 /** Dependencies of {@link LoadExchange}. */
 export interface LoadExchangeOptions {
   /** Name of this instance. */
@@ -139,7 +141,9 @@
   /** Sends reports and applies peer loads until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
     void this.#aggregator.run(signal);
-    while (await sleep(reportIntervalMs, signal)) {
+    const { activity } = this.#options.targets;
+    const pauses = { activeMs: reportIntervalMs, restMs: maxReportIntervalMs };
+    while (await activity.pause(pauses, signal)) {
       this.#sendReport();
       this.#applyPeerLoads();
     }
@@ -193,7 +197,8 @@
       reportsToAggregator ||
       this.#options.promptQuarantine.causeCount > 0 ||
       this.#options.targetLink.isCutOff;
-    const isOverdue = nowMs - this.#lastSentAtMs >= maxReportIntervalMs;
+    const isOverdue =
+      nowMs - this.#lastSentAtMs >= maxReportIntervalMs - repetitionToleranceMs;
     if (!hasChanged && !(needsRepetition && isOverdue)) return false;
     this.#lastSentLoads = serializedLoads;
     this.#lastSentAtMs = nowMs;
--- a/packages/relay/src/server/app.ts
+++ b/packages/relay/src/server/app.ts
@@ -141,7 +141,10 @@
     kernel.provide(requestDrainerToken, () => new RequestDrainer());
     kernel.provide(
       eventLoopDelayMonitorToken,
-      () => new EventLoopDelayMonitor(),
+      resolver =>
+        new EventLoopDelayMonitor(
+          () => resolver.get(targetRegistryToken).activity.isIdle,
+        ),
     );
     let callerServer: Listener | undefined;
     kernel.addLifecycleHook({
--- a/packages/relay/src/server/event-loop-delay-monitor.ts
+++ b/packages/relay/src/server/event-loop-delay-monitor.ts
@@ -2,6 +2,12 @@
 
 const probeIntervalMs = 50;
 
+/**
+ * Interval while the instance is idle. A delay that begins then is measured as up to
+ * this much less than it is; nothing is under way that could be late.
+ */
+const idleProbeIntervalMs = 250;
+
 /**
  * Factor by which a past delay decays at each probe. The data that arrived during
  * a delay is read over several turns of the event loop, not all in one.
@@ -15,16 +21,20 @@
   #recentMaxDelayMs = 0;
   #timer: NodeJS.Timeout | undefined;
 
+  /** `isIdle` tells whether the instance has had no requests for a while. */
+  constructor(private readonly isIdle: () => boolean = () => false) {}
+
   /** Starts the periodic timer, which does not keep the process alive. */
   start(): void {
-    this.#timerDueAtMs = performance.now() + probeIntervalMs;
+    const intervalMs = this.isIdle() ? idleProbeIntervalMs : probeIntervalMs;
+    this.#timerDueAtMs = performance.now() + intervalMs;
     this.#timer = setTimeout(() => {
       this.#recentMaxDelayMs = Math.max(
         this.#timerDelayMs,
         this.#recentMaxDelayMs * delayDecayFactor,
       );
       this.start();
-    }, probeIntervalMs);
+    }, intervalMs);
     this.#timer.unref();
   }
 
--- /dev/null
+++ b/packages/relay/src/targets/request-activity.ts
@@ -0,0 +1,125 @@
+/**
+ * Tells whether requests run at targets. Periodic work that only requests make
+ * necessary waits here: it is seldom done while none run, and what is due at about the
+ * same time shares one timer, because each wake-up of the event loop costs more than
+ * the work itself.
+ */
+
+/** Pauses end at multiples of this time of the monotonic clock. */
+const stepMs = 50;
+
+/** The instance counts as active until this long after its last request. */
+const idleAfterMs = 1_000;
+
+/** How long a pause lasts. */
+export interface PauseLengths {
+  /** While requests run. */
+  readonly activeMs: number;
+  /** While none do. A request that starts ends the rest, and `activeMs` follow. */
+  readonly restMs: number;
+}
+
+/** Pauses that end at the same step. */
+interface Step {
+  readonly timer: NodeJS.Timeout;
+  readonly waiters: Set<() => void>;
+}
+
+/** Counts the requests of this instance that run at targets. */
+export class RequestActivity {
+  #runningCount = 0;
+  #lastActiveMs = performance.now();
+  readonly #restingWaiters = new Set<(wasWoken: boolean) => void>();
+  readonly #stepsByEndMs = new Map<number, Step>();
+
+  /** True if no request runs and the last one ended a while ago. */
+  get isIdle(): boolean {
+    return (
+      this.#runningCount === 0 &&
+      performance.now() - this.#lastActiveMs > idleAfterMs
+    );
+  }
+
+  /** Counts a request until the returned function is called. */
+  startRequest(): () => void {
+    this.#runningCount += 1;
+    this.wake();
+    return () => {
+      this.#runningCount -= 1;
+      this.#lastActiveMs = performance.now();
+    };
+  }
+
+  /** Ends the rests that are under way, as a request does that starts. */
+  wake(): void {
+    this.#lastActiveMs = performance.now();
+    for (const endRest of this.#restingWaiters) endRest(true);
+  }
+
+  /** Resolves to true after the pause, or to false if the signal aborts. */
+  async pause(lengths: PauseLengths, signal: AbortSignal): Promise<boolean> {
+    if (!this.isIdle) return this.#sleepToStep(lengths.activeMs, signal);
+    const wasWoken = await this.#rest(lengths.restMs, signal);
+    return wasWoken
+      ? this.#sleepToStep(lengths.activeMs, signal)
+      : !signal.aborted;
+  }
+
+  /** Resolves to true if a request ended the rest. */
+  #rest(ms: number, signal: AbortSignal): Promise<boolean> {
+    if (signal.aborted) return Promise.resolve(false);
+    return new Promise(resolve => {
+      const endRest = (wasWoken: boolean) => {
+        clearTimeout(timer);
+        signal.removeEventListener('abort', abort);
+        this.#restingWaiters.delete(endRest);
+        resolve(wasWoken);
+      };
+      const abort = () => {
+        endRest(false);
+      };
+      const timer = Number.isFinite(ms)
+        ? setTimeout(endRest, ms, false)
+        : undefined;
+      signal.addEventListener('abort', abort, { once: true });
+      this.#restingWaiters.add(endRest);
+    });
+  }
+
+  #sleepToStep(ms: number, signal: AbortSignal): Promise<boolean> {
+    if (signal.aborted) return Promise.resolve(false);
+    const nowMs = performance.now();
+    const endMs = Math.max(1, Math.round((nowMs + ms) / stepMs)) * stepMs;
+    return new Promise(resolve => {
+      const step = this.#getStep(endMs, nowMs);
+      const end = () => {
+        signal.removeEventListener('abort', abort);
+        resolve(true);
+      };
+      const abort = () => {
+        step.waiters.delete(end);
+        if (step.waiters.size === 0) this.#dropStep(endMs, step);
+        resolve(false);
+      };
+      step.waiters.add(end);
+      signal.addEventListener('abort', abort, { once: true });
+    });
+  }
+
+  #getStep(endMs: number, nowMs: number): Step {
+    const existing = this.#stepsByEndMs.get(endMs);
+    if (existing !== undefined) return existing;
+    const timer = setTimeout(() => {
+      this.#stepsByEndMs.delete(endMs);
+      for (const end of step.waiters) end();
+    }, endMs - nowMs);
+    const step: Step = { timer, waiters: new Set() };
+    this.#stepsByEndMs.set(endMs, step);
+    return step;
+  }
+
+  #dropStep(endMs: number, { timer }: Step): void {
+    clearTimeout(timer);
+    this.#stepsByEndMs.delete(endMs);
+  }
+}
--- a/packages/relay/src/targets/target-link.ts
+++ b/packages/relay/src/targets/target-link.ts
@@ -2,7 +2,6 @@
  * Finds out whether this instance reaches any target. Failures of single targets are
  * theirs; failures of several at once may be those of the own link, which probes decide.
  */
-import { sleep } from '@medlarlever/core';
 import type { Log } from '@medlarlever/core';
 
 import type { TargetRecord } from './target-record.js';
@@ -79,7 +78,13 @@
 
   /** Judges the link at intervals until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
-    while (await sleep(judgementIntervalMs, signal)) this.#startProbeIfDue();
+    const { activity } = this.#options.targets;
+    while (!signal.aborted) {
+      this.#startProbeIfDue();
+      // Without requests there is no evidence to judge until the next failure.
+      const restMs = this.#isCutOff ? judgementIntervalMs : Infinity;
+      await activity.pause({ activeMs: judgementIntervalMs, restMs }, signal);
+    }
   }
 
   #startProbeIfDue(): void {
@@ -140,6 +145,7 @@
     this.#failedAtMsByTarget.clear();
     if (this.#isCutOff !== isReached) return;
     this.#isCutOff = !isReached;
+    targets.activity.wake();
     if (isReached) {
       // What failed meanwhile was the link, and not the targets.
       for (const state of targets.listTargets()) state.forgetFailures();
--- a/packages/relay/src/targets/target-registry.ts
+++ b/packages/relay/src/targets/target-registry.ts
@@ -3,6 +3,7 @@
 
 import type { RequestLimiter } from '../limits/request-limiter.js';
 
+import { RequestActivity } from './request-activity.js';
 import type { TargetRecord } from './target-record.js';
 import { SoftwareVersions } from './software-versions.js';
 import { TargetState } from './target-state.js';
@@ -51,6 +52,8 @@
 
 /** Holds the state of each registered target by its id. */
 export class TargetRegistry {
+  /** Requests of this instance at the targets. */
+  readonly activity = new RequestActivity();
   readonly #states = new Map<string, TargetState>();
   /** Last removed incarnation by target id, oldest removal first. */
   readonly #departures = new Map<string, Departure>();
@@ -183,7 +186,12 @@
     const kvCacheTokens =
       this.#options.getKvCacheTokens(record.service) ?? defaultKvCacheTokens;
     const limiter = this.#options.createLimiter?.(record.id);
-    const state = new TargetState(record, kvCacheTokens, limiter);
+    const state = new TargetState(
+      record,
+      kvCacheTokens,
+      limiter,
+      this.activity,
+    );
     this.#states.set(record.id, state);
     this.#options.log.writeEvent('target_registered', {
       target: record.id,
--- a/packages/relay/src/targets/target-state.ts
+++ b/packages/relay/src/targets/target-state.ts
@@ -3,6 +3,7 @@
 import type { PromptSegment } from '../requests/relay-request.js';
 
 import { PrefixCacheEstimate } from './prefix-cache-estimate.js';
+import { RequestActivity } from './request-activity.js';
 import type { TargetRecord } from './target-record.js';
 
 /** Load that one instance has placed at a target. */
@@ -76,6 +77,7 @@
     record: TargetRecord,
     kvCacheTokens: number,
     limiter = createSoleInstanceLimiter(record.id),
+    private readonly activity = new RequestActivity(),
   ) {
     this.record = record;
     this.limiter = limiter;
@@ -208,8 +210,10 @@
     if (this.activeRequestCount === 0) this.recordActivity();
     this.#activeRequestCount += 1;
     this.limiter.takePermit();
+    const endActivity = this.activity.startRequest();
     return createOneTimeCallback(() => {
       this.#activeRequestCount -= 1;
+      endActivity();
     });
   }
 
