Halve heartbeats, and post messages between instances without streams and signals

Every instance sent a heartbeat each second on each link, in both directions of a pair. An exchange that either side begins now counts for both, and is due 1.5 s after the last one unless there is news of instances; all links are looked at in one turn of the event loop. A heartbeat without reply is repeated at once, so that an instance is suspected no later than before, and still after two of them.

Messages are posted without a response stream, without a timer that outlives the call, and a notification to many peers is serialized once.

--- a/packages/bench/src/membership/membership.test.ts
+++ b/packages/bench/src/membership/membership.test.ts
@@ -1,6 +1,7 @@
 /** Tests of membership among in-process instances with a fake clock. */
 import FakeTimers from '@sinonjs/fake-timers';
 import type { Clock } from '@sinonjs/fake-timers';
+import { heartbeatMethod } from '@medlarlever/core';
 import { MemoryNetwork } from '@medlarlever/stand-ins';
 import test from 'ava';
 
@@ -159,3 +160,38 @@
     t.is(first.mesh.getPeer(name).extract()?.incarnation, 'next');
   },
 );
+
+test.serial(
+  'two instances without news exchange records less than once a second, whoever begins',
+  t =>
+    withFakeClock(async clock => {
+      const network = new MemoryNetwork();
+      const instances = createInstances({
+        instanceCount: 2,
+        dataCenterCount: 1,
+        network,
+        seed: 1,
+      });
+      let heartbeatCount = 0;
+      for (const { record, kernel } of instances) {
+        const methods = new Map(kernel.peerMethods);
+        const handler = methods.get(heartbeatMethod);
+        methods.set(heartbeatMethod, (params, from) => {
+          heartbeatCount += 1;
+          return handler?.(params, from) ?? Promise.reject(new Error('none'));
+        });
+        network.attachPeer(record.address, methods);
+      }
+      startInstances(instances);
+      await clock.tickAsync(joinTimeMs);
+      heartbeatCount = 0;
+      await clock.tickAsync(20_000);
+      t.true(heartbeatCount <= 20, `${heartbeatCount} heartbeats in 20 s`);
+      t.true(heartbeatCount >= 8, `${heartbeatCount} heartbeats in 20 s`);
+      for (const { registry } of instances)
+        t.false(
+          registry.listInstances().some(({ state }) => state === 'suspected'),
+        );
+      await stopInstances(clock, instances);
+    }),
+);
--- a/packages/core/src/membership/instance-registry.ts
+++ b/packages/core/src/membership/instance-registry.ts
@@ -19,6 +19,7 @@
   readonly #listeners = new Set<InstanceListener>();
   /** Number of records stored so far; the position of the last change. */
   #changeCount = 0;
+  #membershipPosition = 0;
   readonly #changePositions = new Map<string, number>();
   #self: InstanceRecord;
 
@@ -36,6 +37,14 @@
     return this.#changeCount;
   }
 
+  /**
+   * Position of the last change of an instance's incarnation, state or address.
+   * Revisions change more often and also reach the peers in other ways.
+   */
+  get membershipPosition(): number {
+    return this.#membershipPosition;
+  }
+
   listInstances(): readonly ObservedInstance[] {
     return [...this.#instances.values()];
   }
@@ -116,7 +125,10 @@
   }
 
   #storeRecord(record: InstanceRecord): void {
+    const previous = this.#instances.get(record.name);
     this.#changeCount += 1;
+    if (previous === undefined || hasMembershipChanged(previous, record))
+      this.#membershipPosition = this.#changeCount;
     this.#changePositions.set(record.name, this.#changeCount);
     this.#replaceInstance({ ...record, lastSeenMs: Date.now() });
   }
@@ -128,6 +140,14 @@
   }
 }
 
+const hasMembershipChanged = (
+  previous: InstanceRecord,
+  next: InstanceRecord,
+): boolean =>
+  previous.incarnation !== next.incarnation ||
+  previous.state !== next.state ||
+  previous.address !== next.address;
+
 /** Drops local observations: a suspected instance is sent to peers as live. */
 const toInstanceRecord = (instance: ObservedInstance): InstanceRecord => {
   const { lastSeenMs, ...record } = instance;
--- a/packages/core/src/membership/peer-mesh.ts
+++ b/packages/core/src/membership/peer-mesh.ts
@@ -14,7 +14,14 @@
 import type { InstanceRegistry } from './instance-registry.js';
 import { selectLinkedInstances } from './link-selection.js';
 
+/** Interval at which the links are looked at. */
 const heartbeatIntervalMs = 1_000;
+/**
+ * Time after the last exchange with a peer, which either side may have begun, until
+ * the next one is due if there is no news of instances for the peer. With 15 links an
+ * exchange each second in both directions was most of what an idle instance did.
+ */
+const steadyIntervalMs = 1_500;
 const heartbeatTimeoutMs = 1_500;
 const suspectAfterMs = 4_000;
 
@@ -62,9 +69,14 @@
   /** Position of the peer's registry up to which this one has the records. */
   receivedPosition: number;
   /**
-   * Last heartbeat reply, or opening of the link, in ms since the Unix epoch.
+   * Last heartbeat from the peer or reply of it, or opening of the link, in ms since
+   * the Unix epoch.
    */
-  lastReplyMs: number;
+  lastExchangeMs: number;
+  /** True while a heartbeat waits for its reply. */
+  isAwaitingReply: boolean;
+  /** True if the last heartbeat had no reply. */
+  hasFailed: boolean;
 }
 
 /** Exchanges instance records by heartbeats and connects to peers by name. */
@@ -124,6 +136,8 @@
     const { signal } = this.#stopping;
     while (!signal.aborted) {
       this.#reconcileLinks();
+      // All in one turn of the event loop, so that one wake-up serves many links.
+      for (const link of this.#links.values()) this.#maintainLink(link);
       await this.#contactSeeds();
       await sleep(addJitter(heartbeatIntervalMs, this.#options.random), signal);
     }
@@ -146,6 +160,9 @@
     const { registry } = this.#options;
     registry.mergeRecords([heartbeat.self, ...heartbeat.records]);
     registry.recordHeartbeat(heartbeat.self.name, heartbeat.self.incarnation);
+    const link = this.#links.get(heartbeat.self.name);
+    if (link?.peer.incarnation === heartbeat.self.incarnation)
+      link.lastExchangeMs = Date.now();
     const isSameProcess =
       heartbeat.known?.incarnation === registry.self.incarnation;
     const since = isSameProcess ? (heartbeat.known?.position ?? 0) : 0;
@@ -183,14 +200,16 @@
       closeController: new AbortController(),
       sentPosition: 0,
       receivedPosition: 0,
-      lastReplyMs: Date.now(),
+      lastExchangeMs: Date.now(),
+      isAwaitingReply: false,
+      hasFailed: false,
     };
     this.#links.set(record.name, link);
     this.#options.log.writeEvent('instance_joined', {
       instance: record.name,
       incarnation: record.incarnation,
     });
-    void this.#sendHeartbeats(link);
+    void this.#exchangeRecords(link);
   }
 
   #closeLink(name: string, link: PeerLink): void {
@@ -199,13 +218,31 @@
     void link.peer.close();
   }
 
-  async #sendHeartbeats(link: PeerLink): Promise<void> {
-    const { signal } = link.closeController;
-    while (!signal.aborted) {
+  #maintainLink(link: PeerLink): void {
+    if (link.isAwaitingReply) return;
+    this.#suspectIfSilent(link);
+    if (this.#isHeartbeatDue(link)) void this.#exchangeRecords(link);
+  }
+
+  #isHeartbeatDue(link: PeerLink): boolean {
+    const { membershipPosition } = this.#options.registry;
+    return (
+      link.hasFailed ||
+      membershipPosition > link.sentPosition ||
+      Date.now() - link.lastExchangeMs >= steadyIntervalMs
+    );
+  }
+
+  /** Sends a heartbeat, and a second one at once if the first has no reply. */
+  async #exchangeRecords(link: PeerLink): Promise<void> {
+    link.isAwaitingReply = true;
+    const wasFailing = link.hasFailed;
+    await this.#sendHeartbeat(link);
+    const isClosed = link.closeController.signal.aborted;
+    if (link.hasFailed && !wasFailing && !isClosed)
       await this.#sendHeartbeat(link);
-      this.#suspectIfSilent(link);
-      await sleep(addJitter(heartbeatIntervalMs, this.#options.random), signal);
-    }
+    link.isAwaitingReply = false;
+    this.#suspectIfSilent(link);
   }
 
   async #sendHeartbeat(link: PeerLink): Promise<void> {
@@ -227,17 +264,19 @@
     const reply = result
       .toMaybe()
       .map(value => heartbeatReplySchema.parse(value));
+    link.hasFailed = reply.isNothing();
     reply.ifJust(({ self, records, position: peerPosition }) => {
       link.sentPosition = position;
       link.receivedPosition = peerPosition;
-      link.lastReplyMs = Date.now();
+      link.lastExchangeMs = Date.now();
       registry.mergeRecords([self, ...records]);
       registry.recordHeartbeat(self.name, self.incarnation);
     });
   }
 
   #suspectIfSilent(link: PeerLink): void {
-    if (Date.now() - link.lastReplyMs < suspectAfterMs) return;
+    if (!link.hasFailed || Date.now() - link.lastExchangeMs < suspectAfterMs)
+      return;
     const { registry, log } = this.#options;
     const instance = registry.findInstance(link.peer.name);
     if (instance === undefined || instance.state === 'suspected') return;
--- a/packages/core/src/peers/json-rpc-peer.ts
+++ b/packages/core/src/peers/json-rpc-peer.ts
@@ -6,6 +6,7 @@
 
 import { Failure } from '../shared/failure.js';
 
+import { postText } from './http-post.js';
 import { Peer } from './peer.js';
 import type { PeerCallOptions } from './peer.js';
 
@@ -15,6 +16,27 @@
 const notificationTimeoutMs = 2_000;
 const idleTimeoutMs = 30_000;
 
+/** A notification as it is sent. */
+interface SerializedNotification {
+  readonly method: string;
+  readonly text: string;
+}
+
+const serializedNotifications = new WeakMap<object, SerializedNotification>();
+
+/**
+ * Serializes a notification. One that goes to many peers, with the same parameters
+ * object, is serialized once.
+ */
+const serializeNotification = (method: string, params: unknown): string => {
+  const isObject = typeof params === 'object' && params !== null;
+  const known = isObject ? serializedNotifications.get(params) : undefined;
+  if (known?.method === method) return known.text;
+  const text = JSON.stringify({ jsonrpc: '2.0', method, params });
+  if (isObject) serializedNotifications.set(params, { method, text });
+  return text;
+};
+
 /** Identity and address of the peer, and credentials for the calls. */
 export interface JsonRpcPeerOptions {
   readonly name: string;
@@ -38,6 +60,7 @@
   readonly address: string;
   readonly #options: JsonRpcPeerOptions;
   readonly #client: JSONRPCClient<PeerCallOptions>;
+  readonly #headers: readonly string[];
   #pool: Pool;
 
   constructor(options: JsonRpcPeerOptions) {
@@ -47,6 +70,11 @@
     this.incarnation = options.incarnation;
     this.address = options.address;
     this.#options = options;
+    this.#headers = [
+      ...['content-type', 'application/json'],
+      ...['authorization', `Bearer ${options.secret}`],
+      ...['x-instance', options.self],
+    ];
     this.#pool = this.#createPool();
     this.#client = new JSONRPCClient((payload, callOptions) =>
       this.#postMessage(JSON.stringify(payload), callOptions.timeoutMs),
@@ -76,7 +104,10 @@
   }
 
   override sendNotification(method: string, params: unknown): void {
-    this.#client.notify(method, params, { timeoutMs: notificationTimeoutMs });
+    this.#postMessage(
+      serializeNotification(method, params),
+      notificationTimeoutMs,
+    ).catch(() => undefined);
   }
 
   /** Closes all connections; running calls fail. */
@@ -95,22 +126,15 @@
     this.#options.onMessageSent?.(body.length);
     const pool = this.#pool;
     try {
-      const response = await pool.request({
-        method: 'POST',
+      const { status, text } = await postText(pool, {
         path: rpcPath,
-        headers: {
-          'content-type': 'application/json',
-          authorization: `Bearer ${this.#options.secret}`,
-          'x-instance': this.#options.self,
-        },
+        headers: this.#headers,
         body,
-        signal: AbortSignal.timeout(timeoutMs),
+        timeoutMs,
       });
-      const text = await response.body.text();
-      if (response.statusCode === 204) return;
-      if (response.statusCode !== 200) {
-        throw new Error(`the peer answered with status ${response.statusCode}`);
-      }
+      if (status === 204) return;
+      if (status !== 200)
+        throw new Error(`the peer answered with status ${status}`);
       this.#client.receive(JSON.parse(text) as never);
     } catch (error) {
       this.#replacePool(pool);
