Count the requests of customers and report them by window

Each instance counts a request once, when its answer shows that a target has begun to run it, and sends its totals to the instances that may lead.

--- a/packages/core/src/shared/events.ts
+++ b/packages/core/src/shared/events.ts
@@ -302,6 +302,21 @@
     'info',
     'A request was handed to another instance, as this one reaches no target.',
   ),
+  usage_reported: defineEvent(
+    540,
+    'info',
+    'The platform accepted the usage report of a window.',
+  ),
+  usage_late: defineEvent(
+    541,
+    'error',
+    'The usage report of a window is due and not accepted, or was given up.',
+  ),
+  duty_call_failed: defineEvent(
+    542,
+    'warn',
+    'The platform did not accept a call that only the leader sends.',
+  ),
 } as const satisfies Record<string, LogEvent>;
 
 /** Name of a log event, written to the log as the field `name`. */
--- a/packages/relay/src/kernel/tokens.ts
+++ b/packages/relay/src/kernel/tokens.ts
@@ -35,6 +35,7 @@
 import type { TargetAnnouncements } from '../targets/target-announcements.js';
 import type { TargetRegistry } from '../targets/target-registry.js';
 import type { TargetRecord } from '../targets/target-record.js';
+import type { UsageParts } from '../usage/usage-parts.js';
 
 // Tokens provided by the platform adapter.
 export const settingsToken = new InjectionToken<SettingsHolder>('settings');
@@ -135,6 +136,8 @@
 export const targetClosureBroadcasterToken =
   new InjectionToken<TargetClosureBroadcaster>('role-news');
 export const dutyLeaderToken = new InjectionToken<DutyLeader>('duty-leader');
+/** Undefined if the settings ask for no usage reports. */
+export const usageToken = new InjectionToken<UsageParts | undefined>('usage');
 export const relayToken = new InjectionToken<Relay>('relay');
 export const requestDrainerToken = new InjectionToken<RequestDrainer>('drain');
 export const eventLoopDelayMonitorToken =
--- a/packages/relay/src/peers/app.ts
+++ b/packages/relay/src/peers/app.ts
@@ -35,6 +35,7 @@
   targetRegistryToken,
   targetWatcherToken,
   peerTopologyToken,
+  usageToken,
 } from '../kernel/tokens.js';
 import { selectLimitGroup } from '../limits/limit-group.js';
 import type { LimitGroup } from '../limits/limit-share.js';
@@ -210,6 +211,7 @@
   kernel.get(changeDistributorToken).registerMethods(kernel);
   kernel.get(targetAnnouncementsToken).registerMethods(kernel);
   kernel.get(streamOriginFinderToken).registerMethods(kernel);
+  kernel.get(usageToken)?.exchange.registerMethods(kernel);
   const close = await openPeerInterface({
     kernel,
     log: kernel.get(logToken),
--- a/packages/relay/src/relay-daemon.ts
+++ b/packages/relay/src/relay-daemon.ts
@@ -19,6 +19,7 @@
 import { relayApp } from './relay/app.js';
 import { rolesPlugin } from './roles/app.js';
 import { serverPlugin } from './server/app.js';
+import { usagePlugin } from './usage/app.js';
 
 const plugins = [
   changeStreamsPlugin,
@@ -28,6 +29,7 @@
   dutiesPlugin,
   rolesPlugin,
   serverPlugin,
+  usagePlugin,
 ];
 
 /** Wires the relay's plugins and controls their start and stop. */
--- a/packages/relay/src/relay/app.ts
+++ b/packages/relay/src/relay/app.ts
@@ -22,12 +22,14 @@
   targetClientToken,
   targetRegistryToken,
   peerTopologyToken,
+  usageToken,
 } from '../kernel/tokens.js';
 import { createCrashCheck } from '../crashes/crash-check.js';
 import { PromptQuarantine } from '../crashes/prompt-quarantine.js';
 import { findAnswerAgeMs } from '../crashes/answer-age.js';
 import { RelayMetrics } from '../metrics/relay-metrics.js';
 import { CrashTracker } from '../crashes/crash-tracker.js';
+import { createRunStartListener } from '../usage/usage-parts.js';
 import { DataCenterReachability } from '../targets/data-center-reachability.js';
 
 import { createLivenessCheck } from './liveness-check.js';
@@ -100,6 +102,7 @@
             .get(loadExchangeToken)
             .recordPrefillStart(target, segments, expectedMs);
         },
+        onRunStart: createRunStartListener(resolver.get(usageToken)),
       });
     });
   },
--- a/packages/relay/src/relay/relay.ts
+++ b/packages/relay/src/relay/relay.ts
@@ -105,6 +105,11 @@
     segments: readonly PromptSegment[],
     expectedMs: number,
   ) => void;
+  /**
+   * Called once for a request whose run a target has begun, with the monotonic time
+   * of the beginning. Undefined if no usage is reported.
+   */
+  readonly onRunStart?: (request: RelayRequest, startedAtMs: number) => void;
 }
 
 /** Entry point for all requests that this instance relays. */
--- a/packages/relay/src/relay/request-runner.ts
+++ b/packages/relay/src/relay/request-runner.ts
@@ -69,6 +69,7 @@
   protected readonly excludedTargets = new Set<TargetState>();
   /** Number of failed sends that a target may have executed. */
   protected possibleExecutionCount = 0;
+  #hasRecordedRunStart = false;
   readonly #forwarding: RequestForwarding;
 
   constructor(
@@ -131,16 +132,33 @@
   }
 
   /** Sends the request to the target once. */
-  protected sendOnce(
+  protected async sendOnce(
     record: TargetRecord,
     options: SendOptions,
     sink: CallerSink,
   ): Promise<SendOutcome> {
     const { targetClient } = this.dependencies;
-    const { request } = this.context;
-    return runCheckedSend(sink, options.signal, signal =>
+    const { request, route } = this.context;
+    const sentAtMs = performance.now();
+    const isStream = route.kind === 'stream';
+    sink.onRunStart = () => {
+      this.#recordRunStart(isStream ? performance.now() : sentAtMs);
+    };
+    const outcome = await runCheckedSend(sink, options.signal, signal =>
       targetClient.send(record, request, { ...options, signal }, sink),
     );
+    // What another instance answers is counted there.
+    sink.onRunStart = () => undefined;
+    const mayHaveRun = outcome.kind !== 'whole' && !isNotExecuted(outcome);
+    if (mayHaveRun && !isStream) this.#recordRunStart(sentAtMs);
+    return outcome;
+  }
+
+  /** Records once that a target has begun to run the request. */
+  #recordRunStart(startedAtMs: number): void {
+    if (this.#hasRecordedRunStart) return;
+    this.#hasRecordedRunStart = true;
+    this.dependencies.onRunStart?.(this.context.request, startedAtMs);
   }
 
   /** Counts a request at the target; the returned function removes it. */
--- a/packages/relay/src/relay/response-sinks.ts
+++ b/packages/relay/src/relay/response-sinks.ts
@@ -18,6 +18,12 @@
   /** Called when the current answer has an event that is too long to be one. */
   onOverlongEvent: () => void = () => undefined;
 
+  /**
+   * Called when the answer shows that the target has begun to run the request: with the
+   * head, or with the data of a stream. Later calls say nothing new.
+   */
+  onRunStart: () => void = () => undefined;
+
   /** Id of the last forwarded event; undefined if no stream can go on after it. */
   get lastEventId(): string | undefined {
     return undefined;
@@ -56,6 +62,7 @@
     this.#head = head;
     this.#bufferedChunks = [];
     this.#bufferedBytes = 0;
+    this.onRunStart();
     return this.acceptsStatus(head.status);
   }
 
@@ -202,6 +209,7 @@
   #writeBytes(bytes: Buffer): boolean {
     this.#writeHeadOnce();
     this.#writeCount += 1;
+    if (this.#currentHead?.status === okStatus) this.onRunStart();
     this.#options.onBytes();
     return this.#options.caller.write(bytes);
   }
