Play the interface for duties in the soak

The stand-in runs beside the store; a fault makes it slow, down, limited or lose answers. Two checks guard reports of one window that differ, and calls of two holders under one token or in turns within the lease time.

--- a/packages/soak/src/checks/run-checks.test.ts
+++ b/packages/soak/src/checks/run-checks.test.ts
@@ -63,6 +63,7 @@
   attempts: [createAttempt('a')],
   arrivals: [createArrival('a')],
   orders: [],
+  dutyCalls: [],
   pauseRequests: [],
   limitPeriods: [],
   crashes: [],
--- a/packages/soak/src/checks/run-checks.ts
+++ b/packages/soak/src/checks/run-checks.ts
@@ -13,6 +13,7 @@
   checkAnnouncedDepartures,
   checkPauses,
 } from './announcement-checks.js';
+import { checkDutyHolders, checkUsageReports } from './duty-checks.js';
 import { checkCrashingParts, checkSoundPrompts } from './crash-checks.js';
 import { checkTargetCuts } from './cut-checks.js';
 import { checkRequestLimits } from './limit-checks.js';
@@ -56,6 +57,8 @@
   checkWorkCancellation,
   checkRetryBudget,
   checkSingleLeaseHolder,
+  checkDutyHolders,
+  checkUsageReports,
   checkConfigurationInForce,
   checkNoConfigurationRollback,
   checkPlannedStops,
--- a/packages/soak/src/faults/fault-plan.ts
+++ b/packages/soak/src/faults/fault-plan.ts
@@ -6,6 +6,7 @@
 
 import { RouteChange } from './configuration-faults.js';
 import { CrashingPart } from './crashing-part.js';
+import { DutyInterfaceOutage } from './duty-interface-faults.js';
 import type { Fault } from './fault.js';
 import {
   ClockStep,
@@ -66,6 +67,7 @@
   new CrashingPart(),
   new TargetCut(),
   new RouteChange(),
+  new DutyInterfaceOutage(),
 ];
 
 /** Time of the first fault, in milliseconds since the start of the plan. */
--- a/packages/soak/src/processes/instance-process.ts
+++ b/packages/soak/src/processes/instance-process.ts
@@ -50,6 +50,8 @@
   readonly folder: string;
   /** The shared store whose rows the instance sees. */
   readonly store: FakeStore;
+  /** Address of the interface for duties. */
+  readonly dutyAddress: string;
   readonly graceS: number;
   readonly retryAllowance: number;
 }
@@ -115,6 +117,7 @@
       readinessPort: await allocatePort(),
       peerPort: await allocatePort(),
       storeAddress: storeProxy.address,
+      dutyAddress: options.dutyAddress,
     };
     const callerProxy = await FaultProxy.start(`127.0.0.1:${ports.callerPort}`);
     return new InstanceProcess(
--- a/packages/soak/src/run/fault-log.ts
+++ b/packages/soak/src/run/fault-log.ts
@@ -16,6 +16,9 @@
  */
 export const storeSubject = 'store';
 
+/** Subject name of the interface for duties. */
+export const dutyInterfaceSubject = 'duty interface';
+
 /** The intervals of all injected faults. */
 export class FaultLog {
   readonly #intervals: FaultInterval[] = [];
--- a/packages/soak/src/run/run-record.ts
+++ b/packages/soak/src/run/run-record.ts
@@ -6,6 +6,7 @@
   Arrival,
   AttemptOutcome,
   Crash,
+  DutyCall,
   LimitPeriod,
   PauseRequest,
   ReceivedOrder,
@@ -81,6 +82,8 @@
   readonly attempts: Attempt[];
   readonly arrivals: readonly Arrival[];
   readonly orders: readonly ReceivedOrder[];
+  /** Calls at the interface for duties, in the order of their processing. */
+  readonly dutyCalls: readonly DutyCall[];
   readonly pauseRequests: readonly PauseRequest[];
   readonly limitPeriods: readonly LimitPeriod[];
   readonly crashes: readonly Crash[];
--- a/packages/soak/src/run/soak-run.ts
+++ b/packages/soak/src/run/soak-run.ts
@@ -2,7 +2,7 @@
  * One soak run: starts instances, targets and callers, and injects the planned
  * faults.
  */
-import { FakeStore } from '@medlarlever/platform/stand-ins';
+import { FakeDutyInterface, FakeStore } from '@medlarlever/platform/stand-ins';
 import type { StoreBackup } from '@medlarlever/platform/stand-ins';
 
 import { InstanceProcess } from '../processes/instance-process.js';
@@ -66,6 +66,7 @@
   private constructor(
     private readonly options: SoakRunOptions,
     private readonly store: FakeStore,
+    readonly dutyInterface: FakeDutyInterface,
   ) {
     this.targetFleet = new TargetFleet({
       store,
@@ -79,7 +80,11 @@
    * ready.
    */
   static async start(options: SoakRunOptions): Promise<SoakRun> {
-    const run = new SoakRun(options, await FakeStore.start());
+    const run = new SoakRun(
+      options,
+      await FakeStore.start(),
+      await FakeDutyInterface.start(),
+    );
     await run.#startAll();
     return run;
   }
@@ -222,6 +227,7 @@
     await Promise.all(this.instances.map(instance => instance.stop()));
     await this.targetFleet.stop();
     await this.store.stop();
+    await this.dutyInterface.stop();
   }
 
   async #startAll(): Promise<void> {
@@ -231,6 +237,7 @@
         dataCenter: 'a',
         folder: this.options.folder,
         store: this.store,
+        dutyAddress: this.dutyInterface.address,
         graceS: shutdownGraceSeconds,
         retryAllowance,
       });
@@ -267,6 +274,7 @@
       attempts: this.#attempts,
       arrivals,
       orders,
+      dutyCalls: this.dutyInterface.calls,
       pauseRequests,
       limitPeriods,
       crashes,
