--- a/packages/core/src/shared/events.ts
+++ b/packages/core/src/shared/events.ts
@@ -327,6 +327,21 @@
     'info',
     'The leader began to order no targets for the stated reason, or orders again.',
   ),
+  usage_reported: defineEvent(
+    540,
+    'info',
+    'The platform accepted the usage report of a window.',
+  ),
+  usage_late: defineEvent(
+    541,
+    'error',
+    'The usage report of a window is due and not accepted, or was given up.',
+  ),
+  duty_call_failed: defineEvent(
+    542,
+    'warn',
+    'The platform did not accept a call that only the leader sends.',
+  ),
 } as const satisfies Record<string, LogEvent>;
 
 /** Name of a log event, written to the log as the field `name`. */
--- a/packages/relay/src/peers/app.ts
+++ b/packages/relay/src/peers/app.ts
@@ -36,6 +36,7 @@
   targetRegistryToken,
   targetWatcherToken,
   peerTopologyToken,
+  usageToken,
 } from '../kernel/tokens.js';
 import { selectLimitGroup } from '../limits/limit-group.js';
 import type { LimitGroup } from '../limits/limit-share.js';
@@ -231,6 +232,7 @@
   kernel.get(targetAnnouncementsToken).registerMethods(kernel);
   kernel.get(streamOriginFinderToken).registerMethods(kernel);
   kernel.get(freshnessExchangeToken).registerMethods(kernel);
+  kernel.get(usageToken)?.exchange.registerMethods(kernel);
   const close = await openPeerInterface({
     kernel,
     log: kernel.get(logToken),
--- a/packages/relay/src/relay-daemon.ts
+++ b/packages/relay/src/relay-daemon.ts
@@ -21,6 +21,7 @@
 import { rolesPlugin } from './roles/app.js';
 import { scalingPlugin } from './scaling/app.js';
 import { serverPlugin } from './server/app.js';
+import { usagePlugin } from './usage/app.js';
 
 const plugins = [
   changeStreamsPlugin,
@@ -32,6 +33,7 @@
   rolesPlugin,
   scalingPlugin,
   serverPlugin,
+  usagePlugin,
 ];
 
 /** Wires the relay's plugins and controls their start and stop. */
