--- a/packages/relay/src/customers/configuration-freshness.ts
+++ b/packages/relay/src/customers/configuration-freshness.ts
@@ -82,10 +82,15 @@
     return this.#proof?.asOfMs;
   }
 
-  /** Milliseconds since then; Infinity if it is unknown. */
+  /**
+   * Milliseconds since then; Infinity if it is unknown. A shift of the clocks counts as a
+   * suspension, since short ones would add up over instances that vouch for each other.
+   */
   getAgeMs(now: ClockReading): number {
-    const asOfMs = this.getKnownAsOfMs(now);
-    return asOfMs === undefined ? Infinity : now.monotonicMs - asOfMs;
+    this.#dropDoubtfulProof(now);
+    if (this.#proof === undefined) return Infinity;
+    const { asOfMs, sentAt } = this.#proof;
+    return now.monotonicMs - asOfMs + computeClockShiftMs(sentAt, now);
   }
 
   /**
--- a/packages/soak/src/checks/run-checks.test.ts
+++ b/packages/soak/src/checks/run-checks.test.ts
@@ -44,6 +44,8 @@
   promptParts: [],
   atMs: 100_010,
   reading: false,
+  customer: '',
+  key: '',
   resumedAfter: 0,
   ran: true,
   failed: false,
