--- /dev/null
+++ b/packages/relay/src/customers/configuration-reader.test.ts
@@ -0,0 +1,50 @@
+/** Tests that many requests with unknown keys cost the platform few reads. */
+import test from 'ava';
+
+import { installPausedClock } from '../fixtures/paused-clock.js';
+
+import { ConfigurationReader } from './configuration-reader.js';
+
+test.serial(
+  'one read serves all that wait, and at most five reads start in a second',
+  async t => {
+    const clock = installPausedClock(t);
+    const startsMs: number[] = [];
+    const reader = new ConfigurationReader(() => {
+      startsMs.push(performance.now());
+      return Promise.resolve();
+    });
+    for (let i = 0; i < 999; i += 1) {
+      void reader.requestRead();
+      await clock.tickAsync(1);
+    }
+    t.true(startsMs.length >= 4 && startsMs.length <= 5, startsMs.join(' '));
+  },
+);
+
+test.serial(
+  'a request that comes during a read waits for the next one',
+  async t => {
+    const clock = installPausedClock(t);
+    const ends: (() => void)[] = [];
+    const reader = new ConfigurationReader(
+      () =>
+        new Promise(resolve => {
+          ends.push(resolve);
+        }),
+    );
+    void reader.requestRead();
+    await clock.tickAsync(300);
+    let hasEnded = false;
+    void reader.requestRead().then(() => {
+      hasEnded = true;
+    });
+    ends[0]?.();
+    await clock.tickAsync(1);
+    t.is(ends.length, 2);
+    t.false(hasEnded);
+    ends[1]?.();
+    await clock.tickAsync(1);
+    t.true(hasEnded);
+  },
+);
--- a/packages/relay/src/forwarding/request-forwarding.test.ts
+++ b/packages/relay/src/forwarding/request-forwarding.test.ts
@@ -8,6 +8,7 @@
 import type { ExecutionContext } from 'ava';
 
 import { createConnectedRelay } from '../fixtures/connected-relay.js';
+import type { ConnectedRelayOptions } from '../fixtures/connected-relay.js';
 import { FakeCaller } from '../fixtures/fake-caller.js';
 import {
   sendCompleteResponse,
@@ -25,6 +26,7 @@
   names: readonly string[],
   route: Partial<Route> = {},
   deployment = new FakeDeployment(),
+  options: Partial<ConnectedRelayOptions> = {},
 ) => {
   return Promise.all(
     names.map(async self => {
@@ -32,7 +34,11 @@
       t.teardown(() => {
         stop.abort();
       });
-      return createConnectedRelay({ self, route }, deployment, stop.signal);
+      return createConnectedRelay(
+        { self, route, ...options },
+        deployment,
+        stop.signal,
+      );
     }),
   );
 };
@@ -71,6 +77,40 @@
   t.true((send?.options.remainingMs ?? 0) > 300);
 });
 
+const customers = [{ name: 'first', keyHashes: ['h1'] }];
+
+test('a request that is handed over names its customer at the target', async t => {
+  const deployment = new FakeDeployment();
+  const names = ['cut', 'other'];
+  const instances = await startInstances(t, names, {}, deployment, {
+    customers,
+  });
+  const [cut, other] = instances;
+  if (cut === undefined || other === undefined) return t.fail();
+  await cutOff(cut);
+  const caller = await cut.serve({ keyHash: 'h1' });
+  t.is(caller.text, 'ok');
+  t.is(other.client.sends[0]?.customer, 'first');
+  t.is((await cut.serve({ keyHash: undefined })).failure?.status, 401);
+  t.is(other.client.sends.length, 1);
+});
+
+test('a request from a sender that is no known instance is refused', async t => {
+  const deployment = new FakeDeployment();
+  const names = ['cut', 'other'];
+  const instances = await startInstances(t, names, {}, deployment, {
+    customers,
+    knowsSenders: false,
+  });
+  const [cut, other] = instances;
+  if (cut === undefined || other === undefined) return t.fail();
+  await cutOff(cut);
+  const { failure } = await cut.serve({ keyHash: 'h1' });
+  t.is(failure?.executed, 'no');
+  t.is(failure?.status, 503, 'the caller has nothing to do with the refusal');
+  t.is(other.client.sends.length, 0);
+});
+
 test('an instance that is asked never asks a third one', async t => {
   const [cut, other] = await startInstances(t, ['cut', 'other']);
   if (cut === undefined || other === undefined) return t.fail();
