--- a/packages/relay/src/customers/key-gate.test.ts
+++ b/packages/relay/src/customers/key-gate.test.ts
@@ -138,7 +138,7 @@
     t.is((await serve({ keyHash: 'h1' })).status, 200);
     const states = log.entries
       .filter(({ name }) => name === 'keys_unverifiable')
-      .map(({ fields }) => fields?.state);
+      .map(({ fields }) => fields.state);
     t.deepEqual(states, ['begin', 'end']);
   },
 );
--- a/packages/relay/src/metrics/relay-metrics.ts
+++ b/packages/relay/src/metrics/relay-metrics.ts
@@ -10,6 +10,8 @@
 
 /** Number of routes with their own label; all further routes share one label. */
 const maxRouteLabels = 40;
+/** Number of customers with their own label; all further customers share one label. */
+const maxCustomerLabels = 100;
 const msPerSecond = 1_000;
 
 /** Records metrics of requests, prefills, event streams and sends. */
@@ -24,6 +26,9 @@
   readonly #forwardedCounter: Counter<'outcome'>;
   readonly #refusedPromptCounter: Counter<'service'>;
   readonly #resumptionCounter: Counter<'service' | 'origin'>;
+  readonly #customerRequestCounter: Counter<'customer' | 'outcome'>;
+  readonly #customerFirstHistogram: Histogram<'customer'>;
+  readonly #customerLabels = new LabelLimiter(maxCustomerLabels);
   readonly #routeLabels = new LabelLimiter(maxRouteLabels);
 
   constructor(registry: Registry) {
@@ -48,6 +53,19 @@
       buckets: durationBucketsS,
       registers,
     });
+    this.#customerRequestCounter = new Counter({
+      name: 'medlarlever_relay_customer_requests_total',
+      help: 'Requests whose key was checked, by customer and outcome',
+      labelNames: ['customer', 'outcome'],
+      registers,
+    });
+    this.#customerFirstHistogram = new Histogram({
+      name: 'medlarlever_relay_customer_first_seconds',
+      help: 'Time to the first bytes of an answer, by customer',
+      labelNames: ['customer'],
+      buckets: durationBucketsS,
+      registers,
+    });
     this.#prefillHistogram = new Histogram({
       name: 'medlarlever_relay_reading_seconds',
       help: 'Time that a prompt waited and was read apart',
@@ -115,6 +133,20 @@
     this.#durationHistogram.observe({ route: label }, totalMs / msPerSecond);
   }
 
+  /** Records the end of a customer's request. */
+  recordCustomerRequestEnd(
+    customer: string,
+    outcome: string,
+    firstMs: number,
+  ): void {
+    const label = this.#customerLabels.limitLabel(customer);
+    this.#customerRequestCounter.inc({ customer: label, outcome });
+    this.#customerFirstHistogram.observe(
+      { customer: label },
+      firstMs / msPerSecond,
+    );
+  }
+
   /** Records a separate prefill; `durationMs` includes the queue wait. */
   recordPrefill(service: string, durationMs: number): void {
     this.#prefillHistogram.observe({ service }, durationMs / msPerSecond);
--- a/packages/relay/src/metrics/state-gauges.ts
+++ b/packages/relay/src/metrics/state-gauges.ts
@@ -25,6 +25,8 @@
   readonly announcements: TargetAnnouncements;
   readonly promptQuarantine: PromptQuarantine;
   readonly targetLink: TargetLink;
+  /** Returns the milliseconds since all accepted configurations were known. */
+  readonly configurationAgeMs: () => number;
   /** Returns the event loop delay in milliseconds. */
   readonly eventLoopDelayMs: () => number;
   /** Returns the number of log lines dropped because their reader was slow. */
@@ -58,6 +60,11 @@
     'Time since the configuration in force was taken',
     () => options.routes.ageMs / msPerSecond,
   );
+  registerGauge(
+    'configuration_known_age_seconds',
+    'Time since all accepted configurations were known; infinite if they are not',
+    () => options.configurationAgeMs() / msPerSecond,
+  );
   registerGauge(
     'suspected_instances',
     'Instances that do not answer heartbeats',
--- a/packages/relay/src/relay/request-context.ts
+++ b/packages/relay/src/relay/request-context.ts
@@ -186,12 +186,15 @@
     const totalMs = Math.round(this.elapsedMs);
     const firstMs = Math.round(this.#firstBytesMs ?? totalMs);
     metrics.recordRequestEnd(this.route, outcome, firstMs, totalMs);
+    const { customer } = this.request;
+    if (customer !== undefined)
+      metrics.recordCustomerRequestEnd(customer, outcome, firstMs);
     log.writeEvent(
       outcome === 'answered' ? 'request_answered' : 'request_ended',
       {
         request: this.request.id,
         route: this.route.name,
-        customer: this.request.customer,
+        customer,
         service: this.service,
         outcome,
         first_ms: firstMs,
--- a/packages/relay/src/server/app.ts
+++ b/packages/relay/src/server/app.ts
@@ -4,6 +4,7 @@
 
 import { awaitCloseOrTimeout } from '../kernel/close-timeout.js';
 import {
+  configurationFreshnessToken,
   requestDrainerToken,
   droppedLogLinesToken,
   shutdownStartControllerToken,
@@ -25,6 +26,7 @@
   targetRegistryToken,
 } from '../kernel/tokens.js';
 import { startOrder } from '../kernel/start-order.js';
+import { readClocks } from '../shared/clock-reading.js';
 import { registerStateGauges } from '../metrics/state-gauges.js';
 
 import { CallerServer } from './caller-server.js';
@@ -102,6 +104,8 @@
     announcements: kernel.get(targetAnnouncementsToken),
     promptQuarantine: kernel.get(promptQuarantineToken),
     targetLink: kernel.get(targetLinkToken),
+    configurationAgeMs: () =>
+      kernel.get(configurationFreshnessToken).getAgeMs(readClocks()),
     watchers: [kernel.get(routeWatcherToken), kernel.get(targetWatcherToken)],
     eventLoopDelayMs: () =>
       kernel.get(eventLoopDelayMonitorToken).currentDelayMs,
