Serve callers, peers and status pages of the relay by node:http alone

Requests that arrive on kept connections during a close are now served or refused by the relay instead of getting a bare 503.

--- a/packages/relay/src/server/caller-server.ts
+++ b/packages/relay/src/server/caller-server.ts
@@ -1,15 +1,11 @@
-/** HTTP server for callers, built on Nest and Fastify; bodies are not parsed. */
-import 'reflect-metadata';
-
-import type { Socket } from 'node:net';
+/**
+ * HTTP server for callers. Every path and method goes to one handler, so it needs no
+ * router; paths and bodies are not parsed.
+ */
+import type { Server, ServerOptions } from 'node:http';
+import type { Duplex } from 'node:stream';
 
 import { Failure } from '@medlarlever/core';
-import { Module } from '@nestjs/common';
-import type { DynamicModule, NestApplicationOptions } from '@nestjs/common';
-import { NestFactory } from '@nestjs/core';
-import { FastifyAdapter } from '@nestjs/platform-fastify';
-import type { NestFastifyApplication } from '@nestjs/platform-fastify';
-import type { FastifyInstance } from 'fastify';
 
 import type { Relay } from '../relay/relay.js';
 import type { RouteTableHolder } from '../routes/route-table-holder.js';
@@ -19,14 +15,7 @@
 import type { EventLoopDelayMonitor } from './event-loop-delay-monitor.js';
 import { RelayController } from './relay-controller.js';
 import type { RequestDecoder } from './request-decoder.js';
-import {
-  bodyReaderProvider,
-  requestDrainerProvider,
-  eventLoopDelayMonitorProvider,
-  relayProvider,
-  requestDecoderProvider,
-  routesProvider,
-} from './nest-providers.js';
+import { closeHttpServer, openHttpServer } from './http-listener.js';
 
 /**
  * Header size at which the connection is closed. It exceeds every configurable
@@ -41,17 +30,6 @@
 /** Maximum number of connections that wait to be accepted. */
 const listenBacklog = 511;
 
-/** Disables Nest's own log output; all logging uses the numbered events. */
-// eslint-disable-next-line @typescript-eslint/no-unsafe-class-instance-assignment -- Nest declares its options as a class
-const nestOptions: NestApplicationOptions = {
-  logger: false,
-  bodyParser: false,
-  abortOnError: false,
-};
-
-@Module({})
-class CallerModule {}
-
 /** Dependencies and listen address of {@link CallerServer}. */
 export interface CallerServerOptions {
   readonly relay: Relay;
@@ -63,22 +41,6 @@
   readonly port: number;
 }
 
-const createModule = (options: CallerServerOptions): DynamicModule => ({
-  module: CallerModule,
-  controllers: [RelayController],
-  providers: [
-    { provide: relayProvider, useValue: options.relay },
-    { provide: routesProvider, useValue: options.routes },
-    { provide: requestDecoderProvider, useValue: options.decoder },
-    { provide: bodyReaderProvider, useValue: new BodyReader() },
-    { provide: requestDrainerProvider, useValue: options.drainer },
-    {
-      provide: eventLoopDelayMonitorProvider,
-      useValue: options.eventLoopDelayMonitor,
-    },
-  ],
-});
-
 const statusReasonPhrases: Readonly<Record<number, string>> = {
   400: 'Bad Request',
   408: 'Request Timeout',
@@ -86,7 +48,7 @@
 };
 
 /** Sends an error response to an invalid HTTP request and closes the connection. */
-const respondToInvalidRequest = (error: Error, socket: Socket): void => {
+const respondToInvalidRequest = (error: Error, socket: Duplex): void => {
   if (!socket.writable) return;
   const code = (error as { code?: string }).code;
   const failure =
@@ -109,64 +71,53 @@
   );
 };
 
-const createFastifyAdapter = (): FastifyAdapter =>
-  new FastifyAdapter({
-    requestTimeout: 0,
-    connectionTimeout: 0,
-    keepAliveTimeout: defaultIdleTimeoutMs,
-    forceCloseConnections: 'idle',
-    clientErrorHandler: respondToInvalidRequest,
-    // All paths are rewritten to a single route, so that Fastify neither decodes
-    // nor rejects any path.
-    rewriteUrl: () => '/',
-    http: {
-      headersTimeout: defaultHeaderTimeoutMs,
-      connectionsCheckingInterval: connectionCheckIntervalMs,
-      maxHeaderSize: maxHeaderBytes,
-      noDelay: true,
-    },
-  });
+const serverOptions: ServerOptions = {
+  requestTimeout: 0,
+  headersTimeout: defaultHeaderTimeoutMs,
+  keepAliveTimeout: defaultIdleTimeoutMs,
+  connectionsCheckingInterval: connectionCheckIntervalMs,
+  maxHeaderSize: maxHeaderBytes,
+  noDelay: true,
+};
 
 /** Listens for callers and passes their requests to the relay. */
 export class CallerServer {
-  readonly #app: NestFastifyApplication;
-
-  private constructor(app: NestFastifyApplication) {
-    this.#app = app;
-  }
+  private constructor(private readonly server: Server) {}
 
   /** Creates the server and starts listening. */
   static async open(options: CallerServerOptions): Promise<CallerServer> {
-    const adapter = createFastifyAdapter();
-    const app = await NestFactory.create<NestFastifyApplication>(
-      createModule(options),
-      adapter,
-      nestOptions,
-    );
-    const fastify = adapter.getInstance<FastifyInstance>();
-    fastify.removeAllContentTypeParsers();
-    fastify.addContentTypeParser('*', (_request, _payload, done) => {
-      done(null);
+    const controller = new RelayController({
+      ...options,
+      bodyReader: new BodyReader(),
+    });
+    const { host, port, routes } = options;
+    const server = await openHttpServer({
+      host,
+      port,
+      backlog: listenBacklog,
+      serverOptions,
+      onRequest: (request, response) => {
+        controller.handleRequest(request, response).catch(() => {
+          response.destroy();
+        });
+      },
     });
-    await app.init();
-    const server = app.getHttpServer();
-    options.routes.onTableChange(({ configuration }) => {
+    server.on('clientError', respondToInvalidRequest);
+    routes.onTableChange(({ configuration }) => {
       server.keepAliveTimeout = configuration.limits.idleTimeoutMs;
       server.headersTimeout = configuration.limits.headerTimeoutMs;
     });
-    const { host, port } = options;
-    await fastify.listen({ host, port, backlog: listenBacklog });
-    return new CallerServer(app);
+    return new CallerServer(server);
   }
 
   /** Port on which the server listens; 0 if it is not bound to a port. */
   get port(): number {
-    const address = this.#app.getHttpServer().address();
+    const address = this.server.address();
     return address === null || typeof address === 'string' ? 0 : address.port;
   }
 
   /** Stops listening and waits until all connections are closed. */
-  async close(): Promise<void> {
-    await this.#app.close();
+  close(): Promise<void> {
+    return closeHttpServer(this.server);
   }
 }
--- a/packages/relay/src/server/relay-controller.ts
+++ b/packages/relay/src/server/relay-controller.ts
@@ -1,11 +1,9 @@
-/** Nest controller that handles all caller requests, with any path and method. */
-import type { IncomingMessage } from 'node:http';
+/** Handles all caller requests, with any path and method. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import { setImmediate as nextTurn } from 'node:timers/promises';
 
 import { Failure } from '@medlarlever/core';
-import { All, Controller, Inject, Req, Res } from '@nestjs/common';
-import type { FastifyReply, FastifyRequest } from 'fastify';
 
 import type { Relay } from '../relay/relay.js';
 import type { RouteTableHolder } from '../routes/route-table-holder.js';
@@ -16,14 +14,6 @@
 import { HttpCaller } from './http-caller.js';
 import type { EventLoopDelayMonitor } from './event-loop-delay-monitor.js';
 import type { RequestDecoder } from './request-decoder.js';
-import {
-  bodyReaderProvider,
-  requestDrainerProvider,
-  eventLoopDelayMonitorProvider,
-  relayProvider,
-  requestDecoderProvider,
-  routesProvider,
-} from './nest-providers.js';
 
 /** Smaller delays cannot be distinguished from ordinary turns of the event loop. */
 const significantLoopDelayMs = 40;
@@ -42,42 +32,37 @@
     0,
   );
 
+/** Dependencies of {@link RelayController}. */
+export interface RelayControllerOptions {
+  readonly relay: Relay;
+  readonly routes: RouteTableHolder;
+  readonly decoder: RequestDecoder;
+  readonly bodyReader: BodyReader;
+  readonly drainer: RequestDrainer;
+  readonly eventLoopDelayMonitor: EventLoopDelayMonitor;
+}
+
 /** Reads, decodes and relays each request of a caller. */
-@Controller()
 export class RelayController {
   /** Sockets that have already sent a request. */
   readonly #seenSockets = new WeakSet<Socket>();
 
-  constructor(
-    @Inject(relayProvider) readonly relay: Relay,
-    @Inject(routesProvider) readonly routes: RouteTableHolder,
-    @Inject(requestDecoderProvider) readonly decoder: RequestDecoder,
-    @Inject(bodyReaderProvider) readonly bodyReader: BodyReader,
-    @Inject(requestDrainerProvider) readonly drainer: RequestDrainer,
-    @Inject(eventLoopDelayMonitorProvider)
-    readonly eventLoopDelayMonitor: EventLoopDelayMonitor,
-  ) {}
+  constructor(private readonly options: RelayControllerOptions) {}
 
-  @All()
+  /** Serves the request; resolves when its answer has been handed to the connection. */
   async handleRequest(
-    @Req() request: FastifyRequest,
-    @Res() reply: FastifyReply,
+    message: IncomingMessage,
+    response: ServerResponse,
   ): Promise<void> {
+    const { drainer, eventLoopDelayMonitor } = this.options;
     const arrivedAtMs =
-      performance.now() - this.eventLoopDelayMonitor.currentDelayMs;
-    reply.hijack();
-    const message = request.raw;
-    const caller = new HttpCaller(reply.raw, {
-      isClosing: () => this.drainer.isClosing,
+      performance.now() - eventLoopDelayMonitor.currentDelayMs;
+    const caller = new HttpCaller(response, {
+      isClosing: () => drainer.isClosing,
     });
-    const finishRequest = this.drainer.startRequest();
+    const finishRequest = drainer.startRequest();
     try {
-      await this.#serveRequest(
-        message,
-        request.originalUrl,
-        caller,
-        arrivedAtMs,
-      );
+      await this.#serveRequest(message, message.url ?? '', caller, arrivedAtMs);
     } finally {
       finishRequest();
     }
@@ -90,7 +75,7 @@
     arrivedAtMs: number,
   ): Promise<void> {
     const limits =
-      this.routes.currentTable?.configuration.limits ?? defaultLimits;
+      this.options.routes.currentTable?.configuration.limits ?? defaultLimits;
     if (countHeaderBytes(message) > limits.headerBytes) {
       caller.sendFailure(
         new Failure(
@@ -100,7 +85,7 @@
       );
       return;
     }
-    const body = await this.bodyReader.readBody(message, {
+    const body = await this.options.bodyReader.readBody(message, {
       maxBytes: limits.bodyBytes,
       maxPauseMs: limits.idleTimeoutMs,
     });
@@ -111,12 +96,17 @@
     }
     const bodyBytes = body.extract() as Buffer;
     try {
-      const decoded = this.decoder.decode(message, url, bodyBytes, arrivedAtMs);
+      const decoded = this.options.decoder.decode(
+        message,
+        url,
+        bodyBytes,
+        arrivedAtMs,
+      );
       await this.#waitForPendingClose(message.socket);
       if (decoded.isLeft()) caller.sendFailure(decoded.extract());
-      else await this.relay.serve(decoded.unsafeCoerce(), caller);
+      else await this.options.relay.serve(decoded.unsafeCoerce(), caller);
     } finally {
-      this.bodyReader.releaseBytes(bodyBytes.length);
+      this.options.bodyReader.releaseBytes(bodyBytes.length);
     }
   }
 
@@ -132,7 +122,7 @@
     this.#seenSockets.add(socket);
     if (
       !isNewConnection &&
-      this.eventLoopDelayMonitor.currentDelayMs < significantLoopDelayMs
+      this.options.eventLoopDelayMonitor.currentDelayMs < significantLoopDelayMs
     )
       return;
     await nextTurn();
