Leave HTTP/2, TLS and unused metrics out of the bundle

undici's HTTP/2 client loaded the runtime's HTTP/2, TLS and zlib modules, and prom-client its default metrics and push gateway. The memory of where streams began reserved 40,000 entries; it is now a map that grows with its entries.

--- a/packages/relay/src/origins/stream-origins.ts
+++ b/packages/relay/src/origins/stream-origins.ts
@@ -2,7 +2,7 @@
  * Remembers at which software version streams began, by the id of the request. The
  * instances tell each other, as callers take streams up again at any of them.
  */
-import { LRUCache } from 'lru-cache';
+import { ExpiringMap } from '../shared/expiring-map.js';
 
 import type { BegunStream, StreamOrigin } from './stream-origin.js';
 
@@ -20,9 +20,9 @@
 
 /** Origins of the streams of all instances, as far as they are known here. */
 export class StreamOrigins {
-  readonly #origins = new LRUCache<string, StreamOrigin>({
-    max: maxOrigins,
-    ttl: originTtlMs,
+  readonly #origins = new ExpiringMap<string, StreamOrigin>({
+    ttlMs: originTtlMs,
+    maxEntries: maxOrigins,
   });
   #unreported: BegunStream[] = [];
 
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -4,24 +4,20 @@
 
 import { build } from 'esbuild';
 
-// Nest imports these packages only for features that the daemon doesn't use.
-const unusedPackages = [
-  '@nestjs/platform-express',
-  '@nestjs/microservices',
-  '@nestjs/microservices/microservices-module',
-  '@nestjs/websockets',
-  '@nestjs/websockets/socket-module',
-  '@fastify/static',
-  '@fastify/view',
-  'class-transformer',
-  'class-validator',
+// Packages and modules of which the daemon uses a small part, and what stands for them.
+const replacements = [
+  [/^undici$/, 'undici-clients.cjs'],
+  [/^prom-client$/, 'prom-client-metrics.cjs'],
+  [/\/client-h2\.js$/, 'no-http2.cjs'],
 ];
 
-const undiciClientsPlugin = {
-  name: 'undici-clients',
+const usedPartsPlugin = {
+  name: 'used-parts',
   setup({ onResolve }) {
-    const path = fileURLToPath(new URL('undici-clients.cjs', import.meta.url));
-    onResolve({ filter: /^undici$/ }, () => ({ path }));
+    for (const [filter, file] of replacements) {
+      const path = fileURLToPath(new URL(file, import.meta.url));
+      onResolve({ filter }, () => ({ path }));
+    }
   },
 };
 
@@ -31,12 +27,10 @@
   format: 'cjs',
   target: 'node20',
   conditions: ['source'],
-  external: unusedPackages,
-  plugins: [undiciClientsPlugin],
+  plugins: [usedPartsPlugin],
   minifySyntax: true,
   // Less text to read at the start of the daemon.
   minifyWhitespace: true,
-  tsconfigRaw: { compilerOptions: { experimentalDecorators: true } },
   logLevel: 'warning',
 };
 
