Send requests without combined abort signals, timers of their own and SHA-1

Each send made up to three combined signals and a timer of 100 ms that woke the process while it ran; they are now linked plainly, and one timer checks all sends. Placement computed a SHA-1 for each target and prompt, and listed copy sources for each candidate.

--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -44,4 +44,5 @@
 export * from './kernel/tokens.js';
 export * from './duties/duty-client.js';
 export * from './settings/relay-settings.js';
+export * from './shared/linked-abort.js';
 export * from './relay-daemon.js';
--- a/packages/relay/src/placement/placement.ts
+++ b/packages/relay/src/placement/placement.ts
@@ -93,6 +93,11 @@
   readonly origin: StreamOrigin | undefined;
 }
 
+/** Options of a placement with what is the same for all of its candidates. */
+interface CandidateOptions extends PlacementOptions {
+  readonly copySources: readonly CopySource[];
+}
+
 /** A possible prefill engine with the cost of its use in milliseconds. */
 interface PrefillCandidate {
   readonly target: TargetState;
@@ -158,29 +163,49 @@
   return cheapest;
 };
 
+/** An engine from which parts of the prompt can be copied. */
+interface CopySource {
+  readonly engine: TargetState;
+  readonly copyableTokens: number;
+}
+
+/** Lists the engines with enough copyable tokens of the prompt, once for a placement. */
+const listCopySources = (options: PlacementOptions): readonly CopySource[] => {
+  const leavingTargets = options.leavingTargets.filter(
+    ({ acceptsRequests }) => acceptsRequests,
+  );
+  return [...filterUsableTargets(options), ...leavingTargets]
+    .map(engine => ({
+      engine,
+      copyableTokens: engine.prefixCache.countCopyableTokens(
+        options.prompt.segments,
+      ),
+    }))
+    .filter(({ copyableTokens }) => copyableTokens >= minCopiedTokens);
+};
+
 /**
  * Returns the engine with the most copyable prompt tokens that the target lacks,
  * if there are enough for a copy. Engines in the target's data centre win ties.
  */
 const findCopySource = (
   target: TargetState,
-  options: PlacementOptions,
-): TargetState | undefined => {
-  const { prompt } = options;
+  sources: readonly CopySource[],
+  { prompt }: PlacementOptions,
+): CopySource | undefined => {
+  if (sources.length === 0) return undefined;
   const targetTokens = target.prefixCache.countCachedTokens(prompt.segments);
-  const leavingTargets = options.leavingTargets.filter(
-    ({ acceptsRequests }) => acceptsRequests,
-  );
-  const sources = [...filterUsableTargets(options), ...leavingTargets]
-    .filter(other => other !== target)
-    .map(other => {
-      const tokens =
-        other.prefixCache.countCopyableTokens(prompt.segments) - targetTokens;
-      const isRemote = other.record.dataCenter !== target.record.dataCenter;
-      return { other, tokens, cost: (isRemote ? 1 : 0) - tokens };
-    })
-    .filter(({ tokens }) => tokens >= minCopiedTokens);
-  return findCheapest(sources)?.other;
+  const candidates = sources
+    .filter(
+      ({ engine, copyableTokens }) =>
+        engine !== target && copyableTokens - targetTokens >= minCopiedTokens,
+    )
+    .map(source => {
+      const isRemote =
+        source.engine.record.dataCenter !== target.record.dataCenter;
+      return { source, cost: (isRemote ? 1 : 0) - source.copyableTokens };
+    });
+  return findCheapest(candidates)?.source;
 };
 
 /**
@@ -189,14 +214,14 @@
  */
 const createPrefillCandidate = (
   target: TargetState,
-  options: PlacementOptions,
+  options: CandidateOptions,
   speedFactor: number,
 ): PrefillCandidate => {
   const { prompt, prefillSpeed, transferMsPerToken } = options;
-  const copySource = findCopySource(target, options);
+  const source = findCopySource(target, options.copySources, options);
+  const copySource = source?.engine;
   const uncachedTokens = countPrefillTokens(target, prompt);
-  const copyableTokens =
-    copySource?.prefixCache.countCopyableTokens(prompt.segments) ?? 0;
+  const copyableTokens = source?.copyableTokens ?? 0;
   const prefillTokens = Math.min(
     uncachedTokens,
     Math.max(1, prompt.tokens - copyableTokens),
@@ -258,7 +283,7 @@
  */
 const findColocatedPrefill = (
   decodeTargets: readonly TargetState[],
-  options: PlacementOptions,
+  options: CandidateOptions,
 ): PrefillCandidate | undefined => {
   const maxPendingTokens =
     maxColocatedPrefillMs *
@@ -327,7 +352,7 @@
  */
 const findDedicatedPrefill = (
   targets: readonly TargetState[],
-  options: PlacementOptions,
+  options: CandidateOptions,
 ): PrefillCandidate | undefined => {
   const prefillTargets = targets.filter(
     ({ record }) => record.role === 'prefill',
@@ -353,8 +378,12 @@
  * decode engine itself; undefined when there is no decode engine.
  */
 export const placeGeneration = (
-  options: PlacementOptions,
+  placementOptions: PlacementOptions,
 ): Placement | undefined => {
+  const options = {
+    ...placementOptions,
+    copySources: listCopySources(placementOptions),
+  };
   const targets = filterUsableTargets(options);
   const decodeTargets = sampleTargets(listDecodeTargets(options), options);
   const dedicated = findDedicatedPrefill(targets, options);
--- a/packages/relay/src/placement/target-sampling.ts
+++ b/packages/relay/src/placement/target-sampling.ts
@@ -1,6 +1,4 @@
 /** Selects the candidate targets whose costs are computed for a request. */
-import { createHash } from 'node:crypto';
-
 import type { Prompt } from '../requests/relay-request.js';
 import type { TargetState } from '../targets/target-state.js';
 
@@ -17,9 +15,33 @@
  */
 const minCachedTokens = 512;
 
-/** Hash of the pair as a hexadecimal string; the same at every instance. */
-const computeRendezvousWeight = (segmentId: string, targetId: string): string =>
-  createHash('sha1').update(`${segmentId} ${targetId}`).digest('hex');
+/** Parameters of the 32-bit FNV-1a hash. */
+const fnvOffset = 0x811c9dc5;
+const fnvPrime = 0x01000193;
+
+const hashText = (text: string): number => {
+  let hash = fnvOffset;
+  for (let i = 0; i < text.length; i += 1)
+    hash = Math.imul(hash ^ text.charCodeAt(i), fnvPrime);
+  return hash;
+};
+
+/** Finalizer of MurmurHash3: each bit of the result depends on every bit of the input. */
+const mixBits = (value: number): number => {
+  let hash = value;
+  hash = Math.imul(hash ^ (hash >>> 16), 0x85ebca6b);
+  hash = Math.imul(hash ^ (hash >>> 13), 0xc2b2ae35);
+  return (hash ^ (hash >>> 16)) >>> 0;
+};
+
+/**
+ * Weight of a target for a segment; the same at every instance. It is computed for all
+ * targets at each placement, so it is no cryptographic hash.
+ */
+const computeRendezvousWeight = (
+  segmentHash: number,
+  targetId: string,
+): number => mixBits(segmentHash ^ mixBits(hashText(targetId)));
 
 /**
  * Id of the last segment that other requests may share. This is the
@@ -41,9 +63,10 @@
   const segmentId = getSharedSegmentId(prompt);
   if (segmentId === undefined) return undefined;
   let rendezvousTarget: TargetState | undefined;
-  let maxWeight = '';
+  let maxWeight = -1;
+  const segmentHash = mixBits(hashText(segmentId));
   for (const target of targets) {
-    const weight = computeRendezvousWeight(segmentId, target.record.id);
+    const weight = computeRendezvousWeight(segmentHash, target.record.id);
     if (weight <= maxWeight) continue;
     maxWeight = weight;
     rendezvousTarget = target;
--- a/packages/relay/src/relay/checked-send.ts
+++ b/packages/relay/src/relay/checked-send.ts
@@ -1,4 +1,6 @@
 /** Sends whose answers are checked for being complete as they arrive in a sink. */
+import { LinkedAbort } from '../shared/linked-abort.js';
+
 import type { CallerSink } from './response-sinks.js';
 import type { BrokenConnection } from './target-client.js';
 
@@ -17,12 +19,15 @@
   signal: AbortSignal,
   send: (signal: AbortSignal) => Promise<T>,
 ): Promise<T | BrokenConnection> => {
-  const overlong = new AbortController();
+  const link = new LinkedAbort(signal);
+  const answer = { isOverlong: false };
   sink.onOverlongEvent = () => {
-    overlong.abort();
+    answer.isOverlong = true;
+    link.abort();
   };
-  const outcome = await send(AbortSignal.any([signal, overlong.signal]));
-  if (overlong.signal.aborted)
+  const outcome = await send(link.signal);
+  link.unlink();
+  if (answer.isOverlong)
     return createBrokenOutcome('an event of the stream has no end');
   const truncation = outcome.kind === 'whole' && sink.findTruncation();
   return typeof truncation === 'string'
--- a/packages/relay/src/relay/send-watchdog.ts
+++ b/packages/relay/src/relay/send-watchdog.ts
@@ -2,11 +2,9 @@
  * Aborts a send that makes no progress. Used only for sends that can be retried;
  * all others wait until their deadline.
  */
+import { LinkedAbort } from '../shared/linked-abort.js';
 import type { TargetState } from '../targets/target-state.js';
 
-/** Interval between the progress checks of a send. */
-const checkIntervalMs = 100;
-
 /**
  * The target's liveness is checked only after this many times the expected response
  * time without progress.
@@ -35,23 +33,23 @@
 
 /** Watches one send until `stop` is called. */
 export class SendWatchdog {
-  /** Aborts when the watchdog or the signal in the options aborts the send. */
-  readonly signal: AbortSignal;
   readonly #options: SendWatchdogOptions;
-  readonly #abortController = new AbortController();
-  readonly #checkTimer: NodeJS.Timeout;
+  readonly #link: LinkedAbort;
+  readonly #endChecks: () => void;
   #lastActivityAtMs = performance.now();
   #isCheckingLiveness = false;
 
   constructor(options: SendWatchdogOptions) {
     this.#options = options;
-    this.signal = AbortSignal.any([
-      options.signal,
-      this.#abortController.signal,
-    ]);
-    this.#checkTimer = setInterval(() => {
+    this.#link = new LinkedAbort(options.signal);
+    this.#endChecks = options.target.activity.addCheck(() => {
       this.#checkProgress();
-    }, checkIntervalMs);
+    });
+  }
+
+  /** Aborts when the watchdog or the signal in the options aborts the send. */
+  get signal(): AbortSignal {
+    return this.#link.signal;
   }
 
   /** Records that part of the answer has arrived. */
@@ -60,7 +58,8 @@
   }
 
   stop(): void {
-    clearInterval(this.#checkTimer);
+    this.#endChecks();
+    this.#link.unlink();
   }
 
   #checkProgress(): void {
@@ -69,7 +68,7 @@
     const silentMs = performance.now() - this.#lastActivityAtMs;
     const isLinkSilent = silentMs >= cutOffSilenceMs && isCutOff();
     if (silentMs >= stallTimeoutMs || isLinkSilent) {
-      this.#abortController.abort();
+      this.#link.abort();
       return;
     }
     const needsLivenessCheck =
@@ -90,7 +89,7 @@
     const { target, checkLiveness } = this.#options;
     this.#isCheckingLiveness = true;
     if (await checkLiveness(target)) target.recordActivity();
-    else this.#abortController.abort();
+    else this.#link.abort();
     this.#isCheckingLiveness = false;
   }
 }
--- a/packages/relay/src/targets/request-activity.ts
+++ b/packages/relay/src/targets/request-activity.ts
@@ -8,6 +8,9 @@
 /** Pauses end at multiples of this time of the monotonic clock. */
 const stepMs = 50;
 
+/** Interval of the checks of running sends. */
+const checkIntervalMs = 100;
+
 /** The instance counts as active until this long after its last request. */
 const idleAfterMs = 1_000;
 
@@ -31,6 +34,8 @@
   #lastActiveMs = performance.now();
   readonly #restingWaiters = new Set<(wasWoken: boolean) => void>();
   readonly #stepsByEndMs = new Map<number, Step>();
+  readonly #checks = new Set<() => void>();
+  #isChecking = false;
 
   /** True if no request runs and the last one ended a while ago. */
   get isIdle(): boolean {
@@ -56,6 +61,16 @@
     for (const endRest of this.#restingWaiters) endRest(true);
   }
 
+  /**
+   * Calls the function at the check interval, with one timer for all, until the
+   * returned one is called.
+   */
+  addCheck(check: () => void): () => void {
+    this.#checks.add(check);
+    if (!this.#isChecking) this.#scheduleChecks();
+    return () => this.#checks.delete(check);
+  }
+
   /** Resolves to true after the pause, or to false if the signal aborts. */
   async pause(lengths: PauseLengths, signal: AbortSignal): Promise<boolean> {
     if (!this.isIdle) return this.#sleepToStep(lengths.activeMs, signal);
@@ -86,10 +101,19 @@
     });
   }
 
+  #scheduleChecks(): void {
+    this.#isChecking = this.#checks.size > 0;
+    if (!this.#isChecking) return;
+    const { nowMs, endMs } = getStepAfter(checkIntervalMs);
+    this.#getStep(endMs, nowMs).waiters.add(() => {
+      for (const check of this.#checks) check();
+      this.#scheduleChecks();
+    });
+  }
+
   #sleepToStep(ms: number, signal: AbortSignal): Promise<boolean> {
     if (signal.aborted) return Promise.resolve(false);
-    const nowMs = performance.now();
-    const endMs = Math.max(1, Math.round((nowMs + ms) / stepMs)) * stepMs;
+    const { nowMs, endMs } = getStepAfter(ms);
     return new Promise(resolve => {
       const step = this.#getStep(endMs, nowMs);
       const end = () => {
@@ -123,3 +147,10 @@
     this.#stepsByEndMs.delete(endMs);
   }
 }
+
+/** Returns the time now, and the step that ends the nearest to `ms` from now. */
+const getStepAfter = (ms: number) => {
+  const nowMs = performance.now();
+  const endMs = Math.max(1, Math.round((nowMs + ms) / stepMs)) * stepMs;
+  return { nowMs, endMs };
+};
--- a/packages/relay/src/targets/target-state.ts
+++ b/packages/relay/src/targets/target-state.ts
@@ -77,7 +77,7 @@
     record: TargetRecord,
     kvCacheTokens: number,
     limiter = createSoleInstanceLimiter(record.id),
-    private readonly activity = new RequestActivity(),
+    readonly activity = new RequestActivity(),
   ) {
     this.record = record;
     this.limiter = limiter;
