Tell members of an aggregator in one message what is new

Each member got the combined report each 200 ms, each report of the other data centres, and each answer of the long polls for two tables even when nothing had changed: 13 messages a second. A member says that it accepts this; instances of earlier versions get the messages that they know.

--- a/packages/relay/src/change-streams/app.ts
+++ b/packages/relay/src/change-streams/app.ts
@@ -99,6 +99,8 @@
       resolver =>
         new ChangeDistributor({
           listMembers: () => resolver.get(loadExchangeToken).listMembers(),
+          acceptsConfirmations: member =>
+            resolver.get(loadExchangeToken).acceptsRemote(member),
           eras: resolver.get(tableToken).eras,
           notifyMember: (member, method, params) => {
             resolver
--- a/packages/relay/src/change-streams/change-distributor.ts
+++ b/packages/relay/src/change-streams/change-distributor.ts
@@ -5,7 +5,7 @@
 import type { EraTracker, Kernel } from '@medlarlever/core';
 
 import { streamPositionSchema } from './change-stream.js';
-import type { ChangeStream } from './change-stream.js';
+import type { ChangeStream, TableConfirmation } from './change-stream.js';
 import { SharedChangeStream } from './shared-change-stream.js';
 import type { SharedChangePage } from './shared-change-stream.js';
 
@@ -31,6 +31,8 @@
 export interface ChangeDistributorOptions {
   /** Lists the instances on whose behalf this one reads the tables. */
   readonly listMembers: () => readonly string[];
+  /** True if the member learns from the load reports which tables are unchanged. */
+  readonly acceptsConfirmations: (member: string) => boolean;
   /** Sends a notification to a member; the message may be lost. */
   readonly notifyMember: (
     member: string,
@@ -69,29 +71,82 @@
   })),
 });
 
+/** An empty page, or several in a row, that members have not been told of. */
+interface PendingConfirmation {
+  readonly page: SharedChangePage;
+  /** Time of the last empty page, on the monotonic clock. */
+  readonly atMs: number;
+}
+
 /** Manages the shared change streams of all tables. */
 export class ChangeDistributor {
+  readonly #pendingConfirmations = new Map<string, PendingConfirmation>();
   readonly #streamsByTable = new Map<string, SharedChangeStream>();
 
   constructor(private readonly options: ChangeDistributorOptions) {}
 
   /** Wraps a change stream so that aggregators can supply its changes. */
   shareChangeStream(changeStream: ChangeStream): SharedChangeStream {
-    const { listMembers, notifyMember, eras } = this.options;
+    const { listMembers, eras } = this.options;
     const sharedStream = new SharedChangeStream({
       changeStream,
       eras,
       isAggregator: () => listMembers().length > 0,
       publishPage: page => {
-        const message = encodeChangePage(changeStream.name, page);
-        for (const member of listMembers())
-          notifyMember(member, rowsChangedMethod, message);
+        this.#publishPage(changeStream.name, page);
       },
     });
     this.#streamsByTable.set(changeStream.name, sharedStream);
     return sharedStream;
   }
 
+  /** Returns which tables have been found unchanged since the last call. */
+  takeConfirmations(): TableConfirmation[] {
+    const nowMs = performance.now();
+    const confirmations = [...this.#pendingConfirmations].map(
+      ([table, { page, atMs }]) => ({
+        table,
+        after: page.after,
+        position: page.position,
+        ageMs: Math.round(nowMs - atMs),
+      }),
+    );
+    this.#pendingConfirmations.clear();
+    return confirmations;
+  }
+
+  /** Applies the confirmations in a report of the aggregator. */
+  applyConfirmations(confirmations: readonly TableConfirmation[]): void {
+    for (const { table, after, position, ageMs } of confirmations) {
+      const page = { after, position, rows: [] };
+      this.#streamsByTable.get(table)?.receivePage(page, ageMs);
+    }
+  }
+
+  /**
+   * Sends a page with rows to all members at once. One without rows waits for the next
+   * load report, except for members that expect each page.
+   */
+  #publishPage(table: string, page: SharedChangePage): void {
+    const { listMembers, notifyMember, acceptsConfirmations } = this.options;
+    const message = encodeChangePage(table, page);
+    const isEmpty = page.rows.length === 0;
+    for (const member of listMembers()) {
+      if (!isEmpty || !acceptsConfirmations(member))
+        notifyMember(member, rowsChangedMethod, message);
+    }
+    const pending = this.#pendingConfirmations.get(table)?.page;
+    this.#pendingConfirmations.delete(table);
+    if (!isEmpty) return;
+    const isSuccessor =
+      pending?.position.era === page.after.era &&
+      pending.position.version === page.after.version;
+    this.#pendingConfirmations.set(table, {
+      page: isSuccessor ? { ...page, after: pending.after } : page,
+      atMs: performance.now(),
+    });
+  }
+
   /** Registers the peer method that receives pages from aggregators. */
   registerMethods(kernel: Kernel): void {
     kernel.registerPeerMethod(rowsChangedMethod, params => {
--- a/packages/relay/src/change-streams/change-stream.ts
+++ b/packages/relay/src/change-streams/change-stream.ts
@@ -16,6 +16,16 @@
 });
 export type StreamPosition = z.infer<typeof streamPositionSchema>;
 
+/** States that a table has not changed between two positions. */
+export const tableConfirmationSchema = z.object({
+  table: z.string(),
+  after: streamPositionSchema,
+  position: streamPositionSchema,
+  /** Milliseconds since the platform said so. */
+  ageMs: z.number(),
+});
+export type TableConfirmation = z.infer<typeof tableConfirmationSchema>;
+
 /** Current state of a row, or the information that the row was removed. */
 export interface ChangedRow {
   readonly key: string;
--- a/packages/relay/src/change-streams/shared-change-stream.ts
+++ b/packages/relay/src/change-streams/shared-change-stream.ts
@@ -80,15 +80,15 @@
 
   /**
    * Accepts a page from an aggregator unless a newer page has been received or the
-   * store has been restored since.
+   * store has been restored since. `ageMs` is the time since the platform gave it.
    */
-  receivePage(page: SharedChangePage): void {
+  receivePage(page: SharedChangePage, ageMs = 0): void {
     const { era, version } = page.position;
     if (!this.#options.eras.recordEra(era)) return;
     const latest = this.#latestPage?.position;
     if (latest?.era === era && version < latest.version) return;
     this.#latestPage = page;
-    this.#freshUntilMs = performance.now() + aggregatorFreshnessMs;
+    this.#freshUntilMs = performance.now() + aggregatorFreshnessMs - ageMs;
     this.#notifyWaiter?.();
   }
 
--- a/packages/relay/src/peers/app.ts
+++ b/packages/relay/src/peers/app.ts
@@ -113,6 +113,11 @@
     services: kernel.get(serviceStatesToken),
     demand: kernel.get(prefillDemandToken),
     origins: kernel.get(streamOriginsToken),
+    takeConfirmations: () =>
+      kernel.get(changeDistributorToken).takeConfirmations(),
+    onConfirmations: confirmations => {
+      kernel.get(changeDistributorToken).applyConfirmations(confirmations);
+    },
     getRevision: () => kernel.get(routesToken).version,
     onNewerRevision: from => {
       void kernel.get(peerSnapshotsToken).requestSnapshot(from);
--- a/packages/relay/src/peers/load-exchange.test.ts
+++ b/packages/relay/src/peers/load-exchange.test.ts
@@ -2,6 +2,7 @@
 import { Kernel } from '@medlarlever/core';
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
+import { Right } from 'purify-ts';
 
 import { FakeTopology, FakeDeployment } from '../fixtures/fake-topology.js';
 import {
@@ -19,7 +20,8 @@
 
 import { LimitReports } from './limit-reports.js';
 import { LoadExchange } from './load-exchange.js';
-import { loadReportMethod } from './load-report.js';
+import { loadReportMethod, memberReportMethod } from './load-report.js';
+import type { LoadReport } from './load-report.js';
 
 const createInstance = (
   name: string,
@@ -286,3 +288,46 @@
     t.true(farMember.targets.findTarget('t1')?.isLimited);
   },
 );
+
+test.serial(
+  'an aggregator without news sends each member few messages, and one of an earlier version gets each report apart',
+  async t => {
+    const { clock, deployment, addInstance, one, two } = setUp(t);
+    const far = addInstance('far');
+    const farMember = addInstance('far member');
+    for (const { topology } of [one, two]) topology.setAggregator('one');
+    for (const { topology } of [far, farMember]) topology.setAggregator('far');
+    one.topology.remoteAggregators = ['far'];
+    far.topology.remoteAggregators = ['one'];
+    const received: { readonly from: string; readonly silentMs: number }[] = [];
+    const earlierKernel = new Kernel();
+    earlierKernel.registerPeerMethod(loadReportMethod, params => {
+      const { from, loads } = params as LoadReport;
+      received.push({ from, silentMs: loads[0]?.[3] ?? -1 });
+      return Promise.resolve(Right(null));
+    });
+    deployment.kernelsByInstance.set('earlier', earlierKernel);
+    await clock.tickAsync(3_000);
+    deployment.sentCounts.clear();
+    await clock.tickAsync(2_000);
+    const sentAtRest = deployment.sentCounts.get('one') ?? 0;
+    t.true(sentAtRest <= 9, `${sentAtRest} messages in 2 s`);
+    const reportOfEarlier = {
+      from: 'earlier',
+      revision: 1,
+      loads: [],
+      placed: [],
+      read: [],
+      crashes: [],
+    };
+    await one.kernel.peerMethods.get(memberReportMethod)?.(
+      reportOfEarlier,
+      'earlier',
+    );
+    farMember.targets.findTarget('t1')?.startRequest();
+    await clock.tickAsync(1_500);
+    t.true(received.some(({ from }) => from === 'one'));
+    t.true(received.some(({ from }) => from === 'far'));
+    t.is(two.targets.findTarget('t1')?.activeRequestCount, 1);
+  },
+);
--- a/packages/relay/src/peers/load-exchange.ts
+++ b/packages/relay/src/peers/load-exchange.ts
@@ -19,9 +19,11 @@
 
 import type { LimitReports } from './limit-reports.js';
 import { PeerLoads } from './peer-loads.js';
+import type { TableConfirmation } from '../change-streams/change-stream.js';
 import { LoadAggregator } from './load-aggregator.js';
 import type { PeerTopology } from './peer-topology.js';
 import {
+  ageReport,
   dataCenterReportMethod,
   loadReportMethod,
   loadReportSchema,
@@ -60,6 +62,12 @@
   readonly origins: StreamOrigins;
   readonly services: ServiceStates;
   readonly demand: PrefillDemand;
+  /** Tables that this instance has found unchanged, for its members; none by default. */
+  readonly takeConfirmations?: () => TableConfirmation[];
+  /** Called with the tables that the aggregator has found unchanged. */
+  readonly onConfirmations?: (
+    confirmations: readonly TableConfirmation[],
+  ) => void;
   /** Returns the configuration version in force on this instance. */
   readonly getRevision: () => number;
   /** Called when a peer reports a newer configuration version. */
@@ -82,6 +90,7 @@
     this.#aggregator = new LoadAggregator({
       topology: options.topology,
       takeOwnReport: () => this.#takeOwnReport(this.#ownLoad.listLoads()),
+      takeConfirmations: options.takeConfirmations ?? (() => []),
     });
   }
 
@@ -118,6 +127,11 @@
     return this.#aggregator.listMembers();
   }
 
+  /** True if the member accepts the optional fields of an aggregator's report. */
+  acceptsRemote(member: string): boolean {
+    return this.#aggregator.acceptsRemote(member);
+  }
+
   /** Registers the peer methods that receive load reports. */
   registerMethods(kernel: Kernel): void {
     kernel.registerPeerMethod(loadReportMethod, params => {
@@ -133,7 +147,7 @@
     kernel.registerPeerMethod(dataCenterReportMethod, params => {
       const report = loadReportSchema.parse(params);
       this.#receiveReport(report);
-      this.#aggregator.notifyMembers(report);
+      this.#aggregator.passOnRemoteReport(report);
       return Promise.resolve(Right(null));
     });
   }
@@ -225,6 +239,9 @@
       targetCrashes: promptQuarantine.listCrashes(!this.#isAggregatorMember),
       answeredParts: promptQuarantine.listAnswers(),
       refutedCrashes: promptQuarantine.listRefuted(),
+      acceptsRemote: true,
+      remote: [],
+      unchanged: [],
     };
   }
 
@@ -264,7 +281,9 @@
     const { getRevision, onNewerRevision } = this.#options;
     if (report.revision > getRevision())
       onNewerRevision(report.from, report.revision);
-    this.#applyPeerLoads();
+    this.#options.onConfirmations?.(report.unchanged);
+    for (const remote of report.remote) this.#receiveReport(ageReport(remote));
+    if (report.remote.length === 0) this.#applyPeerLoads();
   }
 
   /**
--- a/packages/relay/src/peers/load-report.ts
+++ b/packages/relay/src/peers/load-report.ts
@@ -5,6 +5,7 @@
   answeredPartSchema,
   reportedCrashSchema,
 } from '../crashes/target-crash.js';
+import { tableConfirmationSchema } from '../change-streams/change-stream.js';
 import { reportedLimitSchema } from '../limits/reported-limit.js';
 import { begunStreamSchema } from '../origins/stream-origin.js';
 
@@ -22,8 +23,7 @@
 
 const promptSegmentSchema = z.tuple([z.string(), z.number()]);
 
-/** Schema of the parameters of all three methods. */
-export const loadReportSchema = z.object({
+const baseReportSchema = z.object({
   from: z.string(),
   /** Configuration version in force at the sender. */
   revision: z.number(),
@@ -59,6 +59,27 @@
   /** Request fingerprint, and the target that crashed while processing the request. */
   crashes: z.array(z.tuple([z.string(), z.string()])),
 });
+
+/** Report of an aggregator of another data centre, as its receiver passes it on. */
+const remoteReportSchema = baseReportSchema.extend({
+  /** Milliseconds for which the report has waited to be passed on. */
+  waitedMs: z.number(),
+});
+export type RemoteReport = z.infer<typeof remoteReportSchema>;
+
+/** Schema of the parameters of all three methods. */
+export const loadReportSchema = baseReportSchema.extend({
+  /**
+   * In a member's report: true if the member accepts the two fields below. Instances of
+   * earlier versions get a message for each instead.
+   */
+  acceptsRemote: z.boolean().default(false),
+  /** In an aggregator's report: reports of other data centres since the last one. */
+  remote: z.array(remoteReportSchema).default([]),
+  /** In an aggregator's report: tables that it has found unchanged. */
+  unchanged: z.array(tableConfirmationSchema).default([]),
+});
+
 /** Load report of one instance, or the combined report of an aggregator. */
 export type LoadReport = z.infer<typeof loadReportSchema>;
 
@@ -85,6 +106,39 @@
   refutedCrashes: [],
 });
 
+/** True if the report says that something goes on or has happened. */
+export const hasContent = (report: LoadReport): boolean =>
+  report.loads.length > 0 ||
+  report.limits.length > 0 ||
+  report.cutOff.length > 0 ||
+  report.remote.some(({ loads }) => loads.length > 0) ||
+  [report, ...report.remote].some(events =>
+    eventFields.some(field => events[field].length > 0),
+  );
+
+/** Returns the report with the ages of what it says as of now. */
+export const ageReport = ({
+  waitedMs,
+  ...report
+}: RemoteReport): LoadReport => ({
+  ...report,
+  loads: report.loads.map(([id, prefillTokens, running, silentMs]) => [
+    id,
+    prefillTokens,
+    running,
+    silentMs + waitedMs,
+  ]),
+  limits: report.limits.map(([id, startedAtMs, requestsPerSecond, ageMs]) => [
+    id,
+    startedAtMs,
+    requestsPerSecond,
+    ageMs + waitedMs,
+  ]),
+  acceptsRemote: false,
+  remote: [],
+  unchanged: [],
+});
+
 /** Adds the events of a report to a collection. */
 export const addEvents = (
   collection: ReportedEvents,
--- a/packages/relay/src/peers/member-reports.ts
+++ b/packages/relay/src/peers/member-reports.ts
@@ -13,6 +13,7 @@
   readonly loads: LoadReport['loads'];
   readonly limits: LoadReport['limits'];
   readonly cutOff: LoadReport['cutOff'];
+  readonly acceptsRemote: boolean;
 }
 
 /** Collects member reports and combines them into one report. */
@@ -26,13 +27,24 @@
 
   /** Records the report of a member. */
   addReport(report: LoadReport): void {
-    const { from, loads, limits, cutOff, placed } = report;
+    const { from, loads, limits, cutOff, placed, acceptsRemote } = report;
     const receivedAtMs = performance.now();
-    this.#reportsByMember.set(from, { receivedAtMs, loads, limits, cutOff });
+    this.#reportsByMember.set(from, {
+      receivedAtMs,
+      loads,
+      limits,
+      cutOff,
+      acceptsRemote,
+    });
     this.#countPrefillTokens(from, placed);
     addEvents(this.#events, report);
   }
 
+  /** True if the member accepts the optional fields of an aggregator's report. */
+  acceptsRemote(member: string): boolean {
+    return this.#reportsByMember.get(member)?.acceptsRemote === true;
+  }
+
   /** Lists the members that receive combined reports; drops expired members. */
   listMembers(): string[] {
     const nowMs = performance.now();
