--- a/packages/relay/src/server/caller-server.ts
+++ b/packages/relay/src/server/caller-server.ts
@@ -1,11 +1,15 @@
-/**
- * HTTP server for callers. Every path and method goes to one handler, so it needs no
- * router; paths and bodies are not parsed.
- */
-import type { Server, ServerOptions } from 'node:http';
-import type { Duplex } from 'node:stream';
+/** HTTP server for callers, built on Nest and Fastify; bodies are not parsed. */
+import 'reflect-metadata';
+
+import type { Socket } from 'node:net';
 
 import { Failure } from '@medlarlever/core';
+import { Module } from '@nestjs/common';
+import type { DynamicModule, NestApplicationOptions } from '@nestjs/common';
+import { NestFactory } from '@nestjs/core';
+import { FastifyAdapter } from '@nestjs/platform-fastify';
+import type { NestFastifyApplication } from '@nestjs/platform-fastify';
+import type { FastifyInstance } from 'fastify';
 
 import type { Relay } from '../relay/relay.js';
 import type { RouteTableHolder } from '../routes/route-table-holder.js';
@@ -15,7 +19,14 @@
 import type { EventLoopDelayMonitor } from './event-loop-delay-monitor.js';
 import { RelayController } from './relay-controller.js';
 import type { RequestDecoder } from './request-decoder.js';
-import { closeHttpServer, openHttpServer } from './http-listener.js';
+import {
+  bodyReaderProvider,
+  requestDrainerProvider,
+  eventLoopDelayMonitorProvider,
+  relayProvider,
+  requestDecoderProvider,
+  routesProvider,
+} from './nest-providers.js';
 
 /**
  * Header size at which the connection is closed. It exceeds every configurable
@@ -30,6 +41,17 @@
 /** Maximum number of connections that wait to be accepted. */
 const listenBacklog = 511;
 
+/** Disables Nest's own log output; all logging uses the numbered events. */
+// eslint-disable-next-line @typescript-eslint/no-unsafe-class-instance-assignment -- Nest declares its options as a class
+const nestOptions: NestApplicationOptions = {
+  logger: false,
+  bodyParser: false,
+  abortOnError: false,
+};
+
+@Module({})
+class CallerModule {}
+
 /** Dependencies and listen address of {@link CallerServer}. */
 export interface CallerServerOptions {
   readonly relay: Relay;
@@ -41,6 +63,22 @@
   readonly port: number;
 }
 
+const createModule = (options: CallerServerOptions): DynamicModule => ({
+  module: CallerModule,
+  controllers: [RelayController],
+  providers: [
+    { provide: relayProvider, useValue: options.relay },
+    { provide: routesProvider, useValue: options.routes },
+    { provide: requestDecoderProvider, useValue: options.decoder },
+    { provide: bodyReaderProvider, useValue: new BodyReader() },
+    { provide: requestDrainerProvider, useValue: options.drainer },
+    {
+      provide: eventLoopDelayMonitorProvider,
+      useValue: options.eventLoopDelayMonitor,
+    },
+  ],
+});
+
 const statusReasonPhrases: Readonly<Record<number, string>> = {
   400: 'Bad Request',
   408: 'Request Timeout',
@@ -48,7 +86,7 @@
 };
 
 /** Sends an error response to an invalid HTTP request and closes the connection. */
-const respondToInvalidRequest = (error: Error, socket: Duplex): void => {
+const respondToInvalidRequest = (error: Error, socket: Socket): void => {
   if (!socket.writable) return;
   const code = (error as { code?: string }).code;
   const failure =
@@ -71,53 +109,64 @@
   );
 };
 
-const serverOptions: ServerOptions = {
-  requestTimeout: 0,
-  headersTimeout: defaultHeaderTimeoutMs,
-  keepAliveTimeout: defaultIdleTimeoutMs,
-  connectionsCheckingInterval: connectionCheckIntervalMs,
-  maxHeaderSize: maxHeaderBytes,
-  noDelay: true,
-};
+const createFastifyAdapter = (): FastifyAdapter =>
+  new FastifyAdapter({
+    requestTimeout: 0,
+    connectionTimeout: 0,
+    keepAliveTimeout: defaultIdleTimeoutMs,
+    forceCloseConnections: 'idle',
+    clientErrorHandler: respondToInvalidRequest,
+    // All paths are rewritten to a single route, so that Fastify neither decodes
+    // nor rejects any path.
+    rewriteUrl: () => '/',
+    http: {
+      headersTimeout: defaultHeaderTimeoutMs,
+      connectionsCheckingInterval: connectionCheckIntervalMs,
+      maxHeaderSize: maxHeaderBytes,
+      noDelay: true,
+    },
+  });
 
 /** Listens for callers and passes their requests to the relay. */
 export class CallerServer {
-  private constructor(private readonly server: Server) {}
+  readonly #app: NestFastifyApplication;
+
+  private constructor(app: NestFastifyApplication) {
+    this.#app = app;
+  }
 
   /** Creates the server and starts listening. */
   static async open(options: CallerServerOptions): Promise<CallerServer> {
-    const controller = new RelayController({
-      ...options,
-      bodyReader: new BodyReader(),
-    });
-    const { host, port, routes } = options;
-    const server = await openHttpServer({
-      host,
-      port,
-      backlog: listenBacklog,
-      serverOptions,
-      onRequest: (request, response) => {
-        controller.handleRequest(request, response).catch(() => {
-          response.destroy();
-        });
-      },
+    const adapter = createFastifyAdapter();
+    const app = await NestFactory.create<NestFastifyApplication>(
+      createModule(options),
+      adapter,
+      nestOptions,
+    );
+    const fastify = adapter.getInstance<FastifyInstance>();
+    fastify.removeAllContentTypeParsers();
+    fastify.addContentTypeParser('*', (_request, _payload, done) => {
+      done(null);
     });
-    server.on('clientError', respondToInvalidRequest);
-    routes.onTableChange(({ configuration }) => {
+    await app.init();
+    const server = app.getHttpServer();
+    options.routes.onTableChange(({ configuration }) => {
       server.keepAliveTimeout = configuration.limits.idleTimeoutMs;
       server.headersTimeout = configuration.limits.headerTimeoutMs;
     });
-    return new CallerServer(server);
+    const { host, port } = options;
+    await fastify.listen({ host, port, backlog: listenBacklog });
+    return new CallerServer(app);
   }
 
   /** Port on which the server listens; 0 if it is not bound to a port. */
   get port(): number {
-    const address = this.server.address();
+    const address = this.#app.getHttpServer().address();
     return address === null || typeof address === 'string' ? 0 : address.port;
   }
 
   /** Stops listening and waits until all connections are closed. */
-  close(): Promise<void> {
-    return closeHttpServer(this.server);
+  async close(): Promise<void> {
+    await this.#app.close();
   }
 }
--- a/packages/relay/src/server/http-caller.ts
+++ b/packages/relay/src/server/http-caller.ts
@@ -68,8 +68,8 @@
     if (this.#isCloseDelimited || this.options.isClosing()) {
       headers.push('Connection', 'close');
     }
-    // The head goes out with the first bytes, in one system call.
     this.#response.writeHead(head.status, headers);
+    this.#response.flushHeaders();
   }
 
   override write(chunk: Buffer): boolean {
--- a/packages/relay/src/server/relay-controller.ts
+++ b/packages/relay/src/server/relay-controller.ts
@@ -1,9 +1,11 @@
-/** Handles all caller requests, with any path and method. */
-import type { IncomingMessage, ServerResponse } from 'node:http';
+/** Nest controller that handles all caller requests, with any path and method. */
+import type { IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
 import { setImmediate as nextTurn } from 'node:timers/promises';
 
 import { Failure } from '@medlarlever/core';
+import { All, Controller, Inject, Req, Res } from '@nestjs/common';
+import type { FastifyReply, FastifyRequest } from 'fastify';
 
 import type { Relay } from '../relay/relay.js';
 import type { RouteTableHolder } from '../routes/route-table-holder.js';
@@ -14,6 +16,14 @@
 import { HttpCaller } from './http-caller.js';
 import type { EventLoopDelayMonitor } from './event-loop-delay-monitor.js';
 import type { RequestDecoder } from './request-decoder.js';
+import {
+  bodyReaderProvider,
+  requestDrainerProvider,
+  eventLoopDelayMonitorProvider,
+  relayProvider,
+  requestDecoderProvider,
+  routesProvider,
+} from './nest-providers.js';
 
 /** Smaller delays cannot be distinguished from ordinary turns of the event loop. */
 const significantLoopDelayMs = 40;
@@ -32,37 +42,42 @@
     0,
   );
 
-/** Dependencies of {@link RelayController}. */
-export interface RelayControllerOptions {
-  readonly relay: Relay;
-  readonly routes: RouteTableHolder;
-  readonly decoder: RequestDecoder;
-  readonly bodyReader: BodyReader;
-  readonly drainer: RequestDrainer;
-  readonly eventLoopDelayMonitor: EventLoopDelayMonitor;
-}
-
 /** Reads, decodes and relays each request of a caller. */
+@Controller()
 export class RelayController {
   /** Sockets that have already sent a request. */
   readonly #seenSockets = new WeakSet<Socket>();
 
-  constructor(private readonly options: RelayControllerOptions) {}
+  constructor(
+    @Inject(relayProvider) readonly relay: Relay,
+    @Inject(routesProvider) readonly routes: RouteTableHolder,
+    @Inject(requestDecoderProvider) readonly decoder: RequestDecoder,
+    @Inject(bodyReaderProvider) readonly bodyReader: BodyReader,
+    @Inject(requestDrainerProvider) readonly drainer: RequestDrainer,
+    @Inject(eventLoopDelayMonitorProvider)
+    readonly eventLoopDelayMonitor: EventLoopDelayMonitor,
+  ) {}
 
-  /** Serves the request; resolves when its answer has been handed to the connection. */
+  @All()
   async handleRequest(
-    message: IncomingMessage,
-    response: ServerResponse,
+    @Req() request: FastifyRequest,
+    @Res() reply: FastifyReply,
   ): Promise<void> {
-    const { drainer, eventLoopDelayMonitor } = this.options;
     const arrivedAtMs =
-      performance.now() - eventLoopDelayMonitor.currentDelayMs;
-    const caller = new HttpCaller(response, {
-      isClosing: () => drainer.isClosing,
+      performance.now() - this.eventLoopDelayMonitor.currentDelayMs;
+    reply.hijack();
+    const message = request.raw;
+    const caller = new HttpCaller(reply.raw, {
+      isClosing: () => this.drainer.isClosing,
     });
-    const finishRequest = drainer.startRequest();
+    const finishRequest = this.drainer.startRequest();
     try {
-      await this.#serveRequest(message, message.url ?? '', caller, arrivedAtMs);
+      await this.#serveRequest(
+        message,
+        request.originalUrl,
+        caller,
+        arrivedAtMs,
+      );
     } finally {
       finishRequest();
     }
@@ -75,7 +90,7 @@
     arrivedAtMs: number,
   ): Promise<void> {
     const limits =
-      this.options.routes.currentTable?.configuration.limits ?? defaultLimits;
+      this.routes.currentTable?.configuration.limits ?? defaultLimits;
     if (countHeaderBytes(message) > limits.headerBytes) {
       caller.sendFailure(
         new Failure(
@@ -85,7 +100,7 @@
       );
       return;
     }
-    const body = await this.options.bodyReader.readBody(message, {
+    const body = await this.bodyReader.readBody(message, {
       maxBytes: limits.bodyBytes,
       maxPauseMs: limits.idleTimeoutMs,
     });
@@ -96,17 +111,12 @@
     }
     const bodyBytes = body.extract() as Buffer;
     try {
-      const decoded = this.options.decoder.decode(
-        message,
-        url,
-        bodyBytes,
-        arrivedAtMs,
-      );
+      const decoded = this.decoder.decode(message, url, bodyBytes, arrivedAtMs);
       await this.#waitForPendingClose(message.socket);
       if (decoded.isLeft()) caller.sendFailure(decoded.extract());
-      else await this.options.relay.serve(decoded.unsafeCoerce(), caller);
+      else await this.relay.serve(decoded.unsafeCoerce(), caller);
     } finally {
-      this.options.bodyReader.releaseBytes(bodyBytes.length);
+      this.bodyReader.releaseBytes(bodyBytes.length);
     }
   }
 
@@ -122,7 +132,7 @@
     this.#seenSockets.add(socket);
     if (
       !isNewConnection &&
-      this.options.eventLoopDelayMonitor.currentDelayMs < significantLoopDelayMs
+      this.eventLoopDelayMonitor.currentDelayMs < significantLoopDelayMs
     )
       return;
     await nextTurn();
--- a/packages/relay/src/server/status-server.ts
+++ b/packages/relay/src/server/status-server.ts
@@ -1,41 +1,24 @@
 /** Small HTTP servers: readiness for the load balancer, metrics for operators. */
-import type { Server, ServerResponse } from 'node:http';
-
-import { closeHttpServer, openHttpServer } from './http-listener.js';
-
-/** What an endpoint answers. */
-interface StatusAnswer {
-  readonly status: number;
-  readonly type: string;
-  readonly text: string;
-}
+import Fastify from 'fastify';
+import type { FastifyInstance } from 'fastify';
 
 /** A path and the function that creates its response. */
 export interface StatusEndpoint {
   readonly path: string;
-  readonly answer: () => Promise<StatusAnswer>;
+  readonly answer: () => Promise<{
+    readonly status: number;
+    readonly type: string;
+    readonly text: string;
+  }>;
 }
 
-const notFound: StatusAnswer = {
-  status: 404,
-  type: 'text/plain',
-  text: 'not found',
-};
-
-const sendAnswer = (
-  response: ServerResponse,
-  { status, type, text }: StatusAnswer,
-): void => {
-  response.writeHead(status, {
-    'content-type': type,
-    'content-length': Buffer.byteLength(text),
-  });
-  response.end(text);
-};
-
 /** Serves a fixed set of paths over HTTP. */
 export class StatusServer {
-  private constructor(private readonly server: Server) {}
+  readonly #fastify: FastifyInstance;
+
+  private constructor(fastify: FastifyInstance) {
+    this.#fastify = fastify;
+  }
 
   /** Creates the server and starts listening. */
   static async open(
@@ -43,31 +26,18 @@
     port: number,
     endpoints: readonly StatusEndpoint[],
   ): Promise<StatusServer> {
-    const server = await openHttpServer({
-      host,
-      port,
-      onRequest: ({ method, url = '' }, response) => {
-        const [path] = url.split('?');
-        const endpoint =
-          method === 'GET' || method === 'HEAD'
-            ? endpoints.find(({ path: known }) => known === path)
-            : undefined;
-        (endpoint?.answer() ?? Promise.resolve(notFound)).then(
-          answer => {
-            sendAnswer(response, answer);
-          },
-          () => {
-            response.destroy();
-          },
-        );
-      },
-    });
-    return new StatusServer(server);
+    const fastify = Fastify({ forceCloseConnections: true });
+    for (const { path, answer } of endpoints) {
+      fastify.get(path, async (_request, reply) => {
+        const { status, type, text } = await answer();
+        return reply.status(status).type(type).send(text);
+      });
+    }
+    await fastify.listen({ host, port });
+    return new StatusServer(fastify);
   }
 
   async close(): Promise<void> {
-    const closed = closeHttpServer(this.server);
-    this.server.closeAllConnections();
-    await closed;
+    await this.#fastify.close();
   }
 }
