--- a/packages/relay/src/logs/rate-limited-log.ts
+++ b/packages/relay/src/logs/rate-limited-log.ts
@@ -1,6 +1,7 @@
 /** Log of numbered events with a rate limit for each event name. */
 import { Log, logEvents } from '@medlarlever/core';
 import type { EventFields, EventName } from '@medlarlever/core';
+import { Logger } from 'tslog';
 
 import type { LineWriter } from './line-writer.js';
 
@@ -19,14 +20,6 @@
 const burstSeconds = 2;
 const msPerSecond = 1_000;
 
-/** Names and numbers of the levels in the lines, as tslog writes them. */
-const lineLevels = {
-  debug: [2, 'DEBUG'],
-  info: [3, 'INFO'],
-  warn: [4, 'WARN'],
-  error: [5, 'ERROR'],
-} as const;
-
 /** Rate limiter state of one event. */
 interface TokenBucket {
   availableLines: number;
@@ -38,13 +31,22 @@
 
 /** Writes events as JSON lines and drops those that exceed the rate limit. */
 export class RateLimitedLog extends Log {
+  readonly #logger: Logger<unknown>;
   readonly #bucketsByEvent = new Map<EventName, TokenBucket>();
 
   constructor(
-    private readonly name: string,
+    name: string,
     private readonly writer: LineWriter,
   ) {
     super();
+    this.#logger = new Logger({
+      name,
+      type: 'hidden',
+      hideLogPositionForProduction: true,
+    });
+    this.#logger.attachTransport(line => {
+      writer.writeLine(JSON.stringify(line));
+    });
   }
 
   override writeEvent(name: EventName, fields: EventFields = {}): void {
@@ -60,23 +62,7 @@
 
   #writeEvent(name: EventName, fields: EventFields): void {
     const { number, level } = logEvents[name];
-    const [logLevelId, logLevelName] = lineLevels[level];
-    const line = {
-      event: number,
-      name,
-      ...fields,
-      // The form of tslog, which costs several times as much as the rest of a line.
-      _meta: {
-        runtime: 'node',
-        runtimeVersion: process.versions.node,
-        hostname: 'unknown',
-        name: this.name,
-        date: new Date(),
-        logLevelId,
-        logLevelName,
-      },
-    };
-    this.writer.writeLine(JSON.stringify(line));
+    this.#logger[level]({ event: number, name, ...fields });
   }
 
   #logDroppedLines(name: EventName, bucket: TokenBucket): void {
--- a/packages/relay/src/origins/stream-origins.ts
+++ b/packages/relay/src/origins/stream-origins.ts
@@ -2,7 +2,7 @@
  * Remembers at which software version streams began, by the id of the request. The
  * instances tell each other, as callers take streams up again at any of them.
  */
-import { ExpiringMap } from '../shared/expiring-map.js';
+import { LRUCache } from 'lru-cache';
 
 import type { BegunStream, StreamOrigin } from './stream-origin.js';
 
@@ -20,9 +20,11 @@
 
 /** Origins of the streams of all instances, as far as they are known here. */
 export class StreamOrigins {
-  readonly #origins = new ExpiringMap<string, StreamOrigin>({
-    ttlMs: originTtlMs,
-    maxEntries: maxOrigins,
+  // A bound by `max` would reserve room for all entries at once.
+  readonly #origins = new LRUCache<string, StreamOrigin>({
+    maxSize: maxOrigins,
+    sizeCalculation: () => 1,
+    ttl: originTtlMs,
   });
   #unreported: BegunStream[] = [];
 
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -4,6 +4,19 @@
 
 import { build } from 'esbuild';
 
+// Nest imports these packages only for features that the daemon doesn't use.
+const unusedPackages = [
+  '@nestjs/platform-express',
+  '@nestjs/microservices',
+  '@nestjs/microservices/microservices-module',
+  '@nestjs/websockets',
+  '@nestjs/websockets/socket-module',
+  '@fastify/static',
+  '@fastify/view',
+  'class-transformer',
+  'class-validator',
+];
+
 // Packages and modules of which the daemon uses a small part, and what stands for them.
 const replacements = [
   [/^undici$/, 'undici-clients.cjs'],
@@ -27,10 +40,12 @@
   format: 'cjs',
   target: 'node20',
   conditions: ['source'],
+  external: unusedPackages,
   plugins: [usedPartsPlugin],
   minifySyntax: true,
   // Less text to read at the start of the daemon.
   minifyWhitespace: true,
+  tsconfigRaw: { compilerOptions: { experimentalDecorators: true } },
   logLevel: 'warning',
 };
 
