--- a/packages/relay/src/change-streams/shared-change-stream.ts
+++ b/packages/relay/src/change-streams/shared-change-stream.ts
@@ -80,9 +80,9 @@
 
   /**
    * Accepts a page from an aggregator unless a newer page has been received or the
-   * store has been restored since.
+   * store has been restored since. `ageMs` is the time since the platform gave it.
    */
-  receivePage(page: SharedChangePage): void {
+  receivePage(page: SharedChangePage, ageMs = 0): void {
     const { era, version } = page.position;
     if (!this.#options.eras.recordEra(era)) return;
     const latest = this.#latestPage?.position;
@@ -90,7 +90,7 @@
     const { changeStream } = this.#options;
     const rows = page.rows.map(row => changeStream.removeSecrets(row));
     this.#latestPage = { ...page, rows };
-    this.#freshUntilMs = performance.now() + aggregatorFreshnessMs;
+    this.#freshUntilMs = performance.now() + aggregatorFreshnessMs - ageMs;
     this.#notifyWaiter?.();
   }
 
--- a/packages/relay/src/origins/stream-origins.ts
+++ b/packages/relay/src/origins/stream-origins.ts
@@ -20,8 +20,10 @@
 
 /** Origins of the streams of all instances, as far as they are known here. */
 export class StreamOrigins {
+  // A bound by `max` would reserve room for all entries at once.
   readonly #origins = new LRUCache<string, StreamOrigin>({
-    max: maxOrigins,
+    maxSize: maxOrigins,
+    sizeCalculation: () => 1,
     ttl: originTtlMs,
   });
   #unreported: BegunStream[] = [];
