Place generations by the memory of the engines, not by slots alone

An engine crashes when its requests exceed its memory, and placement counted slots only. While memory is short, the instances take turns in an order of their own at each engine, so that late reports do not overfill it. A request that fits nowhere waits in the order of rank and work done, or is refused with a spread retry time. A prompt larger than an engine is refused with prompt_too_large (1016).

--- a/packages/core/src/shared/result-codes.ts
+++ b/packages/core/src/shared/result-codes.ts
@@ -97,6 +97,11 @@
     503,
     'A part of the prompt crashes targets, and the request is refused.',
   ),
+  prompt_too_large: defineResultCode(
+    1016,
+    413,
+    'The prompt is larger than the memory of an engine.',
+  ),
 
   // 2000: non-idempotent operations
   key_required: defineResultCode(
--- a/packages/relay/src/metrics/relay-metrics.ts
+++ b/packages/relay/src/metrics/relay-metrics.ts
@@ -23,6 +23,7 @@
   readonly #limitedSendCounter: Counter<'service'>;
   readonly #forwardedCounter: Counter<'outcome'>;
   readonly #refusedPromptCounter: Counter<'service'>;
+  readonly #roomRefusalCounter: Counter<'service'>;
   readonly #resumptionCounter: Counter<'service' | 'origin'>;
   readonly #routeLabels = new LabelLimiter(maxRouteLabels);
 
@@ -68,6 +69,12 @@
       labelNames: ['service', 'outcome'],
       registers,
     });
+    this.#roomRefusalCounter = new Counter({
+      name: 'medlarlever_relay_room_refusals_total',
+      help: 'Requests refused because no engine would have room in time',
+      labelNames: ['service'],
+      registers,
+    });
     this.#resumptionCounter = new Counter({
       name: 'medlarlever_relay_resumptions_total',
       help: 'Streams that callers took up again, by how it is known where they began',
@@ -94,6 +101,11 @@
     });
   }
 
+  /** Records a request that is refused because no engine has room for it in time. */
+  recordRoomRefusal(service: string): void {
+    this.#roomRefusalCounter.inc({ service });
+  }
+
   /** Records a stream that a caller takes up again, by how its origin is known. */
   recordResumption(service: string, origin: string): void {
     this.#resumptionCounter.inc({ service, origin });
--- a/packages/relay/src/peers/load-exchange.ts
+++ b/packages/relay/src/peers/load-exchange.ts
@@ -70,7 +70,7 @@
   readonly #peerLoads = new PeerLoads();
   readonly #aggregator: LoadAggregator;
   readonly #ownLoad: OwnLoad;
-  #lastSentLoads = '[]';
+  #lastSentLoads = '[[],[]]';
   #lastSentAtMs = 0;
   #hasScheduledReport = false;
 
@@ -159,7 +159,7 @@
       topology.notifyLinked(loadReportMethod, report);
       return;
     }
-    this.#peerLoads.recordOwnReportedLoads(aggregator, loads);
+    this.#peerLoads.recordOwnReport(aggregator, report);
     topology.recordReportToAggregator(aggregator);
     topology.notifyInstance(aggregator, memberReportMethod, report);
   }
@@ -179,7 +179,10 @@
     loads: LoadReport['loads'],
     reportsToAggregator: boolean,
   ): boolean {
-    const serializedLoads = JSON.stringify(loads.map(load => load.slice(0, 3)));
+    const serializedLoads = JSON.stringify([
+      loads.map(load => load.slice(0, 3)),
+      this.#ownLoad.listHeldTokens(),
+    ]);
     const hasChanged =
       serializedLoads !== this.#lastSentLoads ||
       this.#ownLoad.hasUnreportedPrefills ||
@@ -210,6 +213,7 @@
       from: self,
       revision: getRevision(),
       loads,
+      held: this.#ownLoad.listHeldTokens(),
       placed: prefillTokenTotals,
       ...this.#ownLoad.takeUnreportedEvents(),
       limits: limits.list(),
@@ -229,7 +233,7 @@
     const { topology, demand } = this.#options;
     topology.recordReportFrom(report.from);
     demand.recordTotals(report.from, report.placed);
-    this.#peerLoads.recordLoads(report.from, report.loads);
+    this.#peerLoads.recordReport(report);
     for (const [id, , , silentMs] of report.loads) {
       targets.findTarget(id)?.recordActivity(silentMs);
     }
--- a/packages/relay/src/peers/load-report.ts
+++ b/packages/relay/src/peers/load-report.ts
@@ -32,6 +32,11 @@
    * since the sender last received anything from the target.
    */
   loads: z.array(z.tuple([z.string(), z.number(), z.number(), z.number()])),
+  /**
+   * Target, tokens of the KV caches that the requests take there, and the number of
+   * these requests. Absent in the reports of instances that do not count tokens.
+   */
+  held: z.array(z.tuple([z.string(), z.number(), z.number()])).optional(),
   /** Service, and the prompt tokens sent for prefill since the process started. */
   placed: z.array(z.tuple([z.string(), z.number()])),
   /**
--- a/packages/relay/src/peers/member-reports.ts
+++ b/packages/relay/src/peers/member-reports.ts
@@ -11,6 +11,7 @@
 interface MemberReport {
   readonly receivedAtMs: number;
   readonly loads: LoadReport['loads'];
+  readonly held: LoadReport['held'];
   readonly limits: LoadReport['limits'];
   readonly cutOff: LoadReport['cutOff'];
 }
@@ -26,9 +27,15 @@
 
   /** Records the report of a member. */
   addReport(report: LoadReport): void {
-    const { from, loads, limits, cutOff, placed } = report;
+    const { from, loads, held, limits, cutOff, placed } = report;
     const receivedAtMs = performance.now();
-    this.#reportsByMember.set(from, { receivedAtMs, loads, limits, cutOff });
+    this.#reportsByMember.set(from, {
+      receivedAtMs,
+      loads,
+      held,
+      limits,
+      cutOff,
+    });
     this.#countPrefillTokens(from, placed);
     addEvents(this.#events, report);
   }
@@ -56,6 +63,7 @@
       ...ownReport,
       ...events,
       loads: this.#sumLoads(ownReport.loads),
+      held: this.#sumHeldTokens(ownReport.held),
       limits: mergeLimits([
         { receivedAtMs: performance.now(), limits: ownReport.limits },
         ...this.#reportsByMember.values(),
@@ -93,6 +101,20 @@
     return [...own, ...members];
   }
 
+  /** Sums the tokens that members report; those of older versions report none. */
+  #sumHeldTokens(own: LoadReport['held'] = []): LoadReport['held'] {
+    const nowMs = performance.now();
+    const current = [...this.#reportsByMember.values()]
+      .filter(({ receivedAtMs }) => nowMs - receivedAtMs <= loadReportTtlMs)
+      .map(({ held = [] }) => held);
+    const sums = new Map<string, [string, number, number]>();
+    for (const [id, tokens, requests] of [own, ...current].flat()) {
+      const [, sumTokens = 0, sumRequests = 0] = sums.get(id) ?? [];
+      sums.set(id, [id, sumTokens + tokens, sumRequests + requests]);
+    }
+    return [...sums.values()];
+  }
+
   #sumLoads(ownLoads: LoadReport['loads']): LoadReport['loads'] {
     const nowMs = performance.now();
     const currentLoads = [...this.#reportsByMember.values()]
--- a/packages/relay/src/peers/own-load.ts
+++ b/packages/relay/src/peers/own-load.ts
@@ -44,6 +44,18 @@
       );
   }
 
+  /** Lists the memory that requests of this instance take at engines. */
+  listHeldTokens(): NonNullable<LoadReport['held']> {
+    return this.targets
+      .listTargets()
+      .map(({ record, heldTokens }): [string, number, number] => [
+        record.id,
+        heldTokens.tokens,
+        heldTokens.requestCount,
+      ])
+      .filter(([, , requests]) => requests > 0);
+  }
+
   /** Returns the events since the last call; each event is reported once. */
   takeUnreportedEvents(): Pick<LoadReport, 'read' | 'pace'> {
     const read = this.#unreportedPrefills;
--- a/packages/relay/src/placement/placement.ts
+++ b/packages/relay/src/placement/placement.ts
@@ -2,6 +2,7 @@
 import { canContinueStream } from '../origins/stream-origin.js';
 import type { StreamOrigin } from '../origins/stream-origin.js';
 import type { Prompt } from '../requests/relay-request.js';
+import type { RoomCheck } from '../room/room-check.js';
 import type { TargetState } from '../targets/target-state.js';
 
 import {
@@ -81,6 +82,8 @@
   readonly slots: number;
   /** Time to copy the KV cache of one token from another engine. */
   readonly transferMsPerToken: number;
+  /** Engines whose memory has room for the request; all if undefined. */
+  readonly room?: RoomCheck;
   /** Targets that already failed for this request. */
   readonly excluded: ReadonlySet<TargetState>;
   /** Data centres to which connections currently fail. */
@@ -285,12 +288,14 @@
   expectedFirstEventMs: candidate.prefillMs + prefillOverheadMs,
 });
 
-/** Decode engines with a free slot, or all of them when every one is full. */
+/** Decode engines with room and a free slot, or with room when no slot is free. */
 const listDecodeTargets = (
   options: PlacementOptions,
 ): readonly TargetState[] => {
   const decodeTargets = filterAnsweringTargets(options).filter(
-    ({ record }) => record.role !== 'prefill',
+    target =>
+      target.record.role !== 'prefill' &&
+      options.room?.hasRoom(target, 'decode') !== false,
   );
   const freeTargets = decodeTargets.filter(target =>
     hasFreeSlot(target, options),
@@ -330,7 +335,9 @@
   options: PlacementOptions,
 ): PrefillCandidate | undefined => {
   const prefillTargets = targets.filter(
-    ({ record }) => record.role === 'prefill',
+    target =>
+      target.record.role === 'prefill' &&
+      options.room?.hasRoom(target, 'prefill') !== false,
   );
   const rendezvousTarget = findRendezvousTarget(prefillTargets, options.prompt);
   const candidates = samplePrefillTargets(
--- a/packages/relay/src/relay/app.ts
+++ b/packages/relay/src/relay/app.ts
@@ -7,6 +7,7 @@
   instanceCountToken,
   logToken,
   eventLoopDelayMonitorToken,
+  limitGroupToken,
   metricsRegistryToken,
   loadExchangeToken,
   promptQuarantineToken,
@@ -27,6 +28,7 @@
 import { PromptQuarantine } from '../crashes/prompt-quarantine.js';
 import { findAnswerAgeMs } from '../crashes/answer-age.js';
 import { RelayMetrics } from '../metrics/relay-metrics.js';
+import { EngineTurns } from '../room/engine-turns.js';
 import { CrashTracker } from '../crashes/crash-tracker.js';
 import { DataCenterReachability } from '../targets/data-center-reachability.js';
 
@@ -86,6 +88,7 @@
         random: resolver.get(randomToken),
         isLargeDeployment: () =>
           resolver.get(peerTopologyToken).usesAggregators,
+        engineTurns: new EngineTurns(resolver.get(limitGroupToken)),
         dataCenter: resolver.get(settingsToken).current.dataCenter,
         getEventLoopDelayMs: () =>
           resolver.get(eventLoopDelayMonitorToken).currentDelayMs,
--- a/packages/relay/src/relay/generation-placer.ts
+++ b/packages/relay/src/relay/generation-placer.ts
@@ -6,12 +6,14 @@
 import { checkAdmission } from '../placement/admission.js';
 import { chooseDecodeTarget, placeGeneration } from '../placement/placement.js';
 import type { Placement, PlacementOptions } from '../placement/placement.js';
+import { createRoomCheck } from '../room/room-check.js';
 import type { Prompt } from '../requests/relay-request.js';
 import type { EngineSettings } from '../routes/route-configuration.js';
 import type { TargetState } from '../targets/target-state.js';
 
 import type { RequestContext } from './request-context.js';
 import type { RelayDependencies } from './relay.js';
+import { RoomShortage } from './room-wait.js';
 import {
   canBeContinued,
   computeRetryAfterMs,
@@ -56,15 +58,18 @@
 
   /** Chooses the decode engine after the prefill at another engine. */
   chooseDecodeTarget(): Either<Failure, TargetState> {
-    const decodeTarget = chooseDecodeTarget(this.#createPlacementOptions());
+    const options = this.#createPlacementOptions();
+    const decodeTarget = chooseDecodeTarget(options);
     return decodeTarget === undefined
-      ? Left(this.#createNoTargetFailure())
+      ? Left(this.#createPlacementFailure(options))
       : Right(decodeTarget);
   }
 
   #placeGeneration(): Either<Failure, Placement> {
-    const placement = placeGeneration(this.#createPlacementOptions());
-    if (placement === undefined) return Left(this.#createNoTargetFailure());
+    const options = this.#createPlacementOptions();
+    const placement = placeGeneration(options);
+    if (placement === undefined)
+      return Left(this.#createPlacementFailure(options));
     const { prefillTarget, copySource, prefillTokens, expectedFirstEventMs } =
       placement;
     this.options.context.addLogFields({
@@ -98,21 +103,41 @@
       dataCenterReachability,
       random,
     } = dependencies;
+    const openTargets = targets.listOpenTargets(context.service);
+    const serviceState = serviceStates.getState(context.service);
+    const drawsSample = dependencies.isLargeDeployment();
     return {
-      targets: targets.listOpenTargets(context.service),
+      targets: openTargets,
+      room: createRoomCheck({
+        targets: openTargets,
+        prompt,
+        capacityTokens: engineSettings.kvTokens,
+        typicalTokens: serviceState.requestTokensAverage.value,
+        holdMs: serviceState.decodeMsAverage.value,
+        turns: dependencies.engineTurns,
+        drawsSample,
+      }),
       leavingTargets: targets.listRecentlyLeavingTargets(context.service),
       prompt,
-      prefillSpeed: serviceStates.getState(context.service).prefillSpeed,
+      prefillSpeed: serviceState.prefillSpeed,
       slots: engineSettings.slots,
       transferMsPerToken: engineSettings.transferMsPerToken,
       dataCenter,
       excluded: excludedTargets,
       origin: context.origin,
       unreached: dataCenterReachability.takeUnreachableDataCenters(),
-      random: dependencies.isLargeDeployment() ? random : undefined,
+      random: drawsSample ? random : undefined,
     };
   }
 
+  /** Returns a shortage of room if an engine could take the request but for that. */
+  #createPlacementFailure(options: PlacementOptions): Failure {
+    const withoutRoom = { ...options, room: undefined };
+    return chooseDecodeTarget(withoutRoom) === undefined
+      ? this.#createNoTargetFailure()
+      : new RoomShortage();
+  }
+
   #createNoTargetFailure(): Failure {
     const { dependencies, context, excludedTargets } = this.options;
     const openTargets = dependencies.targets.listOpenTargets(context.service);
--- a/packages/relay/src/relay/generation-runner.ts
+++ b/packages/relay/src/relay/generation-runner.ts
@@ -20,10 +20,14 @@
 import type { TargetRecord } from '../targets/target-record.js';
 import type { TargetState } from '../targets/target-state.js';
 
+import { createPhaseDemand } from '../room/room-check.js';
+import type { EnginePhase } from '../room/room-check.js';
+
 import { StreamingResponseSink } from './response-sinks.js';
 import { GenerationPlacer } from './generation-placer.js';
 import type { RequestContext } from './request-context.js';
 import type { RelayDependencies } from './relay.js';
+import { RoomShortage, RoomWait } from './room-wait.js';
 import { RequestRunner, minServerErrorStatus } from './request-runner.js';
 import { isConnectFailure } from './send-failures.js';
 import type { FailedSendOutcome } from './send-failures.js';
@@ -52,6 +56,7 @@
 export class GenerationRunner extends RequestRunner {
   readonly #responseSink: StreamingResponseSink;
   readonly #placer: GenerationPlacer;
+  readonly #roomWait: RoomWait;
   /** Parts of the prompt that other prompts may share. */
   readonly #sharedParts: SharedParts;
   /** KV cache of a finished prefill that no decode engine has taken yet. */
@@ -59,6 +64,8 @@
   /** Engine that holds the KV cache of `#kvCacheHandle`. */
   #kvCacheTarget: TargetState | undefined;
   #prefillCount = 0;
+  /** Frees the memory of the KV cache that a prefill engine holds. */
+  #endPrefillHold: () => void = () => undefined;
   /**
    * Called for each write of event data; the first call shows that the prefill
    * is complete.
@@ -69,20 +76,22 @@
     dependencies: RelayDependencies,
     context: RequestContext,
     private readonly prompt: Prompt,
-    engineSettings: EngineSettings,
+    private readonly engineSettings: EngineSettings,
   ) {
     super(dependencies, context);
     const { excludedTargets } = this;
     this.#sharedParts = selectSharedParts(
       prompt.segments.slice(0, -1).map(({ id }) => id),
     );
-    this.#placer = new GenerationPlacer({
+    const placerOptions = {
       dependencies,
       context,
       prompt,
       engineSettings,
       excludedTargets,
-    });
+    };
+    this.#placer = new GenerationPlacer(placerOptions);
+    this.#roomWait = new RoomWait(placerOptions);
     const { route, caller } = context;
     const onBytes = () => {
       context.recordFirstBytes();
@@ -103,6 +112,13 @@
 
   override async run(): Promise<void> {
     const { context } = this;
+    if (this.prompt.tokens > this.engineSettings.kvTokens) {
+      this.failRequest(createPromptTooLargeFailure(this.engineSettings));
+      return;
+    }
+    this.serviceState.requestTokensAverage.addSample(
+      this.prompt.tokens + this.prompt.maxOutputTokens,
+    );
     let isFirstPlacement = true;
     for (;;) {
       if (context.signal.aborted) {
@@ -115,10 +131,13 @@
         this.#releaseKvCache();
         return;
       }
-      const placementResult = isFirstPlacement
-        ? this.#placer.placeWithAdmission()
-        : this.#placer.placeRetry();
-      const placement = placementResult.extract();
+      const place = isFirstPlacement
+        ? () => this.#placer.placeWithAdmission()
+        : () => this.#placer.placeRetry();
+      const placementResult = this.#placeNow(place);
+      const placement = (
+        placementResult ?? (await this.#placeWithRoom(place))
+      ).extract();
       if (placement instanceof Failure) {
         if (await this.isCutOffAfterAll()) continue;
         this.failRequest(placement);
@@ -135,7 +154,11 @@
         if (prefillResult === 'again') continue;
       }
       if (this.#isRefused()) return;
-      const updatedPlacement = this.#updateDecodeTarget(placement).extract();
+      const update = () => this.#updateDecodeTarget(placement);
+      const updateResult = this.#placeNow(update);
+      const updatedPlacement = (
+        updateResult ?? (await this.#placeWithRoom(update))
+      ).extract();
       if (updatedPlacement instanceof Failure) {
         this.failRequest(updatedPlacement);
         return;
@@ -144,6 +167,36 @@
     }
   }
 
+  /** Tokens already computed for the request. */
+  get #workTokens(): number {
+    const prefillTokens =
+      this.#kvCacheHandle === undefined ? 0 : this.prompt.tokens;
+    return prefillTokens + this.#responseSink.writeCount;
+  }
+
+  /** Places the request at once; undefined if it must wait for room. */
+  #placeNow<T>(
+    place: () => Either<Failure, T>,
+  ): Either<Failure, T> | undefined {
+    if (this.#roomWait.mustWait(this.#workTokens)) return undefined;
+    const result = place();
+    return result.extract() instanceof RoomShortage ? undefined : result;
+  }
+
+  #placeWithRoom<T>(
+    place: () => Either<Failure, T>,
+  ): Promise<Either<Failure, T>> {
+    return this.#roomWait.place(place, this.#workTokens);
+  }
+
+  /** Holds memory for the request at the engine; the returned function frees it. */
+  #holdTokens(target: TargetState, phase: EnginePhase): () => void {
+    const { kvTokens } = this.engineSettings;
+    return target.heldTokens.hold(
+      createPhaseDemand(this.prompt, phase, kvTokens),
+    );
+  }
+
   /** Fails the request and returns true if a part of its prompt crashes targets. */
   #isRefused(): boolean {
     const { context, dependencies } = this;
@@ -182,6 +235,7 @@
   }
 
   #releaseKvCache(): void {
+    this.#endPrefillHold();
     // An engine that wants no requests frees the KV cache when its time is over.
     const acceptsRequests = this.#kvCacheTarget?.acceptsRequests ?? true;
     if (this.#kvCacheHandle !== undefined && acceptsRequests) {
@@ -231,6 +285,7 @@
       expectedFirstEventMs,
     );
     const endRequest = this.startRequest(target);
+    this.#endPrefillHold = this.#holdTokens(target, 'prefill');
     this.serviceState.prefillTokensAverage.addSample(prefillTokens);
     copySource?.limiter.takePermit();
     const startedAtMs = performance.now();
@@ -296,6 +351,7 @@
     elapsedMs: number,
   ): 'again' | 'ended' {
     const { context } = this;
+    this.#endPrefillHold();
     context.logEvent('attempt_failed', {
       target: target.record.id,
       step: 'prefill',
@@ -320,6 +376,7 @@
     const kvCacheHandle = this.#kvCacheHandle;
     const isColocated = kvCacheHandle === undefined;
     const endRequest = this.startRequest(target);
+    const endHold = this.#holdTokens(target, 'decode');
     if (isColocated) placement.copySource?.limiter.takePermit();
     this.recordOrigin(record);
     const endPrefill = isColocated
@@ -344,6 +401,7 @@
       eventGapMeter.recordEvent();
       answerProgress.recordEvent();
       endPrefill();
+      this.#endPrefillHold();
       target.recordAnswer();
       dependencies.targetLink.recordAnswer();
       watchdog?.recordActivity();
@@ -368,9 +426,11 @@
     watchdog?.stop();
     endPrefill();
     endRequest();
+    endHold();
     this.#recordEventGap(target, eventGapMeter);
     dependencies.metrics.recordSend(context.service, outcome.kind);
     if (outcome.kind === 'whole') {
+      this.#endPrefillHold();
       recordTargetSuccess(dependencies, target);
       answerProgress.complete();
       this.serviceState.decodeMsAverage.addSample(
@@ -434,3 +494,9 @@
     return this.handleSendFailure(send, outcome);
   }
 }
+
+const createPromptTooLargeFailure = ({ kvTokens }: EngineSettings): Failure =>
+  new Failure(
+    'prompt_too_large',
+    `the prompt is larger than the memory of an engine, which holds ${kvTokens} tokens; do not send it again`,
+  );
--- a/packages/relay/src/relay/service-state.ts
+++ b/packages/relay/src/relay/service-state.ts
@@ -1,5 +1,6 @@
 /** State that the relay keeps for each service. */
 import { PrefillSpeed } from '../placement/prefill-speed.js';
+import { RoomQueue } from '../room/room-queue.js';
 import { RetryBudget } from '../retries/retry-budget.js';
 import type { RetryBudgetOptions } from '../retries/retry-budget.js';
 import { MovingAverage } from '../shared/moving-average.js';
@@ -14,6 +15,10 @@
   readonly prefillTokensAverage: MovingAverage;
   /** Time for which a request takes a slot of a decode engine, in milliseconds. */
   readonly decodeMsAverage: MovingAverage;
+  /** Tokens that one request takes at an engine, with the output that may come. */
+  readonly requestTokensAverage: MovingAverage;
+  /** Requests that wait for room at the engines. */
+  readonly roomQueue: RoomQueue;
   /** Prompt tokens that this instance has sent to engines since its start. */
   assignedPrefillTokens: number;
 }
@@ -45,6 +50,8 @@
       eventGapAverage: new MovingAverage(),
       prefillTokensAverage: new MovingAverage(),
       decodeMsAverage: new MovingAverage(),
+      requestTokensAverage: new MovingAverage(),
+      roomQueue: new RoomQueue(),
       assignedPrefillTokens: 0,
     };
     this.#stateByService.set(service, state);
--- a/packages/relay/src/targets/target-state.ts
+++ b/packages/relay/src/targets/target-state.ts
@@ -1,6 +1,8 @@
 /** Load, health and prefix cache of one target as known to this instance. */
 import { RequestLimiter } from '../limits/request-limiter.js';
 import type { PromptSegment } from '../requests/relay-request.js';
+import { HeldTokens } from '../room/held-tokens.js';
+import { ReportedTokens } from '../room/reported-tokens.js';
 
 import { PrefixCacheEstimate } from './prefix-cache-estimate.js';
 import type { TargetRecord } from './target-record.js';
@@ -11,6 +13,10 @@
   readonly pendingPrefillTokens: number;
   /** Requests that are running or queued at the target. */
   readonly activeRequestCount: number;
+  /** Tokens of the KV caches that the requests take; absent if not reported. */
+  readonly heldTokens?: number;
+  /** Requests whose tokens `heldTokens` includes. */
+  readonly countedRequests?: number;
 }
 
 /** Ratios of measured to expected durations. */
@@ -60,6 +66,10 @@
   readonly prefixCache: PrefixCacheEstimate;
   /** Counts the requests to the target against the limit that it names. */
   readonly limiter: RequestLimiter;
+  /** Memory that the requests of this instance take at an engine. */
+  readonly heldTokens = new HeldTokens();
+  /** Memory that the requests of the other instances take at an engine. */
+  readonly reportedTokens = new ReportedTokens();
   #pendingPrefillTokens = 0;
   #activeRequestCount = 0;
   #consecutiveFailures = 0;
@@ -201,6 +211,11 @@
   /** Sets the total load that the other instances last reported. */
   setOtherInstancesLoad(load: TargetLoad): void {
     this.#otherInstancesLoad = load;
+    const { heldTokens = 0, countedRequests = 0, activeRequestCount } = load;
+    this.reportedTokens.record({
+      heldTokens,
+      uncountedRequests: Math.max(0, activeRequestCount - countedRequests),
+    });
   }
 
   /** Counts a request at the target; the returned function removes it. */
