Read on from targets for callers that read slowly, within bounds

The relay stopped reading from a target while its caller did not read, so the target cut the answer off.

The count of buffered request bodies fell below zero, because a message that ended closes as well and its bytes were released twice; the limit never held.

--- a/packages/core/src/shared/events.ts
+++ b/packages/core/src/shared/events.ts
@@ -302,6 +302,11 @@
     'info',
     'A request was handed to another instance, as this one reaches no target.',
   ),
+  answer_gave_way: defineEvent(
+    526,
+    'warn',
+    'An answer was ended, because its caller read slowly and the buffers of the instance were full.',
+  ),
 } as const satisfies Record<string, LogEvent>;
 
 /** Name of a log event, written to the log as the field `name`. */
--- a/packages/relay/src/kernel/tokens.ts
+++ b/packages/relay/src/kernel/tokens.ts
@@ -13,6 +13,7 @@
 import type { LoadExchange } from '../peers/load-exchange.js';
 import type { PeerTopology } from '../peers/peer-topology.js';
 import type { PeerSnapshots } from '../peers/peer-snapshots.js';
+import type { CallerBuffers } from '../buffers/caller-buffers.js';
 import type { Relay } from '../relay/relay.js';
 import type { ServiceStates } from '../relay/service-state.js';
 import type { TargetClient } from '../relay/target-client.js';
@@ -131,6 +132,9 @@
 export const targetClosureBroadcasterToken =
   new InjectionToken<TargetClosureBroadcaster>('role-news');
 export const roleLeaderToken = new InjectionToken<RoleLeader>('role-leader');
+export const callerBuffersToken = new InjectionToken<CallerBuffers>(
+  'caller-buffers',
+);
 export const relayToken = new InjectionToken<Relay>('relay');
 export const requestDrainerToken = new InjectionToken<RequestDrainer>('drain');
 export const eventLoopDelayMonitorToken =
--- a/packages/relay/src/metrics/state-gauges.ts
+++ b/packages/relay/src/metrics/state-gauges.ts
@@ -3,6 +3,7 @@
 import { Gauge } from 'prom-client';
 import type { Registry } from 'prom-client';
 
+import type { CallerBuffers } from '../buffers/caller-buffers.js';
 import type { PromptQuarantine } from '../crashes/prompt-quarantine.js';
 import type { TableWatcher } from '../change-streams/table-watcher.js';
 import type { ServiceStates } from '../relay/service-state.js';
@@ -25,6 +26,7 @@
   readonly announcements: TargetAnnouncements;
   readonly promptQuarantine: PromptQuarantine;
   readonly targetLink: TargetLink;
+  readonly callerBuffers: CallerBuffers;
   /** Returns the event loop delay in milliseconds. */
   readonly eventLoopDelayMs: () => number;
   /** Returns the number of log lines dropped because their reader was slow. */
@@ -111,11 +113,59 @@
     'New limits that targets named to this instance',
     () => options.announcements.limitCount,
   );
+  registerGauge(
+    'unread_answer_bytes',
+    'Bytes of answers that slow callers have not read',
+    () => options.callerBuffers.totalBytes,
+  );
+  registerGauge(
+    'answers_given_way',
+    'Answers ended because the buffers for slow callers were full',
+    () => options.callerBuffers.givenWayCount,
+  );
+  registerGauge(
+    'waiting_for_room',
+    'Requests that wait for memory of an engine',
+    () =>
+      options.services
+        .listStates()
+        .reduce((sum, [, { roomQueue }]) => sum + roomQueue.length, 0),
+  );
+  registerTokenGauge(options, registers);
   registerTargetGauge(options, registers);
   registerRetryGauge(options, registers);
   registerWatcherGauge(options, registers);
 };
 
+const registerTokenGauge = (
+  { targets, services }: StateGaugesOptions,
+  registers: Registry[],
+): void => {
+  new Gauge({
+    name: 'medlarlever_relay_engine_tokens',
+    help: 'Tokens that requests take at engines: of this instance and reported by others',
+    labelNames: ['service', 'source'],
+    registers,
+    collect() {
+      this.reset();
+      for (const {
+        record,
+        heldTokens,
+        reportedTokens,
+      } of targets.listTargets()) {
+        const { service, role } = record;
+        if (role === undefined) continue;
+        const typical = services.getState(service).requestTokensAverage.value;
+        this.inc({ service, source: 'own' }, heldTokens.tokens);
+        this.inc(
+          { service, source: 'reported' },
+          reportedTokens.countTokens(typical ?? 0),
+        );
+      }
+    },
+  });
+};
+
 const registerTargetGauge = (
   { targets }: StateGaugesOptions,
   registers: Registry[],
--- a/packages/relay/src/relay/app.ts
+++ b/packages/relay/src/relay/app.ts
@@ -2,6 +2,7 @@
 import type { Plugin } from '@medlarlever/core';
 
 import {
+  callerBuffersToken,
   crashTrackerToken,
   requestDrainerToken,
   instanceCountToken,
@@ -28,6 +29,7 @@
 import { PromptQuarantine } from '../crashes/prompt-quarantine.js';
 import { findAnswerAgeMs } from '../crashes/answer-age.js';
 import { RelayMetrics } from '../metrics/relay-metrics.js';
+import { CallerBuffers } from '../buffers/caller-buffers.js';
 import { EngineTurns } from '../room/engine-turns.js';
 import { CrashTracker } from '../crashes/crash-tracker.js';
 import { DataCenterReachability } from '../targets/data-center-reachability.js';
@@ -69,6 +71,14 @@
         }),
       });
     });
+    kernel.provide(
+      callerBuffersToken,
+      resolver =>
+        new CallerBuffers({
+          getMemoryBytes: () => resolver.get(settingsToken).current.memoryBytes,
+          log: resolver.get(logToken),
+        }),
+    );
     kernel.provide(relayToken, resolver => {
       const client = resolver.get(targetClientToken);
       return new Relay({
@@ -88,6 +98,7 @@
         random: resolver.get(randomToken),
         isLargeDeployment: () =>
           resolver.get(peerTopologyToken).usesAggregators,
+        callerBuffers: resolver.get(callerBuffersToken),
         engineTurns: new EngineTurns(resolver.get(limitGroupToken)),
         dataCenter: resolver.get(settingsToken).current.dataCenter,
         getEventLoopDelayMs: () =>
--- a/packages/relay/src/relay/generation-runner.ts
+++ b/packages/relay/src/relay/generation-runner.ts
@@ -24,6 +24,7 @@
 import type { EnginePhase } from '../room/room-check.js';
 
 import { StreamingResponseSink } from './response-sinks.js';
+import { computeEventStallMs, minStreamStallTimeoutMs } from './event-stall.js';
 import { GenerationPlacer } from './generation-placer.js';
 import type { RequestContext } from './request-context.js';
 import type { RelayDependencies } from './relay.js';
@@ -36,12 +37,6 @@
 import type { FailedSend } from './target-outcomes.js';
 import type { KvCacheHandle, PrefillOutcome } from './target-client.js';
 
-/**
- * Shortest silence after which a resumable stream is moved to another target:
- * several times the longest gap between events that callers accept.
- */
-const minStreamStallTimeoutMs = 1_600;
-
 /** Shortest silence after which a prefill is aborted. */
 const minPrefillStallTimeoutMs = 2_500;
 
@@ -103,6 +98,7 @@
         : status < minServerErrorStatus || !this.canRetry();
     this.#responseSink = new StreamingResponseSink({
       caller,
+      answerBuffer: this.answerBuffer,
       acceptsStatus,
       onBytes,
       isResumable: route.resumable,
@@ -404,6 +400,8 @@
       this.#endPrefillHold();
       target.recordAnswer();
       dependencies.targetLink.recordAnswer();
+    };
+    this.#responseSink.onWholeEvent = () => {
       watchdog?.recordActivity();
     };
     context.recordSend();
@@ -457,7 +455,7 @@
     target: TargetState,
     expectedResponseMs: number,
   ): SendWatchdog | undefined {
-    if (!this.canRetry()) return undefined;
+    if (!this.canRetry()) return this.createEventWatchdog(target);
     const stallTimeoutMs = Math.max(
       minStreamStallTimeoutMs,
       stallTimeoutFactor * expectedResponseMs,
@@ -468,6 +466,8 @@
       target,
       expectedResponseMs,
       stallTimeoutMs,
+      eventStallMs: computeEventStallMs(this.context.route),
+      isPaused: () => this.answerBuffer.isPaused,
       signal,
       checkLiveness,
       isCutOff: () => targetLink.isCutOff,
--- a/packages/relay/src/relay/plain-request-runner.ts
+++ b/packages/relay/src/relay/plain-request-runner.ts
@@ -111,6 +111,10 @@
     const sink = this.#createResponseSink();
     context.recordSend();
     const watchdog = this.#createSendWatchdog(target);
+    if (sink instanceof StreamingResponseSink)
+      sink.onWholeEvent = () => {
+        watchdog?.recordActivity();
+      };
     const outcome = await this.sendOnce(
       record,
       {
@@ -154,7 +158,7 @@
   }
 
   #createSendWatchdog(target: TargetState): SendWatchdog | undefined {
-    if (!this.canRetry()) return undefined;
+    if (!this.canRetry()) return this.createEventWatchdog(target);
     const { remainingMs, signal } = this.context;
     return new SendWatchdog({
       target,
@@ -172,12 +176,13 @@
     const acceptsStatus = (status: number) =>
       status < minServerErrorStatus || !this.canRetry();
     if (route.kind !== 'stream')
-      return new BufferedResponseSink(caller, acceptsStatus);
+      return new BufferedResponseSink(caller, this.answerBuffer, acceptsStatus);
     const onBytes = () => {
       this.context.recordFirstBytes();
     };
     return new StreamingResponseSink({
       caller,
+      answerBuffer: this.answerBuffer,
       acceptsStatus,
       onBytes,
       isResumable: false,
--- a/packages/relay/src/relay/relay.ts
+++ b/packages/relay/src/relay/relay.ts
@@ -8,6 +8,7 @@
   StreamOriginFinder,
 } from '../origins/stream-origin-finder.js';
 import type { RequestForwarder } from '../forwarding/request-forwarder.js';
+import type { CallerBuffers } from '../buffers/caller-buffers.js';
 import type { EngineTurns } from '../room/engine-turns.js';
 import type { RelayMetrics } from '../metrics/relay-metrics.js';
 import type {
@@ -91,6 +92,8 @@
    * target from the same outdated load data.
    */
   readonly isLargeDeployment: () => boolean;
+  /** Bounds what is held for callers that read slowly. */
+  readonly callerBuffers: CallerBuffers;
   /** Order of the instances at engines whose memory is short. */
   readonly engineTurns: EngineTurns;
   /** Data centre of this instance. */
--- a/packages/relay/src/relay/request-context.ts
+++ b/packages/relay/src/relay/request-context.ts
@@ -153,6 +153,14 @@
     else this.caller.sendFailure(reportedFailure);
   }
 
+  /** Ends the request because its caller reads slowly and the buffers are full. */
+  giveWay(): void {
+    const wasAnswered = this.#hasEnded;
+    this.failRequest(createSlowCallerFailure());
+    if (wasAnswered) this.caller.abortResponse();
+    this.#abortController.abort();
+  }
+
   /** Creates the failure to report after `signal` has aborted. */
   createDeadlineFailure(): Failure {
     return new Failure(
@@ -199,6 +207,13 @@
   }
 }
 
+const createSlowCallerFailure = (): Failure =>
+  new Failure(
+    'slow_caller',
+    'the caller read slowly while the buffers of the instance were full; take the stream up again or retry later',
+    { executed: 'unknown' },
+  );
+
 const createCallerGoneFailure = (): Failure =>
   new Failure(
     'caller_gone',
--- a/packages/relay/src/relay/request-runner.ts
+++ b/packages/relay/src/relay/request-runner.ts
@@ -1,6 +1,7 @@
 /** Attempts and failure handling shared by plain requests and generations. */
 import { Failure } from '@medlarlever/core';
 
+import { AnswerBuffer } from '../buffers/answer-buffer.js';
 import { canContinueStream } from '../origins/stream-origin.js';
 import type { StreamOrigin } from '../origins/stream-origin.js';
 import type { TargetRecord } from '../targets/target-record.js';
@@ -9,6 +10,7 @@
 import type { RequestContext } from './request-context.js';
 import type { RelayDependencies } from './relay.js';
 import { runCheckedSend } from './checked-send.js';
+import { computeEventStallMs } from './event-stall.js';
 import { RequestForwarding } from './request-forwarding.js';
 import type { ServiceState } from './service-state.js';
 import {
@@ -18,6 +20,7 @@
   isNotExecuted,
 } from './send-failures.js';
 import type { FailedSendOutcome } from './send-failures.js';
+import { SendWatchdog } from './send-watchdog.js';
 import { recordTargetFailure } from './target-outcomes.js';
 import type { FailedSend } from './target-outcomes.js';
 import type { CallerSink } from './response-sinks.js';
@@ -69,6 +72,7 @@
   protected readonly excludedTargets = new Set<TargetState>();
   /** Number of failed sends that a target may have executed. */
   protected possibleExecutionCount = 0;
+  protected readonly answerBuffer: AnswerBuffer;
   readonly #forwarding: RequestForwarding;
 
   constructor(
@@ -76,6 +80,16 @@
     protected readonly context: RequestContext,
   ) {
     this.#forwarding = new RequestForwarding(dependencies, context);
+    const { caller, request, route } = context;
+    this.answerBuffer = new AnswerBuffer({
+      buffers: dependencies.callerBuffers,
+      caller,
+      requestId: request.id,
+      isResumable: route.kind === 'stream' && route.resumable,
+      onGiveWay: () => {
+        context.giveWay();
+      },
+    });
   }
 
   /** Runs the request until it has been answered or has failed. */
@@ -143,6 +157,26 @@
     );
   }
 
+  /**
+   * Creates the watchdog of a stream that cannot be moved to another target; undefined
+   * if its route states no gap between events.
+   */
+  protected createEventWatchdog(target: TargetState): SendWatchdog | undefined {
+    const eventStallMs = computeEventStallMs(this.context.route);
+    if (eventStallMs === undefined) return undefined;
+    return new SendWatchdog({
+      target,
+      expectedResponseMs: Infinity,
+      stallTimeoutMs: Infinity,
+      eventStallMs,
+      isPaused: () => this.answerBuffer.isPaused,
+      signal: this.context.signal,
+      checkLiveness: this.dependencies.checkLiveness,
+      // The answer would be lost by moving it, so it may wait for the link.
+      isCutOff: () => false,
+    });
+  }
+
   /** Counts a request at the target; the returned function removes it. */
   protected startRequest(target: TargetState): () => void {
     if (target.isLimited)
--- a/packages/relay/src/relay/response-sinks.ts
+++ b/packages/relay/src/relay/response-sinks.ts
@@ -1,4 +1,5 @@
 /** Response sinks that forward a target's answer to the caller. */
+import type { AnswerBuffer } from '../buffers/answer-buffer.js';
 import type { ResponseHead, Caller } from '../requests/relay-request.js';
 
 import {
@@ -47,6 +48,7 @@
 
   constructor(
     private readonly caller: Caller,
+    private readonly answerBuffer: AnswerBuffer,
     private readonly acceptsStatus: StatusPredicate,
   ) {
     super();
@@ -56,20 +58,22 @@
     this.#head = head;
     this.#bufferedChunks = [];
     this.#bufferedBytes = 0;
+    this.answerBuffer.hold(0);
     return this.acceptsStatus(head.status);
   }
 
   override onData(chunk: Buffer): boolean {
-    if (this.#isForwarding) return this.caller.write(chunk);
+    if (this.#isForwarding) return this.answerBuffer.write(chunk);
     this.#bufferedChunks.push(chunk);
     this.#bufferedBytes += chunk.length;
+    this.answerBuffer.hold(this.#bufferedBytes);
     return (
       this.#bufferedBytes <= maxBufferedBytes || this.#forwardBufferedResponse()
     );
   }
 
   override waitForDrain(): Promise<void> {
-    return this.caller.waitForDrain();
+    return this.answerBuffer.waitForSpace();
   }
 
   override finish(): void {
@@ -81,9 +85,10 @@
     this.#isForwarding = true;
     if (this.#head !== undefined) this.caller.writeHead(this.#head);
     let isWritable = true;
-    for (const chunk of this.#bufferedChunks)
-      isWritable = this.caller.write(chunk);
+    const chunks = this.#bufferedChunks;
     this.#bufferedChunks = [];
+    this.answerBuffer.hold(0);
+    for (const chunk of chunks) isWritable = this.answerBuffer.write(chunk);
     return isWritable;
   }
 }
@@ -91,6 +96,7 @@
 /** Options of a {@link StreamingResponseSink}. */
 export interface StreamingResponseSinkOptions {
   readonly caller: Caller;
+  readonly answerBuffer: AnswerBuffer;
   readonly acceptsStatus: StatusPredicate;
   /** Called for each write of data to the caller. */
   readonly onBytes: () => void;
@@ -120,6 +126,8 @@
  * resumable. The head is sent with the first bytes.
  */
 export class StreamingResponseSink extends CallerSink {
+  /** Called for data that ends at least one event, or is not made of events. */
+  onWholeEvent: () => void = () => undefined;
   readonly #options: StreamingResponseSinkOptions;
   readonly #eventBuffer = new ServerSentEventBuffer();
   #boundary = new EventBoundary();
@@ -157,11 +165,12 @@
   override onData(chunk: Buffer): boolean {
     this.#currentBytes += chunk.length;
     const bytes = this.#takeForwardableBytes(chunk);
+    this.#options.answerBuffer.hold(this.#eventBuffer.heldBytes);
     return bytes.length === 0 || this.#writeBytes(bytes);
   }
 
   override waitForDrain(): Promise<void> {
-    return this.#options.caller.waitForDrain();
+    return this.#options.answerBuffer.waitForSpace();
   }
 
   override findTruncation(): string | undefined {
@@ -190,12 +199,16 @@
 
   #takeForwardableBytes(chunk: Buffer): Buffer {
     const head = this.#currentHead;
-    if (head !== undefined && !mayHoldEvents(head)) return chunk;
+    if (head !== undefined && !mayHoldEvents(head)) {
+      this.onWholeEvent();
+      return chunk;
+    }
     const tracker = this.#options.isResumable
       ? this.#eventBuffer
       : this.#boundary;
     const bytes = tracker.appendChunk(chunk);
     if (tracker.isOverlong) this.onOverlongEvent();
+    if (tracker.hasCompletedEvent) this.onWholeEvent();
     return bytes;
   }
 
@@ -203,7 +216,7 @@
     this.#writeHeadOnce();
     this.#writeCount += 1;
     this.#options.onBytes();
-    return this.#options.caller.write(bytes);
+    return this.#options.answerBuffer.write(bytes);
   }
 
   #writeHeadOnce(): void {
--- a/packages/relay/src/relay/send-watchdog.ts
+++ b/packages/relay/src/relay/send-watchdog.ts
@@ -26,6 +26,13 @@
   readonly expectedResponseMs: number;
   /** Silence after which the send is aborted even if the target is alive. */
   readonly stallTimeoutMs: number;
+  /**
+   * Longest time between whole events once the first one has arrived; undefined if
+   * `stallTimeoutMs` holds for the whole answer.
+   */
+  readonly eventStallMs?: number;
+  /** Returns true while the answer is not read, because the caller does not read. */
+  readonly isPaused?: () => boolean;
   /** Another signal that aborts the send, such as the request's deadline. */
   readonly signal: AbortSignal;
   readonly checkLiveness: LivenessCheck;
@@ -41,6 +48,7 @@
   readonly #abortController = new AbortController();
   readonly #checkTimer: NodeJS.Timeout;
   #lastActivityAtMs = performance.now();
+  #hasEvents = false;
   #isCheckingLiveness = false;
 
   constructor(options: SendWatchdogOptions) {
@@ -56,6 +64,7 @@
 
   /** Records that part of the answer has arrived. */
   recordActivity(): void {
+    this.#hasEvents = true;
     this.#lastActivityAtMs = performance.now();
   }
 
@@ -63,12 +72,18 @@
     clearInterval(this.#checkTimer);
   }
 
+  get #stallTimeoutMs(): number {
+    const { stallTimeoutMs, eventStallMs } = this.#options;
+    return this.#hasEvents ? (eventStallMs ?? stallTimeoutMs) : stallTimeoutMs;
+  }
+
   #checkProgress(): void {
-    const { target, expectedResponseMs, stallTimeoutMs, isCutOff } =
-      this.#options;
+    const { target, expectedResponseMs, isCutOff, isPaused } = this.#options;
+    // A target that is not read cannot show progress.
+    if (isPaused?.() === true) this.#lastActivityAtMs = performance.now();
     const silentMs = performance.now() - this.#lastActivityAtMs;
     const isLinkSilent = silentMs >= cutOffSilenceMs && isCutOff();
-    if (silentMs >= stallTimeoutMs || isLinkSilent) {
+    if (silentMs >= this.#stallTimeoutMs || isLinkSilent) {
       this.#abortController.abort();
       return;
     }
--- a/packages/relay/src/relay/server-sent-event-buffer.ts
+++ b/packages/relay/src/relay/server-sent-event-buffer.ts
@@ -14,6 +14,7 @@
 export class ServerSentEventBuffer {
   #incompleteEvent: Buffer = Buffer.alloc(0);
   #lastEventId: string | undefined;
+  #hasCompletedEvent = false;
 
   /** Id of the last complete event that had one. */
   get lastEventId(): string | undefined {
@@ -29,10 +30,21 @@
     const end = findLastEventEnd(bytes);
     const completeEvents = bytes.subarray(0, end);
     this.#incompleteEvent = bytes.subarray(end, end + maxEventBytes + 1);
+    this.#hasCompletedEvent = end > 0;
     this.#updateLastEventId(completeEvents);
     return completeEvents;
   }
 
+  /** True if the last bytes completed an event. */
+  get hasCompletedEvent(): boolean {
+    return this.#hasCompletedEvent;
+  }
+
+  /** Bytes of the incomplete event. */
+  get heldBytes(): number {
+    return this.#incompleteEvent.length;
+  }
+
   /** True if the bytes so far end inside an event. */
   get isInsideEvent(): boolean {
     return this.#incompleteEvent.length > 0;
@@ -66,6 +78,12 @@
 export class EventBoundary {
   #tail: Buffer = Buffer.alloc(0);
   #incompleteBytes = 0;
+  #hasCompletedEvent = false;
+
+  /** True if the last bytes completed an event. */
+  get hasCompletedEvent(): boolean {
+    return this.#hasCompletedEvent;
+  }
 
   /** Takes note of the next bytes and returns them. */
   appendChunk(chunk: Buffer): Buffer {
@@ -73,6 +91,7 @@
     const end = findLastEventEnd(bytes);
     this.#incompleteBytes =
       end === 0 ? this.#incompleteBytes + chunk.length : bytes.length - end;
+    this.#hasCompletedEvent = end > this.#tail.length;
     this.#tail = bytes.subarray(-maxTailBytes);
     return chunk;
   }
--- a/packages/relay/src/routes/route-configuration.ts
+++ b/packages/relay/src/routes/route-configuration.ts
@@ -23,6 +23,8 @@
   timeoutMs: z.number().positive(),
   /** Target latency of the answer, or of its first event for streams. */
   latencyTargetMs: z.number().positive(),
+  /** Longest time between the events of a stream that the route aims for. */
+  eventGapMs: z.number().positive().optional(),
   /** Priority of the requests; 0 is the most urgent. */
   rank: z.number().int().nonnegative(),
   /** Services among which the requests are split in proportion to the weights. */
--- a/packages/relay/src/server/app.ts
+++ b/packages/relay/src/server/app.ts
@@ -4,6 +4,7 @@
 
 import { awaitCloseOrTimeout } from '../kernel/close-timeout.js';
 import {
+  callerBuffersToken,
   requestDrainerToken,
   droppedLogLinesToken,
   shutdownStartControllerToken,
@@ -64,6 +65,7 @@
     decoder: kernel.get(requestDecoderToken),
     drainer: kernel.get(requestDrainerToken),
     eventLoopDelayMonitor: kernel.get(eventLoopDelayMonitorToken),
+    getMemoryBytes: () => kernel.get(settingsToken).current.memoryBytes,
     ...kernel.get(settingsToken).current.callers,
   });
 
@@ -102,6 +104,7 @@
     announcements: kernel.get(targetAnnouncementsToken),
     promptQuarantine: kernel.get(promptQuarantineToken),
     targetLink: kernel.get(targetLinkToken),
+    callerBuffers: kernel.get(callerBuffersToken),
     watchers: [kernel.get(routeWatcherToken), kernel.get(targetWatcherToken)],
     eventLoopDelayMs: () =>
       kernel.get(eventLoopDelayMonitorToken).currentDelayMs,
--- a/packages/relay/src/server/body-reader.ts
+++ b/packages/relay/src/server/body-reader.ts
@@ -8,6 +8,9 @@
 /** Maximum number of body bytes buffered for all requests together. */
 const maxBufferedBytes = 64 * 1024 * 1024;
 
+/** Share of the process memory that request bodies may take, if that is less. */
+const bodyMemoryShare = 0.2;
+
 const overloadRetryAfterMs = 500;
 
 /** Limits for one request body. */
@@ -21,6 +24,16 @@
 export class BodyReader {
   #bufferedBytes = 0;
 
+  /** `getMemoryBytes` returns the memory limit of the process, if there is one. */
+  constructor(
+    private readonly getMemoryBytes: () => number | undefined = () => undefined,
+  ) {}
+
+  get #maxBufferedBytes(): number {
+    const memoryBytes = this.getMemoryBytes() ?? Infinity;
+    return Math.min(maxBufferedBytes, memoryBytes * bodyMemoryShare);
+  }
+
   /** Number of body bytes currently buffered. */
   get bufferedBytes(): number {
     return this.#bufferedBytes;
@@ -37,7 +50,11 @@
     return new Promise(resolve => {
       const chunks: Buffer[] = [];
       let size = 0;
+      let isFinished = false;
       const finish = (result: Either<Failure, Buffer>) => {
+        // A message that ended closes as well, while its body is still in use.
+        if (isFinished) return;
+        isFinished = true;
         clearTimeout(timer);
         message.off('data', onData);
         if (result.isLeft()) this.releaseBytes(size);
@@ -50,8 +67,8 @@
         timer.refresh();
         if (size > limits.maxBytes)
           finish(Left(createTooLargeFailure(limits.maxBytes)));
-        else if (this.#bufferedBytes > maxBufferedBytes)
-          finish(Left(createOverloadedFailure()));
+        else if (this.#bufferedBytes > this.#maxBufferedBytes)
+          finish(Left(createOverloadedFailure(this.#maxBufferedBytes)));
       };
       const timer = setTimeout(() => {
         finish(Left(createTimeoutFailure()));
@@ -78,10 +95,10 @@
     `the request body is longer than the limit of ${maxBytes} bytes`,
   );
 
-const createOverloadedFailure = () =>
+const createOverloadedFailure = (maxBytes: number) =>
   new Failure(
     'overloaded',
-    `this instance buffers more than ${maxBufferedBytes} bytes of request bodies; retry later`,
+    `this instance buffers more than ${maxBytes} bytes of request bodies; retry later`,
     {
       retryAfterMs: overloadRetryAfterMs,
     },
--- a/packages/relay/src/server/caller-server.ts
+++ b/packages/relay/src/server/caller-server.ts
@@ -59,6 +59,8 @@
   readonly decoder: RequestDecoder;
   readonly drainer: RequestDrainer;
   readonly eventLoopDelayMonitor: EventLoopDelayMonitor;
+  /** Returns the memory limit of the process, if there is one. */
+  readonly getMemoryBytes?: () => number | undefined;
   readonly host: string;
   readonly port: number;
 }
@@ -70,7 +72,10 @@
     { provide: relayProvider, useValue: options.relay },
     { provide: routesProvider, useValue: options.routes },
     { provide: requestDecoderProvider, useValue: options.decoder },
-    { provide: bodyReaderProvider, useValue: new BodyReader() },
+    {
+      provide: bodyReaderProvider,
+      useValue: new BodyReader(options.getMemoryBytes),
+    },
     { provide: requestDrainerProvider, useValue: options.drainer },
     {
       provide: eventLoopDelayMonitorProvider,
--- a/packages/relay/src/server/http-caller.ts
+++ b/packages/relay/src/server/http-caller.ts
@@ -55,6 +55,11 @@
     return this.#hasStarted;
   }
 
+  override get bufferedBytes(): number {
+    const { destroyed, writableFinished, writableLength } = this.#response;
+    return destroyed || writableFinished ? 0 : writableLength;
+  }
+
   override writeHead(head: ResponseHead): void {
     this.#hasStarted = true;
     this.#isCloseDelimited =
