--- a/packages/core/src/peers/json-rpc-peer.ts
+++ b/packages/core/src/peers/json-rpc-peer.ts
@@ -1,5 +1,6 @@
 /** Client of a peer by JSON-RPC 2.0 over persistent HTTP connections. */
-import { JSONRPCClient } from 'json-rpc-2.0';
+import { JSONRPCClient, isJSONRPCResponse } from 'json-rpc-2.0';
+import type { JSONRPCID, JSONRPCRequest } from 'json-rpc-2.0';
 import { Left, Right } from 'purify-ts';
 import type { Either } from 'purify-ts';
 import { Pool } from 'undici';
@@ -48,8 +49,12 @@
     this.address = options.address;
     this.#options = options;
     this.#pool = this.#createPool();
-    this.#client = new JSONRPCClient((payload, callOptions) =>
-      this.#postMessage(JSON.stringify(payload), callOptions.timeoutMs),
+    this.#client = new JSONRPCClient((payload: JSONRPCRequest, callOptions) =>
+      this.#postMessage(
+        JSON.stringify(payload),
+        callOptions.timeoutMs,
+        payload.id,
+      ),
     );
   }
 
@@ -91,7 +96,15 @@
     });
   }
 
-  async #postMessage(body: string, timeoutMs: number): Promise<void> {
+  /**
+   * Sends the message and takes its answer. Throws if that is not the answer to the call
+   * with the id, for which the call would wait forever; undefined for a notification.
+   */
+  async #postMessage(
+    body: string,
+    timeoutMs: number,
+    callId: JSONRPCID | undefined,
+  ): Promise<void> {
     this.#options.onMessageSent?.(body.length);
     const pool = this.#pool;
     try {
@@ -107,11 +120,15 @@
         signal: AbortSignal.timeout(timeoutMs),
       });
       const text = await response.body.text();
-      if (response.statusCode === 204) return;
-      if (response.statusCode !== 200) {
+      const isAccepted = [200, 204].includes(response.statusCode);
+      if (!isAccepted) {
         throw new Error(`the peer answered with status ${response.statusCode}`);
       }
-      this.#client.receive(JSON.parse(text) as never);
+      if (callId === undefined) return;
+      const answer: unknown = JSON.parse(text);
+      if (!isJSONRPCResponse(answer) || answer.id !== callId)
+        throw new Error('the peer sent no valid answer to the call');
+      this.#client.receive(answer);
     } catch (error) {
       this.#replacePool(pool);
       throw error;
