Keep background tasks running after an unexpected error

A row that could not be applied ended the watcher of its table, and an error in a load report ended the reports of the instance for good. Such errors are logged as step_failed now, and the task goes on.

--- a/packages/core/src/peers/json-rpc-peer.test.ts
+++ b/packages/core/src/peers/json-rpc-peer.test.ts
@@ -12,7 +12,10 @@
   null: () => [200, 'null'],
   'a list': () => [200, '[null]'],
   'half a message': () => [200, '{"jsonrpc":"2.0",'],
-  'neither result nor error': id => [200, JSON.stringify({ jsonrpc: '2.0', id })],
+  'neither result nor error': id => [
+    200,
+    JSON.stringify({ jsonrpc: '2.0', id }),
+  ],
 };
 
 for (const [name, answer] of Object.entries(answers)) {
@@ -52,6 +55,7 @@
       ),
     ]);
     t.not(result, 'pending');
-    if (result !== 'pending') t.like(result.extract(), { code: 'target_failed' });
+    if (result !== 'pending')
+      t.like(result.extract(), { code: 'target_failed' });
   });
 }
--- a/packages/relay/src/change-streams/table-watcher.test.ts
+++ b/packages/relay/src/change-streams/table-watcher.test.ts
@@ -80,8 +80,10 @@
     log,
     random: () => 0.5,
     waitMs: 1_500,
-    onRowChange: ({ key, value }) =>
-      appliedChanges.push(`${key}=${value?.toString() ?? ''}`),
+    onRowChange: ({ key, value }) => {
+      if (key === 'defect') throw new Error('defect');
+      appliedChanges.push(`${key}=${value?.toString() ?? ''}`);
+    },
     onSnapshot: (keys, origin) =>
       snapshots.push({ keys: [...keys], ...origin }),
   });
@@ -89,6 +91,19 @@
   return { clock, changeStream, log, appliedChanges, snapshots, watcher };
 };
 
+test.serial(
+  'a row that cannot be applied stops neither the others nor the watcher',
+  async t => {
+    const { clock, changeStream, appliedChanges, log } = setUp(t);
+    changeStream.rows = [createRow('defect', 1), createRow('a', 2)];
+    await clock.tickAsync(200);
+    changeStream.rows = [...changeStream.rows, createRow('b', 3)];
+    await clock.tickAsync(200);
+    t.deepEqual(appliedChanges, ['a=v', 'b=v']);
+    t.is(log.entries.filter(({ name }) => name === 'step_failed').length, 1);
+  },
+);
+
 test.serial('all rows are read once and then watched for changes', async t => {
   const { clock, changeStream, appliedChanges } = setUp(t);
   changeStream.rows = [createRow('a', 1)];
--- a/packages/relay/src/change-streams/table-watcher.ts
+++ b/packages/relay/src/change-streams/table-watcher.ts
@@ -6,6 +6,8 @@
 import { addJitter, sleep } from '@medlarlever/core';
 import type { Failure } from '@medlarlever/core';
 
+import { runGuarded } from '../shared/guarded-step.js';
+
 import type {
   ChangePage,
   ChangedRow,
@@ -154,7 +156,10 @@
     for (const key of this.#versionsByKey.keys()) {
       if (!keys.has(key)) this.#versionsByKey.delete(key);
     }
-    this.#options.onSnapshot(keys, { afterOutage, afterRestore });
+    const { onSnapshot, log } = this.#options;
+    runGuarded(log, `snapshot of ${this.name}`, () => {
+      onSnapshot(keys, { afterOutage, afterRestore });
+    });
   }
 
   /**
@@ -186,7 +191,11 @@
     this.#versionsByKey.set(row.key, row.version);
     if (row.value === undefined) this.#removedKeys.add(row.key);
     else this.#removedKeys.delete(row.key);
-    this.#options.onRowChange(row, afterRestore);
+    const { onRowChange, log } = this.#options;
+    // One row that cannot be applied must not keep back the others.
+    runGuarded(log, `row of ${this.name}`, () => {
+      onRowChange(row, afterRestore);
+    });
   }
 
   #recordFailure(failure: Failure): void {
--- a/packages/relay/src/peers/app.ts
+++ b/packages/relay/src/peers/app.ts
@@ -100,6 +100,7 @@
 const createLoadExchange = (kernel: Kernel): LoadExchange =>
   new LoadExchange({
     self: kernel.get(settingsToken).current.instance,
+    log: kernel.get(logToken),
     topology: kernel.get(peerTopologyToken),
     targets: kernel.get(targetRegistryToken),
     crashes: kernel.get(crashTrackerToken),
--- a/packages/relay/src/peers/load-aggregator.ts
+++ b/packages/relay/src/peers/load-aggregator.ts
@@ -1,5 +1,8 @@
 /** Combines the load reports of the instances of one data centre. */
 import { sleep } from '@medlarlever/core';
+import type { Log } from '@medlarlever/core';
+
+import { runGuarded } from '../shared/guarded-step.js';
 
 import { MemberReports } from './member-reports.js';
 import type { PeerTopology } from './peer-topology.js';
@@ -19,6 +22,7 @@
 /** Dependencies of {@link LoadAggregator}. */
 export interface LoadAggregatorOptions {
   readonly topology: PeerTopology;
+  readonly log: Log;
   /** Returns this instance's own report and clears its unreported events. */
   readonly takeOwnReport: () => LoadReport;
 }
@@ -66,7 +70,9 @@
   /** Publishes combined reports at a fixed interval until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
     while (await sleep(publishIntervalMs, signal)) {
-      if (this.listMembers().length > 0) this.#publishReport();
+      runGuarded(this.#options.log, 'combined load report', () => {
+        if (this.listMembers().length > 0) this.#publishReport();
+      });
     }
   }
 
--- a/packages/relay/src/peers/load-exchange.test.ts
+++ b/packages/relay/src/peers/load-exchange.test.ts
@@ -40,9 +40,10 @@
   const origins = new StreamOrigins();
   const demand = new PrefillDemand();
   const newerRevisions: number[] = [];
-  const config = { revision: 1 };
+  const config = { revision: 1, isBroken: false };
   const exchange = new LoadExchange({
     self: name,
+    log: createMemoryLog(),
     topology,
     targets,
     crashes,
@@ -66,7 +67,10 @@
       }),
     }),
     demand,
-    getRevision: () => config.revision,
+    getRevision: () => {
+      if (config.isBroken) throw new Error('defect');
+      return config.revision;
+    },
     onNewerRevision: (_from, revision) => newerRevisions.push(revision),
   });
   const kernel = new Kernel();
@@ -286,3 +290,74 @@
     t.true(farMember.targets.findTarget('t1')?.isLimited);
   },
 );
+
+test.serial('reports go on after an unexpected error', async t => {
+  const { clock, one, two } = setUp(t);
+  one.config.isBroken = true;
+  one.targets.findTarget('t1')?.startRequest();
+  await clock.tickAsync(1_000);
+  one.config.isBroken = false;
+  await clock.tickAsync(1_000);
+  t.is(two.targets.findTarget('t1')?.activeRequestCount, 1);
+});
+
+test.serial(
+  'the members of an aggregator learn the tokens that the others hold',
+  async t => {
+    const { clock, addInstance, one, two } = setUp(t);
+    const three = addInstance('three');
+    for (const { topology } of [one, two, three]) topology.setAggregator('one');
+    const findT1 = ({ targets }: typeof one) => targets.findTarget('t1');
+    for (const [instance, ownTokens] of [
+      [one, 1_000],
+      [two, 2_000],
+    ] as const) {
+      findT1(instance)?.startRequest();
+      findT1(instance)?.heldTokens.hold({ sharedSegments: [], ownTokens });
+    }
+    await clock.tickAsync(1_500);
+    t.is(findT1(one)?.reportedTokens.countTokens(9), 2_000);
+    t.is(findT1(two)?.reportedTokens.countTokens(9), 1_000);
+    t.is(findT1(three)?.reportedTokens.countTokens(9), 3_000);
+  },
+);
+
+test.serial(
+  'own tokens that the sum of the aggregator lacks hide no others',
+  async t => {
+    const { clock, addInstance, one, two } = setUp(t);
+    const three = addInstance('three');
+    for (const { topology } of [one, two, three]) topology.setAggregator('one');
+    const findT1 = ({ targets }: typeof one) => targets.findTarget('t1');
+    findT1(one)?.startRequest();
+    findT1(one)?.heldTokens.hold({ sharedSegments: [], ownTokens: 1_000 });
+    findT1(two)?.startRequest();
+    findT1(two)?.heldTokens.hold({ sharedSegments: [], ownTokens: 10 });
+    await clock.tickAsync(1_500);
+    findT1(two)?.heldTokens.hold({ sharedSegments: [], ownTokens: 5_000 });
+    for (let ms = 0; ms < 1_000; ms += 20) {
+      await clock.tickAsync(20);
+      const tokens = findT1(two)?.reportedTokens.countTokens(0) ?? 0;
+      t.true(tokens >= 1_000, `${tokens} after ${ms} ms`);
+    }
+    t.is(findT1(two)?.reportedTokens.countTokens(0), 1_000);
+  },
+);
+
+test.serial(
+  'a report without tokens, of an older instance, leaves its requests uncounted',
+  async t => {
+    const { clock, one } = setUp(t);
+    const report = {
+      from: 'old',
+      revision: 1,
+      loads: [['t1', 0, 3, 5]],
+      placed: [],
+      read: [],
+      crashes: [],
+    };
+    await one.kernel.peerMethods.get(loadReportMethod)?.(report, 'old');
+    await clock.tickAsync(10);
+    t.is(one.targets.findTarget('t1')?.reportedTokens.countTokens(700), 2_100);
+  },
+);
--- a/packages/relay/src/peers/load-exchange.ts
+++ b/packages/relay/src/peers/load-exchange.ts
@@ -5,7 +5,7 @@
 import { Right } from 'purify-ts';
 
 import { sleep } from '@medlarlever/core';
-import type { Kernel } from '@medlarlever/core';
+import type { Kernel, Log } from '@medlarlever/core';
 
 import type { CutOffInstances } from '../forwarding/cut-off-instances.js';
 import type { StreamOrigins } from '../origins/stream-origins.js';
@@ -14,6 +14,7 @@
 import type { PromptQuarantine } from '../crashes/prompt-quarantine.js';
 import type { CrashTracker } from '../crashes/crash-tracker.js';
 import type { PrefillDemand } from '../roles/prefill-demand.js';
+import { runGuarded } from '../shared/guarded-step.js';
 import type { TargetRegistry } from '../targets/target-registry.js';
 import type { TargetLink } from '../targets/target-link.js';
 import { zeroLoad } from '../targets/target-state.js';
@@ -48,6 +49,7 @@
 export interface LoadExchangeOptions {
   /** Name of this instance. */
   readonly self: string;
+  readonly log: Log;
   readonly topology: PeerTopology;
   readonly targets: TargetRegistry;
   readonly crashes: CrashTracker;
@@ -79,6 +81,7 @@
     this.#ownLoad = new OwnLoad(options.targets);
     this.#aggregator = new LoadAggregator({
       topology: options.topology,
+      log: options.log,
       takeOwnReport: () => this.#takeOwnReport(this.#ownLoad.listLoads()),
     });
   }
@@ -104,7 +107,9 @@
     this.#hasScheduledReport = true;
     setTimeout(() => {
       this.#hasScheduledReport = false;
-      this.#sendReport();
+      this.#runGuarded(() => {
+        this.#sendReport();
+      });
     }, newWorkBatchMs);
   }
 
@@ -140,11 +145,17 @@
   async run(signal: AbortSignal): Promise<void> {
     void this.#aggregator.run(signal);
     while (await sleep(reportIntervalMs, signal)) {
-      this.#sendReport();
-      this.#applyPeerLoads();
+      this.#runGuarded(() => {
+        this.#sendReport();
+        this.#applyPeerLoads();
+      });
     }
   }
 
+  #runGuarded(step: () => void): void {
+    runGuarded(this.#options.log, 'load report', step);
+  }
+
   #sendReport(): void {
     const { topology, self } = this.#options;
     const aggregator = topology.usesAggregators
--- a/packages/relay/src/relay/send-watchdog.ts
+++ b/packages/relay/src/relay/send-watchdog.ts
@@ -104,8 +104,13 @@
   async #checkLiveness(): Promise<void> {
     const { target, checkLiveness } = this.#options;
     this.#isCheckingLiveness = true;
-    if (await checkLiveness(target)) target.recordActivity();
-    else this.#abortController.abort();
-    this.#isCheckingLiveness = false;
+    try {
+      if (await checkLiveness(target)) target.recordActivity();
+      else this.#abortController.abort();
+    } catch {
+      // A check that failed itself says nothing of the target; it is made again.
+    } finally {
+      this.#isCheckingLiveness = false;
+    }
   }
 }
--- a/packages/relay/src/targets/target-link.ts
+++ b/packages/relay/src/targets/target-link.ts
@@ -5,6 +5,8 @@
 import { sleep } from '@medlarlever/core';
 import type { Log } from '@medlarlever/core';
 
+import { runGuarded } from '../shared/guarded-step.js';
+
 import type { TargetRecord } from './target-record.js';
 import type { TargetRegistry } from './target-registry.js';
 import type { TargetState } from './target-state.js';
@@ -79,7 +81,11 @@
 
   /** Judges the link at intervals until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
-    while (await sleep(judgementIntervalMs, signal)) this.#startProbeIfDue();
+    while (await sleep(judgementIntervalMs, signal)) {
+      runGuarded(this.#options.log, 'judgement of the target link', () => {
+        this.#startProbeIfDue();
+      });
+    }
   }
 
   #startProbeIfDue(): void {
