--- a/packages/relay/src/relay/generation-runner.ts
+++ b/packages/relay/src/relay/generation-runner.ts
@@ -61,6 +61,8 @@
   #prefillCount = 0;
   /** Frees the memory of the KV cache that a prefill engine holds. */
   #endPrefillHold: () => void = () => undefined;
+  /** Frees the memory that the request takes at its decode engine. */
+  #endDecodeHold: () => void = () => undefined;
   /**
    * Called for each write of event data; the first call shows that the prefill
    * is complete.
@@ -107,6 +109,15 @@
   }
 
   override async run(): Promise<void> {
+    try {
+      await this.#run();
+    } finally {
+      this.#endPrefillHold();
+      this.#endDecodeHold();
+    }
+  }
+
+  async #run(): Promise<void> {
     const { context } = this;
     if (this.prompt.tokens > this.engineSettings.kvTokens) {
       this.failRequest(createPromptTooLargeFailure(this.engineSettings));
@@ -372,7 +383,7 @@
     const kvCacheHandle = this.#kvCacheHandle;
     const isColocated = kvCacheHandle === undefined;
     const endRequest = this.startRequest(target);
-    const endHold = this.#holdTokens(target, 'decode');
+    this.#endDecodeHold = this.#holdTokens(target, 'decode');
     if (isColocated) placement.copySource?.limiter.takePermit();
     this.recordOrigin(record);
     const endPrefill = isColocated
@@ -424,7 +435,7 @@
     watchdog?.stop();
     endPrefill();
     endRequest();
-    endHold();
+    this.#endDecodeHold();
     this.#recordEventGap(target, eventGapMeter);
     dependencies.metrics.recordSend(context.service, outcome.kind);
     if (outcome.kind === 'whole') {
--- a/packages/relay/src/room/engine-room.ts
+++ b/packages/relay/src/room/engine-room.ts
@@ -15,16 +15,14 @@
 export const turnWindowMs = 2 * maxReportLagMs;
 
 /**
- * Parts of an engine's memory that one turn is worth. With 413,721 tokens, one part
- * takes a prompt of 17,000 tokens and its answer.
+ * Most parts into which the turns divide an engine's memory. With 413,721 tokens, one
+ * part takes three prompts of 17,000 tokens.
  */
-const partsPerEngine = 8;
+const maxParts = 8;
+const minParts = 2;
 
-/**
- * Parts of an engine's memory that only instances in their turn use. Without them, the
- * first instances in turn would wait until no other instance can have sent.
- */
-const reservedParts = 1;
+/** Typical requests that fit into one part; with fewer, most would exceed their part. */
+const minRequestsPerPart = 1.5;
 
 /** Requests that all instances may place within the lag, for each one that ends. */
 const burstFactor = 3;
@@ -68,15 +66,27 @@
 const sumUsedTokens = ({ ownTokens, otherTokens }: EngineMemory): number =>
   ownTokens + otherTokens;
 
+const computePartTokens = ({
+  capacityTokens,
+  typicalTokens,
+}: RoomConditions): number => {
+  const parts = Math.floor(
+    capacityTokens / (minRequestsPerPart * Math.max(1, typicalTokens)),
+  );
+  return capacityTokens / Math.min(maxParts, Math.max(minParts, parts));
+};
+
 /** Room at the engines of one service at one moment. */
 export class EngineRoom {
   readonly #conditions: RoomConditions;
+  readonly #partTokens: number;
   readonly #open: OpenEngines;
   /** Engines that were open within the window, so that others may still send there. */
   readonly #recentlyOpen: OpenEngines;
 
   constructor(engines: readonly EngineMemory[], conditions: RoomConditions) {
     this.#conditions = conditions;
+    this.#partTokens = computePartTokens(conditions);
     this.#open = this.#findOpenEngines(engines.map(sumUsedTokens));
     this.#recentlyOpen = this.#findOpenEngines(
       engines.map(({ lowestRecentTokens }) => lowestRecentTokens),
@@ -111,12 +121,9 @@
     );
   }
 
-  get #partTokens(): number {
-    return this.#conditions.capacityTokens / partsPerEngine;
-  }
-
+  /** One part stays for instances in their turn, which would else never find room. */
   get #openCapacity(): number {
-    return this.#conditions.capacityTokens - reservedParts * this.#partTokens;
+    return this.#conditions.capacityTokens - this.#partTokens;
   }
 
   /**
