--- a/packages/core/src/peers/json-rpc-peer.ts
+++ b/packages/core/src/peers/json-rpc-peer.ts
@@ -1,5 +1,6 @@
 /** Client of a peer by JSON-RPC 2.0 over persistent HTTP connections. */
-import { JSONRPCClient } from 'json-rpc-2.0';
+import { JSONRPCClient, isJSONRPCResponse } from 'json-rpc-2.0';
+import type { JSONRPCID, JSONRPCRequest } from 'json-rpc-2.0';
 import { Left, Right } from 'purify-ts';
 import type { Either } from 'purify-ts';
 import { Pool } from 'undici';
@@ -76,8 +77,12 @@
       ...['x-instance', options.self],
     ];
     this.#pool = this.#createPool();
-    this.#client = new JSONRPCClient((payload, callOptions) =>
-      this.#postMessage(JSON.stringify(payload), callOptions.timeoutMs),
+    this.#client = new JSONRPCClient((payload: JSONRPCRequest, callOptions) =>
+      this.#postMessage(
+        JSON.stringify(payload),
+        callOptions.timeoutMs,
+        payload.id,
+      ),
     );
   }
 
@@ -122,7 +127,15 @@
     });
   }
 
-  async #postMessage(body: string, timeoutMs: number): Promise<void> {
+  /**
+   * Sends the message and takes its answer. Throws if that is not the answer to the call
+   * with the id, for which the call would wait forever; undefined for a notification.
+   */
+  async #postMessage(
+    body: string,
+    timeoutMs: number,
+    callId?: JSONRPCID,
+  ): Promise<void> {
     this.#options.onMessageSent?.(body.length);
     const pool = this.#pool;
     try {
@@ -132,10 +145,13 @@
         body,
         timeoutMs,
       });
-      if (status === 204) return;
-      if (status !== 200)
+      if (status !== 200 && status !== 204)
         throw new Error(`the peer answered with status ${status}`);
-      this.#client.receive(JSON.parse(text) as never);
+      if (callId === undefined) return;
+      const answer: unknown = JSON.parse(text);
+      if (!isJSONRPCResponse(answer) || answer.id !== callId)
+        throw new Error('the peer sent no valid answer to the call');
+      this.#client.receive(answer);
     } catch (error) {
       this.#replacePool(pool);
       throw error;
--- a/packages/core/src/shared/events.ts
+++ b/packages/core/src/shared/events.ts
@@ -342,6 +342,11 @@
     'warn',
     'The platform did not accept a call that only the leader sends.',
   ),
+  answer_gave_way: defineEvent(
+    526,
+    'warn',
+    'An answer was ended, because its caller read slowly and the buffers of the instance were full.',
+  ),
 } as const satisfies Record<string, LogEvent>;
 
 /** Name of a log event, written to the log as the field `name`. */
--- a/packages/relay/src/peers/load-aggregator.ts
+++ b/packages/relay/src/peers/load-aggregator.ts
@@ -1,5 +1,8 @@
 /** Combines the load reports of the instances of one data centre. */
 import { sleep } from '@medlarlever/core';
+import type { Log } from '@medlarlever/core';
+
+import { runGuarded } from '../shared/guarded-step.js';
 
 import type { TableConfirmation } from '../change-streams/change-stream.js';
 
@@ -26,6 +29,7 @@
 /** Dependencies of {@link LoadAggregator}. */
 export interface LoadAggregatorOptions {
   readonly topology: PeerTopology;
+  readonly log: Log;
   /** Returns this instance's own report and clears its unreported events. */
   readonly takeOwnReport: () => LoadReport;
   /** Returns which tables have been found unchanged since the last call. */
@@ -111,8 +115,11 @@
    */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      if (this.listMembers().length > 0) this.#publishReport();
-      else {
+      if (this.listMembers().length > 0) {
+        runGuarded(this.#options.log, 'combined load report', () => {
+          this.#publishReport();
+        });
+      } else {
         this.#pendingRemoteReports = [];
         await this.#waitForMember(signal);
       }
--- a/packages/relay/src/peers/load-exchange.ts
+++ b/packages/relay/src/peers/load-exchange.ts
@@ -4,7 +4,7 @@
  */
 import { Right } from 'purify-ts';
 
-import type { Kernel } from '@medlarlever/core';
+import type { Kernel, Log } from '@medlarlever/core';
 
 import type { CutOffInstances } from '../forwarding/cut-off-instances.js';
 import type { StreamOrigins } from '../origins/stream-origins.js';
@@ -13,6 +13,7 @@
 import type { PromptQuarantine } from '../crashes/prompt-quarantine.js';
 import type { CrashTracker } from '../crashes/crash-tracker.js';
 import type { PrefillDemand } from '../roles/prefill-demand.js';
+import { runGuarded } from '../shared/guarded-step.js';
 import type { TargetRegistry } from '../targets/target-registry.js';
 import type { TargetLink } from '../targets/target-link.js';
 import { zeroLoad } from '../targets/target-state.js';
@@ -52,6 +53,7 @@
 export interface LoadExchangeOptions {
   /** Name of this instance. */
   readonly self: string;
+  readonly log: Log;
   readonly topology: PeerTopology;
   readonly targets: TargetRegistry;
   readonly crashes: CrashTracker;
@@ -80,7 +82,7 @@
   readonly #peerLoads = new PeerLoads();
   readonly #aggregator: LoadAggregator;
   readonly #ownLoad: OwnLoad;
-  #lastSentLoads = '[]';
+  #lastSentLoads = '[[],[]]';
   #lastSentAtMs = 0;
   #hasScheduledReport = false;
 
@@ -89,6 +91,7 @@
     this.#ownLoad = new OwnLoad(options.targets);
     this.#aggregator = new LoadAggregator({
       topology: options.topology,
+      log: options.log,
       takeOwnReport: () => this.#takeOwnReport(this.#ownLoad.listLoads()),
       takeConfirmations: options.takeConfirmations ?? (() => []),
     });
@@ -115,7 +118,9 @@
     this.#hasScheduledReport = true;
     setTimeout(() => {
       this.#hasScheduledReport = false;
-      this.#sendReport();
+      this.#runGuarded(() => {
+        this.#sendReport();
+      });
     }, newWorkBatchMs);
   }
 
@@ -158,11 +163,17 @@
     const { activity } = this.#options.targets;
     const pauses = { activeMs: reportIntervalMs, restMs: maxReportIntervalMs };
     while (await activity.pause(pauses, signal)) {
-      this.#sendReport();
-      this.#applyPeerLoads();
+      this.#runGuarded(() => {
+        this.#sendReport();
+        this.#applyPeerLoads();
+      });
     }
   }
 
+  #runGuarded(step: () => void): void {
+    runGuarded(this.#options.log, 'load report', step);
+  }
+
   #sendReport(): void {
     const { topology, self } = this.#options;
     const aggregator = topology.usesAggregators
@@ -177,7 +188,7 @@
       topology.notifyLinked(loadReportMethod, report);
       return;
     }
-    this.#peerLoads.recordOwnReportedLoads(aggregator, loads);
+    this.#peerLoads.recordOwnReport(aggregator, report);
     topology.recordReportToAggregator(aggregator);
     topology.notifyInstance(aggregator, memberReportMethod, report);
   }
@@ -197,7 +208,10 @@
     loads: LoadReport['loads'],
     reportsToAggregator: boolean,
   ): boolean {
-    const serializedLoads = JSON.stringify(loads.map(load => load.slice(0, 3)));
+    const serializedLoads = JSON.stringify([
+      loads.map(load => load.slice(0, 3)),
+      this.#ownLoad.listHeldTokens(),
+    ]);
     const hasChanged =
       serializedLoads !== this.#lastSentLoads ||
       this.#ownLoad.hasUnreportedPrefills ||
@@ -229,6 +243,7 @@
       from: self,
       revision: getRevision(),
       loads,
+      held: this.#ownLoad.listHeldTokens(),
       placed: prefillTokenTotals,
       ...this.#ownLoad.takeUnreportedEvents(),
       limits: limits.list(),
@@ -251,7 +266,7 @@
     const { topology, demand } = this.#options;
     topology.recordReportFrom(report.from);
     demand.recordTotals(report.from, report.placed);
-    this.#peerLoads.recordLoads(report.from, report.loads);
+    this.#peerLoads.recordReport(report);
     for (const [id, , , silentMs] of report.loads) {
       targets.findTarget(id)?.recordActivity(silentMs);
     }
--- a/packages/relay/src/relay/send-watchdog.ts
+++ b/packages/relay/src/relay/send-watchdog.ts
@@ -24,6 +24,13 @@
   readonly expectedResponseMs: number;
   /** Silence after which the send is aborted even if the target is alive. */
   readonly stallTimeoutMs: number;
+  /**
+   * Longest time between whole events once the first one has arrived; undefined if
+   * `stallTimeoutMs` holds for the whole answer.
+   */
+  readonly eventStallMs?: number;
+  /** Returns true while the answer is not read, because the caller does not read. */
+  readonly isPaused?: () => boolean;
   /** Another signal that aborts the send, such as the request's deadline. */
   readonly signal: AbortSignal;
   readonly checkLiveness: LivenessCheck;
@@ -37,6 +44,7 @@
   readonly #link: LinkedAbort;
   readonly #endChecks: () => void;
   #lastActivityAtMs = performance.now();
+  #hasEvents = false;
   #isCheckingLiveness = false;
 
   constructor(options: SendWatchdogOptions) {
@@ -54,6 +62,7 @@
 
   /** Records that part of the answer has arrived. */
   recordActivity(): void {
+    this.#hasEvents = true;
     this.#lastActivityAtMs = performance.now();
   }
 
@@ -62,12 +71,18 @@
     this.#link.unlink();
   }
 
+  get #stallTimeoutMs(): number {
+    const { stallTimeoutMs, eventStallMs } = this.#options;
+    return this.#hasEvents ? (eventStallMs ?? stallTimeoutMs) : stallTimeoutMs;
+  }
+
   #checkProgress(): void {
-    const { target, expectedResponseMs, stallTimeoutMs, isCutOff } =
-      this.#options;
+    const { target, expectedResponseMs, isCutOff, isPaused } = this.#options;
+    // A target that is not read cannot show progress.
+    if (isPaused?.() === true) this.#lastActivityAtMs = performance.now();
     const silentMs = performance.now() - this.#lastActivityAtMs;
     const isLinkSilent = silentMs >= cutOffSilenceMs && isCutOff();
-    if (silentMs >= stallTimeoutMs || isLinkSilent) {
+    if (silentMs >= this.#stallTimeoutMs || isLinkSilent) {
       this.#link.abort();
       return;
     }
@@ -88,8 +103,13 @@
   async #checkLiveness(): Promise<void> {
     const { target, checkLiveness } = this.#options;
     this.#isCheckingLiveness = true;
-    if (await checkLiveness(target)) target.recordActivity();
-    else this.#link.abort();
-    this.#isCheckingLiveness = false;
+    try {
+      if (await checkLiveness(target)) target.recordActivity();
+      else this.#link.abort();
+    } catch {
+      // A check that failed itself says nothing of the target; it is made again.
+    } finally {
+      this.#isCheckingLiveness = false;
+    }
   }
 }
