Repeat no report whose acceptance is known, and skip fewer windows after a restore

A soak run with windows of 1 s showed that a holder repeated all reports of the last minute after a restore of the store and so fell behind. Reports that this process knows to be accepted now get neither a row nor a call. The first window that no earlier holder can have closed was one too high.

--- a/packages/relay/src/usage/usage-reporter.test.ts
+++ b/packages/relay/src/usage/usage-reporter.test.ts
@@ -141,6 +141,22 @@
   },
 );
 
+test.serial(
+  'only the holder shows the age of the last accepted window',
+  async t => {
+    const { clock, deployment } = setUp(t);
+    await clock.tickAsync(40_000);
+    const age = /usage_accepted_age_seconds (\d+)/;
+    const accepted = /usage_windows_total\{outcome="accepted"\} [1-9]/;
+    for (const { metricsRegistry, isHolder } of deployment.instances.values()) {
+      const text = await metricsRegistry.metrics();
+      t.is(age.test(text), isHolder);
+      t.is(accepted.test(text), isHolder);
+      t.true(Number(age.exec(text)?.[1] ?? 0) < 20);
+    }
+  },
+);
+
 test.serial(
   'windows without requests are reported empty, and no message is sent',
   async t => {
@@ -319,6 +335,10 @@
       other.faults.peers = false;
       const cutTo = getCurrentWindow();
       await clock.tickAsync(2_000);
+      const answeredCallCount = dutyInterface.calls.length;
+      const answeredWindows = dutyInterface.calls.map(
+        ({ report }) => report.window,
+      );
       dutyInterface.behavior = 'answers lost';
       await clock.tickAsync(6_000);
       deployment.table.restoreBackup(backup);
@@ -334,6 +354,14 @@
         window => window < cutFrom || window > cutTo,
       );
       t.deepEqual(wrongOutsideCut, []);
+      const laterWindows = new Set(
+        dutyInterface.calls
+          .slice(answeredCallCount)
+          .map(({ report }) => report.window),
+      );
+      // Only the process that got the answers knows that the reports were accepted.
+      if (loser === 'the holder stays')
+        t.false(answeredWindows.some(window => laterWindows.has(window)));
       t.log(`missed after the restore: ${missed.length}`);
       t.true(missed.length <= 3);
       assertSound(t, deployment);
--- a/packages/relay/src/usage/usage-reporter.ts
+++ b/packages/relay/src/usage/usage-reporter.ts
@@ -71,6 +71,8 @@
   readonly #pacing: CallPacing;
   /** Reports that this process knows to have been written, also in earlier terms. */
   readonly #knownReports = new Map<number, CustomerCounts>();
+  /** Windows of known reports that were accepted. */
+  readonly #acceptedWindows = new Set<number>();
   /** Windows recorded as late and as missed, so that each is recorded once. */
   readonly #lateWindows = new Set<number>();
   readonly #missedWindows = new Set<number>();
@@ -147,14 +149,21 @@
       rows,
       era: table.eras.currentEra,
       knownReports: this.#knownReports,
+      acceptedWindows: this.#acceptedWindows,
       acquiredAtMs: this.#acquiredAtMs,
       firstStartMs: Math.min(...startTimes),
     });
     for (const window of plan.skippedWindows)
-      this.#recordMissed(window, 'the store was restored');
+      this.#recordMissed(
+        window,
+        'the store was restored, or no holder was there',
+      );
     for (const [window, counts] of rows.reports)
       this.#knownReports.set(window, counts);
-    return new UsageTerm(rows, plan);
+    const term = new UsageTerm(rows, plan);
+    for (const window of rows.reports.keys())
+      if (this.#acceptedWindows.has(window)) term.settleWindow(window);
+    return term;
   }
 
   /** Asks for totals at the start of a term, and later if they are not sent unasked. */
@@ -187,6 +196,7 @@
     for (const window of this.#knownReports.keys()) {
       if (!isWindowGivenUp(window, timing, nowMs)) continue;
       this.#knownReports.delete(window);
+      this.#acceptedWindows.delete(window);
       this.#pacing.forgetWindow(window);
     }
     for (const recorded of [this.#lateWindows, this.#missedWindows])
@@ -257,6 +267,7 @@
       return;
     }
     term.settleWindow(window);
+    this.#acceptedWindows.add(window);
     this.#recordAccepted(window, counts);
   }
 
--- a/packages/relay/src/usage/usage-windows.ts
+++ b/packages/relay/src/usage/usage-windows.ts
@@ -20,6 +20,9 @@
 /** Difference between the clocks of two instances that is allowed for. */
 const maxClockSkewMs = 1_000;
 
+/** Windows that are recorded one by one as missed after all instances were away. */
+const maxSkippedWindows = 100;
+
 /** Windows that are written in one transaction. */
 const maxWindowsPerTransaction = 8;
 
@@ -69,6 +72,8 @@
   readonly era: number;
   /** Reports that this process knows to have been written. */
   readonly knownReports: ReadonlyMap<number, CustomerCounts>;
+  /** Known reports that were accepted, and need no row any more. */
+  readonly acceptedWindows: ReadonlySet<number>;
   /** Time at which the lease was acquired. */
   readonly acquiredAtMs: number;
   /** Time at which the first instance started, as far as known. */
@@ -80,7 +85,10 @@
   readonly state: UsageState;
   /** Reports without a row, which are written before any other report. */
   readonly lostReports: ReadonlyMap<number, CustomerCounts>;
-  /** Windows that may have been reported with counts that are lost. */
+  /**
+   * Windows that are not reported: they are too old, or may have been reported with
+   * counts that are lost.
+   */
   readonly skippedWindows: readonly number[];
 }
 
@@ -94,11 +102,17 @@
  */
 export const planTerm = (start: TermStart): TermPlan => {
   const { rows, era, timing, acquiredAtMs, knownReports } = start;
+  const { acceptedWindows } = start;
   const { windowMs } = timing;
   const firstKept = getFirstKeptWindow(timing, acquiredAtMs);
   const none = new Map<number, CustomerCounts>();
-  if (rows.state?.era === era)
-    return { state: rows.state, lostReports: none, skippedWindows: [] };
+  if (rows.state?.era === era) {
+    const { nextWindow } = rows.state;
+    const state = { era, nextWindow: Math.max(nextWindow, firstKept) };
+    const skippedFrom = Math.max(nextWindow, firstKept - maxSkippedWindows);
+    const skippedWindows = listWindows(skippedFrom, firstKept);
+    return { state, lostReports: none, skippedWindows };
+  }
   if (rows.state === undefined && era === 0) {
     const nextWindow = Math.floor(start.firstStartMs / windowMs);
     const state = { era, nextWindow: Math.max(nextWindow, firstKept) };
@@ -106,10 +120,13 @@
   }
   const lostReports = new Map(
     [...knownReports].filter(
-      ([window]) => window >= firstKept && !rows.reports.has(window),
+      ([window]) =>
+        window >= firstKept &&
+        !acceptedWindows.has(window) &&
+        !rows.reports.has(window),
     ),
   );
-  const firstUnclosed = Math.ceil(
+  const firstUnclosed = Math.floor(
     (acquiredAtMs - closeDelayMs + maxClockSkewMs) / windowMs,
   );
   const afterKnown = Math.max(...knownReports.keys(), -Infinity) + 1;
