Play customers' keys in the soak and hand requests over from the known address

Cause: nothing played keys against processes under faults. A request with a customer is taken only from the address of a known instance, so it must leave from that address on machines with several.

The soak's callers carry keys of three customers, a fault replaces keys, and two checks look for a wrong customer or a key at a target and for withdrawn keys that run late; 401 for a valid key counts as before as a refusal of a valid request.

--- a/packages/relay/src/forwarding/http-request-forwarder.ts
+++ b/packages/relay/src/forwarding/http-request-forwarder.ts
@@ -1,4 +1,6 @@
 /** Forwards requests over HTTP/1.1 to the peer interfaces of other instances. */
+import { isIP } from 'node:net';
+
 import type { InstanceRegistry } from '@medlarlever/core';
 import { Pool } from 'undici';
 
@@ -92,21 +94,35 @@
       }));
   }
 
-  #getPool(address: string): Pool {
-    const existing = this.#poolsByAddress.get(address);
+  /**
+   * Returns the connections for requests with or without a customer. Those with one leave
+   * from the address by which other instances know this one, as they take no others.
+   */
+  #getPool(address: string, hasCustomer: boolean): Pool {
+    const key = `${address} ${String(hasCustomer)}`;
+    const existing = this.#poolsByAddress.get(key);
     if (existing !== undefined) return existing;
+    const localAddress = hasCustomer ? this.#findOwnHost() : undefined;
     const pool = new Pool(`http://${address}`, {
       connect: { timeout: connectTimeoutMs, noDelay: true },
+      ...(localAddress !== undefined && { localAddress }),
       connections: maxConnections,
       pipelining: 1,
       keepAliveTimeout: idleTimeoutMs,
       headersTimeout: 0,
       bodyTimeout: 0,
     });
-    this.#poolsByAddress.set(address, pool);
+    this.#poolsByAddress.set(key, pool);
     return pool;
   }
 
+  /** Host of this instance's peer address; undefined if it is no IP address. */
+  #findOwnHost(): string | undefined {
+    const { address } = this.options.registry.self;
+    const host = address.slice(0, address.lastIndexOf(':'));
+    return isIP(host) === 0 ? undefined : host;
+  }
+
   /** Sends the request once; never rejects. */
   #send(
     address: string,
@@ -122,10 +138,10 @@
       'content-type': 'application/json',
       'x-instance': this.options.registry.self.name,
     };
-    const path =
-      request.customer === undefined ? forwardPath : customerForwardPath;
+    const hasCustomer = request.customer !== undefined;
+    const path = hasCustomer ? customerForwardPath : forwardPath;
     return new Promise(onEnd => {
-      this.#getPool(address).dispatch(
+      this.#getPool(address, hasCustomer).dispatch(
         { method: 'POST', path, headers, body },
         new ForwardExchange({ sink, signal, onEnd }),
       );
--- a/packages/relay/src/forwarding/request-forwarding.test.ts
+++ b/packages/relay/src/forwarding/request-forwarding.test.ts
@@ -17,8 +17,10 @@
 } from '../fixtures/fake-target-client.js';
 import { FakeDeployment } from '../fixtures/fake-topology.js';
 import { createRequest } from '../fixtures/relay-fixtures.js';
+import type { CallerSink } from '../relay/response-sinks.js';
 import type { Route } from '../routes/route-configuration.js';
 
+import { HttpRequestForwarder } from './http-request-forwarder.js';
 import { chooseNeighbor } from './neighbor-selection.js';
 
 const startInstances = async (
@@ -95,6 +97,60 @@
   t.is(other.client.sends.length, 1);
 });
 
+test('a request with a customer leaves from the address by which instances know the sender', async t => {
+  const origins: string[] = [];
+  const server = createServer((message, response) => {
+    origins.push(`${message.url ?? ''} ${message.socket.remoteAddress ?? ''}`);
+    response.end();
+  });
+  await new Promise<void>(resolve => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  const createRecord = (name: string, address: string) => ({
+    name,
+    dataCenter: 'a',
+    incarnation: name,
+    address,
+    state: 'live' as const,
+    revision: 0,
+    startedAtMs: 0,
+    version: 0,
+    lastSeenMs: 0,
+  });
+  const forwarder = new HttpRequestForwarder({
+    registry: {
+      self: createRecord('self', '127.0.0.9:7000'),
+      listInstances: () => [createRecord('other', `127.0.0.1:${port}`)],
+    },
+    isCutOff: () => false,
+    random: () => 0.5,
+  });
+  t.teardown(async () => {
+    await forwarder.close();
+    server.close();
+  });
+  const sink = {
+    onHead: () => false,
+    lastEventId: undefined,
+  } as unknown as CallerSink;
+  for (const customer of [undefined, 'first'])
+    await forwarder.forward(
+      createRequest({ customer }),
+      {
+        remainingMs: 1_000,
+        lastEventId: undefined,
+        excluded: new Set(),
+        signal: new AbortController().signal,
+      },
+      sink,
+    );
+  t.deepEqual(origins, [
+    '/forwarded-requests 127.0.0.1',
+    '/forwarded-customer-requests 127.0.0.9',
+  ]);
+});
+
 test('a request from a sender that is no known instance is refused', async t => {
   const deployment = new FakeDeployment();
   const names = ['cut', 'other'];
--- a/packages/soak/src/checks/answer-checks.ts
+++ b/packages/soak/src/checks/answer-checks.ts
@@ -136,6 +136,12 @@
   });
 };
 
+const unauthenticatedStatus = 401;
+
+/** True if the key of the request was withdrawn before its end. */
+const hasWithdrawnKey = ({ usedKey, endedAtMs = Infinity }: Attempt): boolean =>
+  usedKey !== undefined && usedKey.toMs <= endedAtMs;
+
 /**
  * Checks that valid requests get no 3xx or 4xx status that reports an invalid
  * request.
@@ -147,6 +153,7 @@
     const isRejected =
       status >= 300 && status < 500 && !refusalStatuses.has(status);
     if (!isRejected || !isInstanceAnswer(attempt)) return [];
+    if (status === unauthenticatedStatus && hasWithdrawnKey(attempt)) return [];
     const seen = `${id} ${path} got status ${status} from ${attempt.instance}`;
     return [{ promise: 'no valid request is rejected as invalid', seen }];
   });
--- a/packages/soak/src/checks/run-checks.test.ts
+++ b/packages/soak/src/checks/run-checks.test.ts
@@ -145,6 +145,45 @@
   ]);
 });
 
+const createKey = (toMs: number) => ({
+  key: 'k',
+  customer: 'c',
+  fromMs: 0,
+  toMs,
+});
+
+test('a wrong customer or a key at a target is a violation', t => {
+  const attempts = [createAttempt('a', { usedKey: createKey(Infinity) })];
+  const arrive = (change: Partial<Arrival>) =>
+    listBrokenPromises({ attempts, arrivals: [createArrival('a', change)] });
+  t.deepEqual(arrive({ customer: 'c' }), []);
+  const promise = "targets get the caller's customer and no key";
+  t.deepEqual(arrive({ customer: 'd' }), [promise]);
+  t.deepEqual(arrive({ customer: '' }), [promise]);
+  t.deepEqual(arrive({ customer: 'c', key: 'k' }), [promise]);
+});
+
+test('a request that runs with a key withdrawn too long ago is a violation', t => {
+  const arrivals = [createArrival('a', { customer: 'c' })];
+  const run = (toMs: number) =>
+    listBrokenPromises({
+      attempts: [createAttempt('a', { usedKey: createKey(toMs) })],
+      arrivals,
+    });
+  t.deepEqual(run(100_000 - 3_000), []);
+  t.deepEqual(run(100_000 - 3_001), ['a withdrawn key ends in time']);
+});
+
+test('401 is a violation unless the key was withdrawn before the answer', t => {
+  const run = (toMs: number) => {
+    const end = { ...completeEnd, status: 401, seal: '' };
+    const refused = createAttempt('b', { usedKey: createKey(toMs), end });
+    return listBrokenPromises({ attempts: [createAttempt('a'), refused] });
+  };
+  t.deepEqual(run(100_050), []);
+  t.deepEqual(run(Infinity), ['no valid request is rejected as invalid']);
+});
+
 test('repeated stream events and an incomplete successful stream are violations', t => {
   const createEvent = (n: number) => `id: ${n}\ndata: a ${n}\n\n`;
   const attempt = (body: string, whole: boolean) =>
--- a/packages/soak/src/checks/run-checks.ts
+++ b/packages/soak/src/checks/run-checks.ts
@@ -15,6 +15,7 @@
 } from './announcement-checks.js';
 import { checkCrashingParts, checkSoundPrompts } from './crash-checks.js';
 import { checkTargetCuts } from './cut-checks.js';
+import { checkCustomerNames, checkWithdrawnKeys } from './key-checks.js';
 import { checkRequestLimits } from './limit-checks.js';
 import type { Check, Violation } from './check.js';
 import {
@@ -43,6 +44,8 @@
   checkExecutionCounts,
   checkRefusedRequests,
   checkValidRequestsAccepted,
+  checkCustomerNames,
+  checkWithdrawnKeys,
   checkLeavingTargets,
   checkAnnouncedDepartures,
   checkPauses,
--- a/packages/soak/src/faults/fault-plan.ts
+++ b/packages/soak/src/faults/fault-plan.ts
@@ -4,7 +4,7 @@
  */
 import { SeededRandom } from '../shared/seeded-random.js';
 
-import { RouteChange } from './configuration-faults.js';
+import { KeyChange, RouteChange } from './configuration-faults.js';
 import { CrashingPart } from './crashing-part.js';
 import type { Fault } from './fault.js';
 import {
@@ -66,6 +66,7 @@
   new CrashingPart(),
   new TargetCut(),
   new RouteChange(),
+  new KeyChange(),
 ];
 
 /** Time of the first fault, in milliseconds since the start of the plan. */
@@ -95,6 +96,7 @@
   new TargetReplacement(),
   new DepartureByResponse(),
   new RouteChange(),
+  new KeyChange(),
 ];
 
 /** Returns the faults of a period of `faultPeriodMs` milliseconds. */
--- a/packages/soak/src/processes/instance-process.ts
+++ b/packages/soak/src/processes/instance-process.ts
@@ -52,6 +52,8 @@
   readonly store: FakeStore;
   readonly graceS: number;
   readonly retryAllowance: number;
+  /** Longest time for which a withdrawn key may still be used. */
+  readonly maxKeyDelayMs: number;
 }
 
 /** Path of the bundle that is deployed to production. */
--- a/packages/soak/src/run/caller.ts
+++ b/packages/soak/src/run/caller.ts
@@ -11,6 +11,7 @@
 import type { InstanceProcess } from '../processes/instance-process.js';
 import type { SeededRandom } from '../shared/seeded-random.js';
 
+import type { KeyPeriod } from './customer-keys.js';
 import { listEventVersions } from './event-versions.js';
 import type { Attempt, RequestKind } from './run-record.js';
 import {
@@ -87,6 +88,8 @@
   readonly instances: readonly InstanceProcess[];
   readonly random: SeededRandom;
   readonly attempts: Attempt[];
+  /** Picks the key of a request. */
+  readonly pickKey: (random: SeededRandom) => KeyPeriod;
   /** Counts the decode engines of a software version that serve. */
   readonly countServing: (softwareVersion: string) => number;
   /** Returns the part of prompts that crashes engines at present, if there is one. */
@@ -161,6 +164,7 @@
         tokens: i < length - 1 ? sharedPrefixTokens : uniqueSuffixTokens,
       })),
       deadlineMs: requestTimeoutMs,
+      key: attempt.usedKey?.key,
       resumption: attempt.resumption,
     } as const;
     attempt.end = await sendAttempt(
@@ -192,6 +196,7 @@
         `${usesMovingRoute ? movingRoutePrefix : routePrefixes[kind]}${lastSegment}`,
       body: kind === 'idempotent' ? '' : `body of ${id}`,
       promptParts: kind === 'stream' ? this.#createPromptParts(id) : [],
+      usedKey: this.options.pickKey(random),
       instance: this.#instance.name,
       life: this.#instance.startCount,
       lifeStartedAtMs: this.#instance.startedAtMs,
--- a/packages/soak/src/run/configuration.ts
+++ b/packages/soak/src/run/configuration.ts
@@ -2,7 +2,10 @@
  * Routes and services of the soak test, in the format of the platform's
  * configuration.
  */
-import { createOperatorConfiguration } from '@medlarlever/platform/stand-ins';
+import {
+  createOperatorConfiguration,
+  createTenants,
+} from '@medlarlever/platform/stand-ins';
 
 import type { RequestKind } from './run-record.js';
 
@@ -11,6 +14,8 @@
 
 /** Timeout of every route, and the deadline that callers send. */
 export const requestTimeoutMs = 2_500;
+/** Longest time for which a withdrawn key may still be used. */
+export const maxKeyDelayMs = 3_000;
 /** Attempts that idempotent and stream routes allow for each request. */
 export const maxAttempts = 2;
 
@@ -72,9 +77,13 @@
 
 /**
  * Creates the operator's configuration, in which the moving route leads to
- * `movingService`.
+ * `movingService` and the customers have the keys.
  */
-export const createConfiguration = (version: number, movingService: string) => {
+export const createConfiguration = (
+  version: number,
+  movingService: string,
+  keysByCustomer: Readonly<Record<string, readonly string[]>>,
+) => {
   const template = createOperatorConfiguration(version);
   const [plainService, engineService] = template.services;
   const apiService = { ...plainService, name: 'api' };
@@ -84,6 +93,7 @@
   }));
   return {
     ...template,
+    tenants: createTenants(keysByCustomer),
     routes: [
       createRoute('idempotent', routePrefixes.idempotent, 'api', 1),
       createRoute('non_idempotent', routePrefixes.non_idempotent, 'api', 2),
--- a/packages/soak/src/run/run-record.ts
+++ b/packages/soak/src/run/run-record.ts
@@ -14,6 +14,7 @@
 
 import type { InstanceExit } from '../processes/instance-process.js';
 
+import type { KeyPeriod } from './customer-keys.js';
 import type { FaultLog } from './fault-log.js';
 
 /** How a request may be repeated: freely, never, or by resuming its stream. */
@@ -34,6 +35,8 @@
   readonly sentAtMs: number;
   /** Ids of the parts of the prompt; empty if the request has none. */
   readonly promptParts: readonly string[];
+  /** Key that the request carries; undefined without one. */
+  readonly usedKey?: KeyPeriod;
   /** The stream that the caller takes up again; undefined for a new request. */
   readonly resumption?: StreamResumption;
   /** Decode engines of the stream's software version that served then. */
--- a/packages/soak/src/run/soak-run.ts
+++ b/packages/soak/src/run/soak-run.ts
@@ -10,6 +10,7 @@
 import type { PlannedFault } from '../faults/fault-plan.js';
 
 import { Caller } from './caller.js';
+import { CustomerKeys } from './customer-keys.js';
 import { FaultLog } from './fault-log.js';
 import type {
   Attempt,
@@ -20,6 +21,7 @@
 } from './run-record.js';
 import {
   createConfiguration,
+  maxKeyDelayMs,
   shutdownGraceSeconds,
   movingServices,
   retryAllowance,
@@ -55,6 +57,7 @@
   readonly faultLog = new FaultLog();
   readonly instances: InstanceProcess[] = [];
   readonly targetFleet: TargetFleet;
+  readonly customerKeys = new CustomerKeys();
   readonly #stopController = new AbortController();
   readonly #reservedInstances = new Set<InstanceProcess>();
   readonly #attempts: Attempt[] = [];
@@ -127,8 +130,27 @@
    * service.
    */
   switchMovingRoute(): void {
+    const current = this.#configurations.at(-1)?.service;
+    const other = movingServices.find(name => name !== current);
+    this.#changeConfiguration(other ?? '');
+  }
+
+  /** Gives the customer one more key. */
+  addKey(customer: string): void {
+    this.customerKeys.addKey(customer);
+    this.#changeConfiguration();
+  }
+
+  /** Withdraws the customer's oldest key, unless it is the only one. */
+  withdrawKey(customer: string): void {
+    this.customerKeys.withdrawOldest(customer);
+    this.#changeConfiguration();
+  }
+
+  #changeConfiguration(
+    service = this.#configurations.at(-1)?.service ?? '',
+  ): void {
     const version = (this.#configurations.at(-1)?.version ?? 0) + 1;
-    const service = movingServices[version % movingServices.length] ?? '';
     const atMs = performance.now();
     this.#configurations.push({ version, service, atMs });
     this.#writeConfiguration();
@@ -181,7 +203,12 @@
     const newest = this.#configurations.at(-1);
     if (newest === undefined) return;
     const { version, service } = newest;
-    this.store.putRow('op', 'config', createConfiguration(version, service));
+    const keys = this.customerKeys.listKeys();
+    this.store.putRow(
+      'op',
+      'config',
+      createConfiguration(version, service, keys),
+    );
   }
 
   /**
@@ -199,6 +226,7 @@
         instances,
         random,
         attempts,
+        pickKey: source => this.customerKeys.pickKey(source),
         countServing: version => this.targetFleet.countServing(version),
         getCrashingPart: () => this.crashingPart,
       });
@@ -232,6 +260,7 @@
         folder: this.options.folder,
         store: this.store,
         graceS: shutdownGraceSeconds,
+        maxKeyDelayMs,
         retryAllowance,
       });
       this.instances.push(instance);
