Read the store out of turn when the others do not vouch in time

Cause: an aggregator's answers may be a second old, so with short delays of a withdrawal a member would refuse known keys while the store is in reach.

--- a/packages/relay/src/customers/app.ts
+++ b/packages/relay/src/customers/app.ts
@@ -121,6 +121,9 @@
           routes: resolver.get(routesToken),
           eras: resolver.get(tableToken).eras,
           getMaxDelayMs: () => getMaxDelayMs(resolver),
+          requestRead: () => {
+            void resolver.get(configurationReaderToken).requestRead();
+          },
           choosePeers: excluded => choosePeers(resolver, excluded),
           random: resolver.get(randomToken),
         }),
--- a/packages/relay/src/customers/freshness-exchange.test.ts
+++ b/packages/relay/src/customers/freshness-exchange.test.ts
@@ -62,11 +62,15 @@
     getProbationMs: () => maxDelayMs,
     isFirstStart: false,
   });
+  const readRequests: number[] = [];
   const exchange = new FreshnessExchange({
     freshness,
     routes,
     eras,
     getMaxDelayMs: () => maxDelayMs,
+    requestRead: () => {
+      readRequests.push(performance.now());
+    },
     choosePeers: excluded => peers.filter(({ name }) => !excluded.has(name)),
     random: () => 0.5,
   });
@@ -77,7 +81,7 @@
     const read = { sentAt: now, era, tableVersion: 1, rowVersion: 1 };
     freshness.recordRead(read, now);
   };
-  return { routes, eras, freshness, exchange, kernel, read };
+  return { routes, eras, freshness, exchange, kernel, read, readRequests };
 };
 
 const setUp = (
@@ -114,6 +118,7 @@
         t.true(instance.freshness.getAgeMs(readClocks()) < 0.8 * maxDelayMs);
     }
     t.true(peer.callCount < 20, `${peer.callCount} calls in 10 s`);
+    t.deepEqual(instance.readRequests, [0], 'the answers make reads needless');
   },
 );
 
@@ -134,6 +139,7 @@
     other.read();
     await clock.tickAsync(3_000);
     t.true(instance.freshness.getAgeMs(readClocks()) >= 3_000 - delayMs);
+    t.true(instance.readRequests.length >= 3, 'the store is tried again');
   },
 );
 
--- a/packages/relay/src/customers/freshness-exchange.ts
+++ b/packages/relay/src/customers/freshness-exchange.ts
@@ -27,6 +27,12 @@
 const maxAskAgeShare = 0.5;
 const maxAskIntervalShare = 0.2;
 
+/**
+ * Share of the longest delay of a withdrawal from which the instance also reads the store
+ * itself: the others are slow, or do not know enough either.
+ */
+const ownReadAgeShare = 0.6;
+
 /** An older instance that does not know the method is not asked again for this long. */
 const unknownMethodPauseMs = 30_000;
 const methodNotFoundCode = -32_601;
@@ -53,6 +59,8 @@
   readonly getMaxDelayMs: () => number | undefined;
   /** Chooses the instances to ask, without the excluded ones. */
   readonly choosePeers: (excluded: ReadonlySet<string>) => readonly Peer[];
+  /** Reads the store out of turn. */
+  readonly requestRead: () => void;
   readonly random: () => number;
 }
 
@@ -85,7 +93,10 @@
       if (waitMs === undefined) await this.#waitUntilNeeded(signal);
       else if (waitMs > 0)
         await sleep(addJitter(waitMs, this.options.random, 0.1), signal);
-      else await this.#ask();
+      else {
+        if (this.#isMuchTooOld()) this.options.requestRead();
+        await this.#ask();
+      }
     }
   }
 
@@ -95,6 +106,12 @@
     if (waitMs !== undefined && waitMs <= 0) void this.#ask();
   }
 
+  #isMuchTooOld(): boolean {
+    const { freshness, getMaxDelayMs } = this.options;
+    const maxAgeMs = (getMaxDelayMs() ?? Infinity) * ownReadAgeShare;
+    return freshness.getAgeMs(readClocks()) > maxAgeMs;
+  }
+
   /** Time until the next question; undefined while none is needed. */
   #getWaitMs(): number | undefined {
     const pauseMs = this.#getPauseMs();
