--- a/packages/soak/src/processes/instance-process.ts
+++ b/packages/soak/src/processes/instance-process.ts
@@ -54,6 +54,8 @@
   readonly dutyAddress: string;
   readonly graceS: number;
   readonly retryAllowance: number;
+  /** Longest time for which a withdrawn key may still be used. */
+  readonly maxKeyDelayMs: number;
 }
 
 /** Path of the bundle that is deployed to production. */
