Order more although many instances were replaced

Instances that ended for good stay known as suspected. Half of them would have paused all orders for ever. After a minute they pause only the giving back, since they may be cut off and have callers, and after ten minutes nothing.

--- a/packages/relay/src/scaling/scaling-policy.test.ts
+++ b/packages/relay/src/scaling/scaling-policy.test.ts
@@ -250,6 +250,13 @@
   t.is(replay.countOpen(), open);
 });
 
+test('while most instances have long been out of reach, more is ordered but nothing given back', t => {
+  const replay = createReplay({ isDemandPartial: () => true });
+  const orders = replay.runUntil(60_000);
+  t.true(orders.length > 0);
+  t.true(orders.every(({ before, desired }) => desired > before));
+});
+
 test('a policy that got no view for 2 s watches again before it orders', t => {
   const policy = new ScalingPolicy('engines');
   const createView = (nowMs: number, tokensPerSecond: number) => ({
@@ -269,6 +276,7 @@
       runningRequests: 1,
     })),
     waitingTokens: 0,
+    isDemandPartial: false,
     obstacle: undefined,
   });
   for (let nowMs = 0; nowMs < 4_000; nowMs += 500)
--- a/packages/relay/src/scaling/scaling-policy.ts
+++ b/packages/relay/src/scaling/scaling-policy.ts
@@ -270,6 +270,7 @@
     const sinceChangeMs = nowMs - this.#standing.changedAtMs;
     const waitingMs = view.waitingTokens / capacity.prefillTokensPerMs;
     if (
+      view.isDemandPartial ||
       this.#history.getDurationMs(nowMs) < onDemandWindowMs ||
       sinceChangeMs < settlingStartups * settings.startupMs ||
       waitingMs > longWaitMs
--- a/packages/relay/src/scaling/scaling-view-builder.ts
+++ b/packages/relay/src/scaling/scaling-view-builder.ts
@@ -22,6 +22,15 @@
 /** Time after a restore of the store in which targets register again. */
 const restoreSettlingMs = 2 * registrationGraceMs;
 
+/**
+ * Time after which instances out of reach no longer keep targets from being ordered:
+ * those that were replaced stay known, and callers must not wait for them.
+ */
+const unreachedPauseMs = 60_000;
+
+/** Time after which an instance out of reach is held to have ended for good. */
+const endedAfterMs = 600_000;
+
 /** Parts that the view is taken from. */
 export interface ScalingViewBuilderOptions {
   readonly targets: TargetRegistry;
@@ -59,6 +68,7 @@
       capacity: this.#measureCapacity(service, openTargets),
       dataCenters: this.#buildDataCenters(service, targets),
       waitingTokens: this.#countWaitingTokens(service, openTargets),
+      isDemandPartial: this.#isMostOutOfReach(endedAfterMs),
       obstacle: this.#findObstacle(),
     };
   }
@@ -142,14 +152,21 @@
     const sinceRestoreMs = performance.now() - eras.sinceMs;
     if (eras.changeCount > 0 && sinceRestoreMs < restoreSettlingMs)
       return 'the store was restored';
-    const others = this.#options.instances
-      .listInstances()
-      .filter(({ state }) => state !== 'leaving');
-    const suspected = others.filter(({ state }) => state === 'suspected');
-    return 2 * suspected.length >= others.length && suspected.length > 0
+    return this.#isMostOutOfReach(unreachedPauseMs)
       ? 'most instances are out of reach'
       : undefined;
   }
+
+  /** Counts the instances out of reach that were heard of in the last `windowMs`. */
+  #isMostOutOfReach(windowMs: number): boolean {
+    const instances = this.#options.instances.listInstances();
+    const live = instances.filter(({ state }) => state === 'live');
+    const unreached = instances.filter(
+      ({ state, lastSeenMs }) =>
+        state === 'suspected' && Date.now() - lastSeenMs < windowMs,
+    );
+    return unreached.length > 0 && unreached.length >= live.length;
+  }
 }
 
 const countTargets = (
--- a/packages/relay/src/scaling/scaling-view.ts
+++ b/packages/relay/src/scaling/scaling-view.ts
@@ -44,6 +44,8 @@
   readonly dataCenters: readonly DataCenterView[];
   /** Prompt tokens that wait behind the prompt that each prefill engine computes. */
   readonly waitingTokens: number;
+  /** True if most instances have long been out of reach, and may have callers. */
+  readonly isDemandPartial: boolean;
   /** Why the view is too incomplete to order by; undefined if it is not. */
   readonly obstacle: string | undefined;
 }
