Order on-demand engines only where prompts wait, and measure what an engine takes

A part of each prefill does not depend on its size, so the plain average of tokens a millisecond was less than half of what an engine takes.

--- a/packages/relay/src/scaling/scaling-policy.test.ts
+++ b/packages/relay/src/scaling/scaling-policy.test.ts
@@ -285,6 +285,19 @@
   t.deepEqual(policy.decide(createView(8_500, 200_000)).orders, []);
 });
 
+test('cold caches at the start, whose peak is over before an engine starts, order no on-demand engines', t => {
+  const replay = createReplay({
+    onDemand: { a: 11, b: 11, c: 10, d: 10 },
+    getLoad: nowMs => createLoad(nowMs < 6_000 ? 1_100 : 210),
+  });
+  const orders = replay.runUntil(60_000);
+  const added = orders.filter(
+    ({ isSpot, reason }) => !isSpot && reason === 'need',
+  );
+  t.deepEqual(added, []);
+  t.is(replay.countOpen(undefined, false), 0);
+});
+
 test('with one data centre spot targets replace none, as all may be lost at once', t => {
   const replay = createReplay({
     settings: { ...settings, prices: { a: 1 } },
--- a/packages/relay/src/scaling/scaling-policy.ts
+++ b/packages/relay/src/scaling/scaling-policy.ts
@@ -52,12 +52,23 @@
 /** Spot targets above the need that are kept, so that small changes order nothing. */
 const spareSpotCount = 1;
 
-/** Time of waiting prompts above which nothing is given back. */
+/**
+ * Mean wait at the engines above which nothing is given back, and below which no on-demand
+ * targets are ordered: a forecast alone is worth only the cheaper kind.
+ */
 const longWaitMs = 100;
 
+/** With fewer data centres that have spot targets, all of them may be lost at once. */
+const minSpotDataCenters = 2;
+
+/** Share of the engines that prefill, for the mean wait at them. */
+const prefillShare = 0.4;
+
 /** Pause after the platform answered that it got too many calls. */
 const rateLimitPauseMs = 1_000;
 
+const spotOnly: readonly TargetKind[] = ['spot'];
+
 /** What to order now. */
 export interface ScalingDecision {
   readonly orders: readonly ScalingOrder[];
@@ -238,8 +249,9 @@
     const isEnough =
       countSurvivingTargets(this.#countOpen(view)) >= options.need;
     const reason = isEnough ? 'price' : 'need';
+    const kinds = this.#mayAddOnDemand(view, options) ? targetKinds : spotOnly;
     return options.dataCenters.flatMap(({ name }) =>
-      targetKinds.flatMap((kind): OrderChange[] => {
+      kinds.flatMap((kind): OrderChange[] => {
         const desired = getCounts(plan, name)[kind];
         const before = this.#standing.getDesired(name, kind);
         if (desired <= before) return [];
@@ -248,6 +260,24 @@
     );
   }
 
+  /**
+   * Caches are cold at the start of a day and after a loss, which shows as a peak of
+   * prompt tokens that is over before an ordered engine serves. While spot targets can be
+   * had, only prompts that wait call for dearer ones.
+   */
+  #mayAddOnDemand(view: ScalingView, options: CapacityPlanOptions): boolean {
+    const spotCount = options.dataCenters.filter(
+      ({ name, max }) =>
+        max > 0 && !this.#standing.isRefused(name, 'spot', view.nowMs),
+    ).length;
+    return (
+      !view.capacity.isEngine ||
+      spotCount < minSpotDataCenters ||
+      countOpenTargets(view) === 0 ||
+      estimateWaitMs(view) > longWaitMs
+    );
+  }
+
   #fillFromSpot(options: CapacityPlanOptions): CountsByDataCenter {
     const start = new Map(
       options.dataCenters.map(({ name, max }) => [
@@ -291,6 +321,14 @@
     return this.#toReductions(spot.slice(0, -spareSpotCount), 'spot', open);
   }
 
+  /** False just after the start of a deployment, before its callers have come. */
+  #hasSeenDemand(nowMs: number): boolean {
+    return (
+      this.#history.getDurationMs(nowMs) > spotWindowMs ||
+      this.#history.getPeak(nowMs, spotWindowMs).tokensPerSecond > 0
+    );
+  }
+
   /** Targets that are both open and ordered. */
   #countOpen({ dataCenters }: ScalingView): CountsByDataCenter {
     return new Map(
@@ -335,3 +373,15 @@
     };
   }
 }
+
+const countOpenTargets = ({ dataCenters }: ScalingView): number =>
+  dataCenters.reduce(
+    (sum, { onDemand, spot }) => sum + onDemand.open + spot.open,
+    0,
+  );
+
+/** Mean time for which a prompt waits at the engines that prefill. */
+const estimateWaitMs = (view: ScalingView): number => {
+  const engines = Math.max(1, prefillShare * countOpenTargets(view));
+  return view.waitingTokens / view.capacity.prefillTokensPerMs / engines;
+};
--- a/packages/relay/src/scaling/scaling-view-builder.ts
+++ b/packages/relay/src/scaling/scaling-view-builder.ts
@@ -84,7 +84,7 @@
       (engine?.kvTokens ?? Infinity) / Math.max(1, tokensPerRequest);
     return {
       isEngine: engine !== undefined,
-      prefillTokensPerMs: state.prefillSpeed.tokensPerMs,
+      prefillTokensPerMs: state.prefillSpeed.throughputTokensPerMs,
       requestsPerTarget: Math.max(
         1,
         Math.floor(Math.min(slots, requestsInMemory)),
