--- a/packages/relay/src/relay/event-stall.ts
+++ b/packages/relay/src/relay/event-stall.ts
@@ -7,17 +7,21 @@
  */
 export const minStreamStallTimeoutMs = 1_600;
 
+/** Gaps without an event after which a stream is moved to another target. */
+const maxGapsBeforeMove = 4;
+
 /**
- * Gaps that a stream may take for one event. Engines that decode full batches take
- * several times the gap that the route aims for, and are sound.
+ * Gaps without an event after which a stream that cannot be moved is ended. Engines with
+ * full batches may take several gaps for one event, and the answer would be lost.
  */
-const maxGapsPerEvent = 10;
+const maxGapsBeforeEnd = 10;
 
 /** Returns the time; undefined if the route states no gap between events. */
-export const computeEventStallMs = ({
-  kind,
-  eventGapMs,
-}: Route): number | undefined =>
-  kind !== 'stream' || eventGapMs === undefined
-    ? undefined
-    : Math.max(minStreamStallTimeoutMs, maxGapsPerEvent * eventGapMs);
+export const computeEventStallMs = (
+  { kind, eventGapMs }: Route,
+  canMove: boolean,
+): number | undefined => {
+  if (kind !== 'stream' || eventGapMs === undefined) return undefined;
+  const maxGaps = canMove ? maxGapsBeforeMove : maxGapsBeforeEnd;
+  return Math.max(minStreamStallTimeoutMs, maxGaps * eventGapMs);
+};
--- a/packages/relay/src/relay/generation-runner.ts
+++ b/packages/relay/src/relay/generation-runner.ts
@@ -477,7 +477,7 @@
       target,
       expectedResponseMs,
       stallTimeoutMs,
-      eventStallMs: computeEventStallMs(this.context.route),
+      eventStallMs: computeEventStallMs(this.context.route, true),
       isPaused: () => this.answerBuffer.isPaused,
       signal,
       checkLiveness,
--- a/packages/relay/src/relay/request-runner.ts
+++ b/packages/relay/src/relay/request-runner.ts
@@ -162,7 +162,7 @@
    * if its route states no gap between events.
    */
   protected createEventWatchdog(target: TargetState): SendWatchdog | undefined {
-    const eventStallMs = computeEventStallMs(this.context.route);
+    const eventStallMs = computeEventStallMs(this.context.route, false);
     if (eventStallMs === undefined) return undefined;
     return new SendWatchdog({
       target,
--- a/packages/relay/src/requests/relay-request.ts
+++ b/packages/relay/src/requests/relay-request.ts
@@ -73,9 +73,7 @@
   /** Returns false when the write buffer is full; see `waitForDrain`. */
   abstract write(chunk: Buffer): boolean;
   /** Bytes that were written and not yet taken by the connection. */
-  get bufferedBytes(): number {
-    return 0;
-  }
+  abstract readonly bufferedBytes: number;
   /** Resolves when the write buffer is drained or the caller has disconnected. */
   abstract waitForDrain(): Promise<void>;
   /** Ends a complete answer. */
