--- a/packages/relay/src/change-streams/table-watcher.ts
+++ b/packages/relay/src/change-streams/table-watcher.ts
@@ -57,6 +57,8 @@
   /** Version of each row, in `#era`. */
   readonly #versionsByKey = new Map<string, number>();
   readonly #removedKeys = new Set<string>();
+  /** Keys of rows whose latest change failed to apply. */
+  readonly #unappliedKeys = new Set<string>();
   /** Era of the last snapshot. */
   #era: number | undefined;
   /** Undefined while the table must be read as a whole. */
@@ -91,6 +93,11 @@
     return this.#lastPosition;
   }
 
+  /** False while a row that was read is not in force, because applying it failed. */
+  get isApplied(): boolean {
+    return this.#unappliedKeys.size === 0;
+  }
+
   /** Returns true if the row exists as of the most recently read changes. */
   hasRow(key: string): boolean {
     return this.#versionsByKey.has(key) && !this.#removedKeys.has(key);
@@ -174,6 +181,7 @@
     this.#era = era;
     this.#versionsByKey.clear();
     this.#removedKeys.clear();
+    this.#unappliedKeys.clear();
     return !isFirstEra;
   }
 
@@ -192,9 +200,11 @@
     if (row.value === undefined) this.#removedKeys.add(row.key);
     else this.#removedKeys.delete(row.key);
     const { onRowChange, log } = this.#options;
+    this.#unappliedKeys.add(row.key);
     // One row that cannot be applied must not keep back the others.
     runGuarded(log, `row of ${this.name}`, () => {
       onRowChange(row, afterRestore);
+      this.#unappliedKeys.delete(row.key);
     });
   }
 
