--- a/packages/relay/src/change-streams/table-watcher.test.ts
+++ b/packages/relay/src/change-streams/table-watcher.test.ts
@@ -94,12 +94,13 @@
 test.serial(
   'a row that cannot be applied stops neither the others nor the watcher',
   async t => {
-    const { clock, changeStream, appliedChanges, log } = setUp(t);
+    const { clock, changeStream, appliedChanges, log, watcher } = setUp(t);
     changeStream.rows = [createRow('defect', 1), createRow('a', 2)];
     await clock.tickAsync(200);
     changeStream.rows = [...changeStream.rows, createRow('b', 3)];
     await clock.tickAsync(200);
     t.deepEqual(appliedChanges, ['a=v', 'b=v']);
+    t.false(watcher.isApplied);
     t.is(log.entries.filter(({ name }) => name === 'step_failed').length, 1);
   },
 );
