--- a/packages/relay/src/customers/configuration-reader.ts
+++ b/packages/relay/src/customers/configuration-reader.ts
@@ -29,7 +29,8 @@
     if (pauseMs > 0) await sleep(pauseMs);
     this.#lastStartMs = performance.now();
     this.#next = undefined;
-    this.#running = this.read();
+    // A read that fails unexpectedly must not keep back the next ones.
+    this.#running = this.read().catch(() => undefined);
     await this.#running;
   }
 }
--- a/packages/relay/src/peers/app.ts
+++ b/packages/relay/src/peers/app.ts
@@ -226,6 +226,12 @@
   ]);
 };
 
+/** True if the settings speak of customers, whether or not a configuration is known yet. */
+const mayHaveCustomers = (kernel: Kernel): boolean => {
+  const { revocation, usage } = kernel.get(settingsToken).current;
+  return revocation !== undefined || usage !== undefined;
+};
+
 /** Starts the peer interface and the background tasks; returns its close function. */
 const startPeerInterface = async (
   kernel: Kernel,
@@ -289,8 +295,7 @@
           routes: resolver.get(routesToken),
           targets: resolver.get(targetRegistryToken),
           log: resolver.get(logToken),
-          mayHaveCustomers: () =>
-            resolver.get(settingsToken).current.revocation !== undefined,
+          mayHaveCustomers: () => mayHaveCustomers(resolver),
         }),
     );
     kernel.addLifecycleHook({
--- a/packages/relay/src/relay/room-wait.ts
+++ b/packages/relay/src/relay/room-wait.ts
@@ -52,7 +52,7 @@
         resolve(result);
       };
       const request: WaitingRequest = {
-        rank: context.route.rank,
+        rank: context.rank,
         workTokens,
         tokens: this.#countTokens(),
         waitUntilMs: startedAtMs + this.#getMaxWaitMs(workTokens),
