Refuse requests before reading them while the instance is behind

A request that arrived half a second late was read, decoded, hashed and routed, and got a context with timers and signals, before it was refused. The refusal now needs its path and host alone; the body is discarded. Requests without a route get the answer that they got before.

--- a/packages/relay/src/kernel/tokens.ts
+++ b/packages/relay/src/kernel/tokens.ts
@@ -28,6 +28,8 @@
 import type { RouteTableHolder } from '../routes/route-table-holder.js';
 import type { RouteConfiguration } from '../routes/route-configuration.js';
 import type { RequestDrainer } from '../server/request-drainer.js';
+import type { RelayMetrics } from '../metrics/relay-metrics.js';
+import type { OverloadGuard } from '../relay/overload.js';
 import type { EventLoopDelayMonitor } from '../server/event-loop-delay-monitor.js';
 import type { RequestDecoder } from '../server/request-decoder.js';
 import type { SettingsHolder } from '../settings/relay-settings.js';
@@ -135,3 +137,9 @@
 export const requestDrainerToken = new InjectionToken<RequestDrainer>('drain');
 export const eventLoopDelayMonitorToken =
   new InjectionToken<EventLoopDelayMonitor>('loop-delay');
+export const overloadGuardToken = new InjectionToken<OverloadGuard>(
+  'overload-guard',
+);
+export const relayMetricsToken = new InjectionToken<RelayMetrics>(
+  'relay-metrics',
+);
--- a/packages/relay/src/relay/app.ts
+++ b/packages/relay/src/relay/app.ts
@@ -7,6 +7,8 @@
   instanceCountToken,
   logToken,
   eventLoopDelayMonitorToken,
+  overloadGuardToken,
+  relayMetricsToken,
   metricsRegistryToken,
   loadExchangeToken,
   promptQuarantineToken,
@@ -31,6 +33,7 @@
 import { DataCenterReachability } from '../targets/data-center-reachability.js';
 
 import { createLivenessCheck } from './liveness-check.js';
+import { OverloadGuard } from './overload.js';
 import { Relay } from './relay.js';
 import { ServiceStates } from './service-state.js';
 
@@ -67,6 +70,21 @@
         }),
       });
     });
+    kernel.provide(
+      relayMetricsToken,
+      resolver => new RelayMetrics(resolver.get(metricsRegistryToken)),
+    );
+    kernel.provide(
+      overloadGuardToken,
+      resolver =>
+        new OverloadGuard({
+          routes: resolver.get(routesToken),
+          metrics: resolver.get(relayMetricsToken),
+          log: resolver.get(logToken),
+          getEventLoopDelayMs: () =>
+            resolver.get(eventLoopDelayMonitorToken).currentDelayMs,
+        }),
+    );
     kernel.provide(relayToken, resolver => {
       const client = resolver.get(targetClientToken);
       return new Relay({
@@ -81,7 +99,7 @@
         targetLink: resolver.get(targetLinkToken),
         forwarder: resolver.get(requestForwarderToken),
         dataCenterReachability: new DataCenterReachability(),
-        metrics: new RelayMetrics(resolver.get(metricsRegistryToken)),
+        metrics: resolver.get(relayMetricsToken),
         log: resolver.get(logToken),
         random: resolver.get(randomToken),
         isLargeDeployment: () =>
--- a/packages/relay/src/relay/relay.ts
+++ b/packages/relay/src/relay/relay.ts
@@ -24,6 +24,7 @@
 import type { TargetLink } from '../targets/target-link.js';
 import type { TargetRegistry } from '../targets/target-registry.js';
 
+import { findOverload } from './overload.js';
 import { PlainRequestRunner } from './plain-request-runner.js';
 import { GenerationRunner } from './generation-runner.js';
 import { RequestContext } from './request-context.js';
@@ -37,12 +38,6 @@
 /** Retry delay during shutdown; short, because another instance can take over. */
 const shutdownRetryAfterMs = 50;
 
-/**
- * Event loop delay above which requests are rejected: their answers would be late,
- * while other instances may be idle.
- */
-const maxEventLoopDelayMs = 500;
-
 /** True if the caller takes up a stream that an earlier request began. */
 const isResumption = (
   { resumedRequestId, resumeAfterEventId }: RelayRequest,
@@ -203,11 +198,9 @@
       );
       return;
     }
-    const eventLoopDelayMs = this.dependencies.getEventLoopDelayMs();
-    if (eventLoopDelayMs > maxEventLoopDelayMs) {
-      const reason = `the event loop of the instance is ${Math.round(eventLoopDelayMs)} ms behind; retry later`;
-      const retryAfterMs = eventLoopDelayMs;
-      context.failRequest(new Failure('overloaded', reason, { retryAfterMs }));
+    const overload = findOverload(this.dependencies.getEventLoopDelayMs());
+    if (overload !== undefined) {
+      context.failRequest(overload);
       return;
     }
     // The instance that the caller asked has counted the request.
--- a/packages/relay/src/server/app.ts
+++ b/packages/relay/src/server/app.ts
@@ -9,6 +9,7 @@
   shutdownStartControllerToken,
   logToken,
   eventLoopDelayMonitorToken,
+  overloadGuardToken,
   metricsRegistryToken,
   instanceRegistryToken,
   relayToken,
@@ -64,6 +65,7 @@
     decoder: kernel.get(requestDecoderToken),
     drainer: kernel.get(requestDrainerToken),
     eventLoopDelayMonitor: kernel.get(eventLoopDelayMonitorToken),
+    overloadGuard: kernel.get(overloadGuardToken),
     ...kernel.get(settingsToken).current.callers,
   });
 
--- a/packages/relay/src/server/caller-server.ts
+++ b/packages/relay/src/server/caller-server.ts
@@ -7,6 +7,7 @@
 
 import { Failure } from '@medlarlever/core';
 
+import type { OverloadGuard } from '../relay/overload.js';
 import type { Relay } from '../relay/relay.js';
 import type { RouteTableHolder } from '../routes/route-table-holder.js';
 
@@ -37,6 +38,7 @@
   readonly decoder: RequestDecoder;
   readonly drainer: RequestDrainer;
   readonly eventLoopDelayMonitor: EventLoopDelayMonitor;
+  readonly overloadGuard?: OverloadGuard;
   readonly host: string;
   readonly port: number;
 }
--- a/packages/relay/src/server/http-caller.ts
+++ b/packages/relay/src/server/http-caller.ts
@@ -6,7 +6,7 @@
 import { Caller } from '../requests/relay-request.js';
 import type { ResponseHead } from '../requests/relay-request.js';
 
-const msPerSecond = 1_000;
+import { sendFailureResponse } from './failure-response.js';
 
 /** Options of a {@link HttpCaller}. */
 export interface HttpCallerOptions {
@@ -122,20 +122,9 @@
 
   #sendFailure(failure: Failure, closesConnection: boolean): void {
     this.#hasStarted = true;
-    const body = JSON.stringify(failure.toBody());
-    const headers = [
-      ...this.#createResultHeader('failure'),
-      'Content-Type',
-      'application/json',
-      'Content-Length',
-      String(Buffer.byteLength(body)),
-    ];
-    if (failure.retryAfterMs !== undefined) {
-      const seconds = failure.retryAfterMs / msPerSecond;
-      headers.push('Retry-After', seconds.toFixed(3));
-    }
-    if (closesConnection) headers.push('Connection', 'close');
-    this.#response.writeHead(failure.status, headers);
-    this.#response.end(body);
+    sendFailureResponse(this.#response, failure, {
+      headers: this.#createResultHeader('failure'),
+      closesConnection,
+    });
   }
 }
--- a/packages/relay/src/server/relay-controller.ts
+++ b/packages/relay/src/server/relay-controller.ts
@@ -5,11 +5,13 @@
 
 import { Failure } from '@medlarlever/core';
 
+import type { OverloadGuard } from '../relay/overload.js';
 import type { Relay } from '../relay/relay.js';
 import type { RouteTableHolder } from '../routes/route-table-holder.js';
 import type { CallerLimits } from '../routes/route-configuration.js';
 
 import type { BodyReader } from './body-reader.js';
+import { sendFailureResponse } from './failure-response.js';
 import type { RequestDrainer } from './request-drainer.js';
 import { HttpCaller } from './http-caller.js';
 import type { EventLoopDelayMonitor } from './event-loop-delay-monitor.js';
@@ -32,6 +34,9 @@
     0,
   );
 
+const stripPort = (host: string): string =>
+  host.replace(/:\d+$/, '').toLowerCase();
+
 /** Dependencies of {@link RelayController}. */
 export interface RelayControllerOptions {
   readonly relay: Relay;
@@ -40,6 +45,8 @@
   readonly bodyReader: BodyReader;
   readonly drainer: RequestDrainer;
   readonly eventLoopDelayMonitor: EventLoopDelayMonitor;
+  /** Refuses requests while the instance is behind; without it, the relay does. */
+  readonly overloadGuard?: OverloadGuard;
 }
 
 /** Reads, decodes and relays each request of a caller. */
@@ -55,6 +62,7 @@
     response: ServerResponse,
   ): Promise<void> {
     const { drainer, eventLoopDelayMonitor } = this.options;
+    if (this.#refuseIfBehind(message, response)) return;
     const arrivedAtMs =
       performance.now() - eventLoopDelayMonitor.currentDelayMs;
     const caller = new HttpCaller(response, {
@@ -68,6 +76,21 @@
     }
   }
 
+  /** Answers a request whose body is not read; the server discards the body. */
+  #refuseIfBehind(message: IncomingMessage, response: ServerResponse): boolean {
+    const { overloadGuard, decoder, drainer } = this.options;
+    const failure = overloadGuard?.refuse(() => ({
+      id: decoder.getId(message),
+      host: stripPort(message.headers.host ?? ''),
+      url: message.url ?? '',
+    }));
+    if (failure === undefined) return false;
+    sendFailureResponse(response, failure, {
+      closesConnection: drainer.isClosing,
+    });
+    return true;
+  }
+
   async #serveRequest(
     message: IncomingMessage,
     url: string,
--- a/packages/relay/src/server/request-decoder.ts
+++ b/packages/relay/src/server/request-decoder.ts
@@ -18,4 +18,9 @@
     body: Buffer,
     arrivedAtMs: number,
   ): Either<Failure, RelayRequest>;
+
+  /** Returns the id of a request that is not decoded; empty if it has none. */
+  getId(message: IncomingMessage): string {
+    return String(message.headers['x-request-id'] ?? '');
+  }
 }
