Probe the event loop often while requests read its delay

Requests that reach no target did not count as activity, so an instance that refused all of them measured its delay at the interval of a resting one. A defect in the check of one send no longer keeps others from being checked, and connections for readiness and metrics are kept as long as before.

--- a/packages/relay/src/server/event-loop-delay-monitor.ts
+++ b/packages/relay/src/server/event-loop-delay-monitor.ts
@@ -8,6 +8,9 @@
  */
 const idleProbeIntervalMs = 250;
 
+/** The delay counts as of interest until this long after it was last read. */
+const readTtlMs = 1_000;
+
 /**
  * Factor by which a past delay decays at each probe. The data that arrived during
  * a delay is read over several turns of the event loop, not all in one.
@@ -20,14 +23,19 @@
   #timerDueAtMs = Infinity;
   #recentMaxDelayMs = 0;
   #timer: NodeJS.Timeout | undefined;
+  #lastReadAtMs = -Infinity;
 
   /** `isIdle` tells whether the instance has had no requests for a while. */
   constructor(private readonly isIdle: () => boolean = () => false) {}
 
   /** Starts the periodic timer, which does not keep the process alive. */
   start(): void {
-    const intervalMs = this.isIdle() ? idleProbeIntervalMs : probeIntervalMs;
-    this.#timerDueAtMs = performance.now() + intervalMs;
+    const nowMs = performance.now();
+    // Requests that reach no target are no activity, but read the delay.
+    const isRead = nowMs - this.#lastReadAtMs < readTtlMs;
+    const isResting = !isRead && this.isIdle();
+    const intervalMs = isResting ? idleProbeIntervalMs : probeIntervalMs;
+    this.#timerDueAtMs = nowMs + intervalMs;
     this.#timer = setTimeout(() => {
       this.#recentMaxDelayMs = Math.max(
         this.#timerDelayMs,
@@ -45,6 +53,7 @@
 
   /** Longest time in milliseconds for which data read now may have waited. */
   get currentDelayMs(): number {
+    this.#lastReadAtMs = performance.now();
     return Math.max(this.#recentMaxDelayMs, this.#timerDelayMs);
   }
 
--- a/packages/relay/src/server/status-server.ts
+++ b/packages/relay/src/server/status-server.ts
@@ -16,6 +16,9 @@
   readonly answer: () => Promise<StatusAnswer>;
 }
 
+/** Load balancers and scrapers come again on the same connection within this time. */
+const keepAliveTimeoutMs = 72_000;
+
 const notFound: StatusAnswer = {
   status: 404,
   type: 'text/plain',
@@ -46,6 +49,7 @@
     const server = await openHttpServer({
       host,
       port,
+      serverOptions: { keepAliveTimeout: keepAliveTimeoutMs },
       onRequest: ({ method, url = '' }, response) => {
         const [path] = url.split('?');
         const endpoint =
--- a/packages/relay/src/targets/request-activity.ts
+++ b/packages/relay/src/targets/request-activity.ts
@@ -106,8 +106,8 @@
     if (!this.#isChecking) return;
     const { nowMs, endMs } = getStepAfter(checkIntervalMs);
     this.#getStep(endMs, nowMs).waiters.add(() => {
-      for (const check of this.#checks) check();
       this.#scheduleChecks();
+      for (const check of this.#checks) runApart(check);
     });
   }
 
@@ -154,3 +154,14 @@
   const endMs = Math.max(1, Math.round((nowMs + ms) / stepMs)) * stepMs;
   return { nowMs, endMs };
 };
+
+/** Runs a check whose defect must not keep the others from running. */
+const runApart = (check: () => void): void => {
+  try {
+    check();
+  } catch (error) {
+    queueMicrotask(() => {
+      throw error;
+    });
+  }
+};
