--- a/packages/relay/src/relay/app.ts
+++ b/packages/relay/src/relay/app.ts
@@ -10,6 +10,8 @@
   logToken,
   eventLoopDelayMonitorToken,
   limitGroupToken,
+  overloadGuardToken,
+  relayMetricsToken,
   metricsRegistryToken,
   loadExchangeToken,
   promptQuarantineToken,
@@ -38,6 +40,7 @@
 import { DataCenterReachability } from '../targets/data-center-reachability.js';
 
 import { createLivenessCheck } from './liveness-check.js';
+import { OverloadGuard } from './overload.js';
 import { Relay } from './relay.js';
 import { ServiceStates } from './service-state.js';
 
@@ -82,6 +85,21 @@
           log: resolver.get(logToken),
         }),
     );
+    kernel.provide(
+      relayMetricsToken,
+      resolver => new RelayMetrics(resolver.get(metricsRegistryToken)),
+    );
+    kernel.provide(
+      overloadGuardToken,
+      resolver =>
+        new OverloadGuard({
+          routes: resolver.get(routesToken),
+          metrics: resolver.get(relayMetricsToken),
+          log: resolver.get(logToken),
+          getEventLoopDelayMs: () =>
+            resolver.get(eventLoopDelayMonitorToken).currentDelayMs,
+        }),
+    );
     kernel.provide(relayToken, resolver => {
       const client = resolver.get(targetClientToken);
       return new Relay({
@@ -96,7 +114,7 @@
         targetLink: resolver.get(targetLinkToken),
         forwarder: resolver.get(requestForwarderToken),
         dataCenterReachability: new DataCenterReachability(),
-        metrics: new RelayMetrics(resolver.get(metricsRegistryToken)),
+        metrics: resolver.get(relayMetricsToken),
         log: resolver.get(logToken),
         random: resolver.get(randomToken),
         isLargeDeployment: () =>
--- a/packages/relay/src/server/relay-controller.ts
+++ b/packages/relay/src/server/relay-controller.ts
@@ -1,5 +1,5 @@
 /** Nest controller that handles all caller requests, with any path and method. */
-import type { IncomingMessage } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import { setImmediate as nextTurn } from 'node:timers/promises';
 
@@ -7,11 +7,13 @@
 import { All, Controller, Inject, Req, Res } from '@nestjs/common';
 import type { FastifyReply, FastifyRequest } from 'fastify';
 
+import type { OverloadGuard } from '../relay/overload.js';
 import type { Relay } from '../relay/relay.js';
 import type { RouteTableHolder } from '../routes/route-table-holder.js';
 import type { CallerLimits } from '../routes/route-configuration.js';
 
 import type { BodyReader } from './body-reader.js';
+import { sendFailureResponse } from './failure-response.js';
 import type { RequestDrainer } from './request-drainer.js';
 import { HttpCaller } from './http-caller.js';
 import type { EventLoopDelayMonitor } from './event-loop-delay-monitor.js';
@@ -20,6 +22,7 @@
   bodyReaderProvider,
   requestDrainerProvider,
   eventLoopDelayMonitorProvider,
+  overloadGuardProvider,
   relayProvider,
   requestDecoderProvider,
   routesProvider,
@@ -42,6 +45,9 @@
     0,
   );
 
+const stripPort = (host: string): string =>
+  host.replace(/:\d+$/, '').toLowerCase();
+
 /** Reads, decodes and relays each request of a caller. */
 @Controller()
 export class RelayController {
@@ -56,6 +62,8 @@
     @Inject(requestDrainerProvider) readonly drainer: RequestDrainer,
     @Inject(eventLoopDelayMonitorProvider)
     readonly eventLoopDelayMonitor: EventLoopDelayMonitor,
+    /** Refuses requests while the instance is behind; without it, the relay does. */
+    @Inject(overloadGuardProvider) readonly overloadGuard: OverloadGuard | null,
   ) {}
 
   @All()
@@ -63,10 +71,11 @@
     @Req() request: FastifyRequest,
     @Res() reply: FastifyReply,
   ): Promise<void> {
+    const message = request.raw;
+    reply.hijack();
+    if (this.#refuseIfBehind(message, request.originalUrl, reply.raw)) return;
     const arrivedAtMs =
       performance.now() - this.eventLoopDelayMonitor.currentDelayMs;
-    reply.hijack();
-    const message = request.raw;
     const caller = new HttpCaller(reply.raw, {
       isClosing: () => this.drainer.isClosing,
     });
@@ -83,6 +92,25 @@
     }
   }
 
+  /** Answers a request whose body is not read; the server discards the body. */
+  #refuseIfBehind(
+    message: IncomingMessage,
+    url: string,
+    response: ServerResponse,
+  ): boolean {
+    const { overloadGuard, decoder, drainer } = this;
+    const failure = overloadGuard?.refuse(() => ({
+      id: decoder.getId(message),
+      host: stripPort(message.headers.host ?? ''),
+      url,
+    }));
+    if (failure === undefined) return false;
+    sendFailureResponse(response, failure, {
+      closesConnection: drainer.isClosing,
+    });
+    return true;
+  }
+
   async #serveRequest(
     message: IncomingMessage,
     url: string,
