--- a/packages/relay/src/change-streams/change-distributor.ts
+++ b/packages/relay/src/change-streams/change-distributor.ts
@@ -100,6 +100,11 @@
     return sharedStream;
   }
 
+  /** True if `takeConfirmations` would return any. */
+  get hasConfirmations(): boolean {
+    return this.#pendingConfirmations.size > 0;
+  }
+
   /** Returns which tables have been found unchanged since the last call. */
   takeConfirmations(): TableConfirmation[] {
     const nowMs = performance.now();
--- a/packages/relay/src/peers/app.ts
+++ b/packages/relay/src/peers/app.ts
@@ -113,6 +113,7 @@
     services: kernel.get(serviceStatesToken),
     demand: kernel.get(prefillDemandToken),
     origins: kernel.get(streamOriginsToken),
+    hasConfirmations: () => kernel.get(changeDistributorToken).hasConfirmations,
     takeConfirmations: () =>
       kernel.get(changeDistributorToken).takeConfirmations(),
     onConfirmations: confirmations => {
--- a/packages/relay/src/peers/load-aggregator.ts
+++ b/packages/relay/src/peers/load-aggregator.ts
@@ -28,6 +28,8 @@
   readonly topology: PeerTopology;
   /** Returns this instance's own report and clears its unreported events. */
   readonly takeOwnReport: () => LoadReport;
+  /** True if a table has been found unchanged since the last call of the function below. */
+  readonly hasConfirmations: () => boolean;
   /** Returns which tables have been found unchanged since the last call. */
   readonly takeConfirmations: () => TableConfirmation[];
 }
@@ -133,7 +135,8 @@
   }
 
   #publishReport(): void {
-    const { topology, takeOwnReport, takeConfirmations } = this.#options;
+    const { topology, takeOwnReport, hasConfirmations, takeConfirmations } =
+      this.#options;
     const report = this.#memberReports.takeCombinedReport(takeOwnReport());
     const nowMs = performance.now();
     const remote = this.#pendingRemoteReports.map(
@@ -143,9 +146,11 @@
         waitedMs: Math.round(nowMs - receivedAtMs),
       }),
     );
+    // Members query the platform themselves if a confirmation comes late.
     const isDue =
+      hasConfirmations() ||
       nowMs - this.#lastPublishMs >=
-      emptyPublishIntervalMs - publishToleranceMs;
+        emptyPublishIntervalMs - publishToleranceMs;
     // A report without content has no events that would be lost here.
     if (!isDue && !hasContent({ ...report, remote })) return;
     this.#lastPublishMs = nowMs;
--- a/packages/relay/src/peers/load-exchange.ts
+++ b/packages/relay/src/peers/load-exchange.ts
@@ -63,6 +63,7 @@
   readonly services: ServiceStates;
   readonly demand: PrefillDemand;
   /** Tables that this instance has found unchanged, for its members; none by default. */
+  readonly hasConfirmations?: () => boolean;
   readonly takeConfirmations?: () => TableConfirmation[];
   /** Called with the tables that the aggregator has found unchanged. */
   readonly onConfirmations?: (
@@ -90,6 +91,7 @@
     this.#aggregator = new LoadAggregator({
       topology: options.topology,
       takeOwnReport: () => this.#takeOwnReport(this.#ownLoad.listLoads()),
+      hasConfirmations: options.hasConfirmations ?? (() => false),
       takeConfirmations: options.takeConfirmations ?? (() => []),
     });
   }
