--- a/packages/relay/src/peers/load-exchange.ts
+++ b/packages/relay/src/peers/load-exchange.ts
@@ -65,6 +65,7 @@
   readonly services: ServiceStates;
   readonly demand: PrefillDemand;
   /** Tables that this instance has found unchanged, for its members; none by default. */
+  readonly hasConfirmations?: () => boolean;
   readonly takeConfirmations?: () => TableConfirmation[];
   /** Called with the tables that the aggregator has found unchanged. */
   readonly onConfirmations?: (
@@ -93,6 +94,7 @@
       topology: options.topology,
       log: options.log,
       takeOwnReport: () => this.#takeOwnReport(this.#ownLoad.listLoads()),
+      hasConfirmations: options.hasConfirmations ?? (() => false),
       takeConfirmations: options.takeConfirmations ?? (() => []),
     });
   }
--- a/packages/relay/src/relay/generation-placer.ts
+++ b/packages/relay/src/relay/generation-placer.ts
@@ -126,6 +126,8 @@
       excluded: excludedTargets,
       origin: context.origin,
       unreached: dataCenterReachability.takeUnreachableDataCenters(),
+      isConnected: ({ record }) =>
+        dependencies.targetClient.hasIdleConnection(record),
       random: drawsSample ? random : undefined,
     };
   }
--- a/packages/relay/src/scaling/scaling-policy.ts
+++ b/packages/relay/src/scaling/scaling-policy.ts
@@ -296,14 +296,14 @@
     view: ScalingView,
     options: CapacityPlanOptions,
   ): readonly OrderChange[] {
-    const { nowMs, settings, capacity } = view;
+    const { nowMs, settings } = view;
     const sinceChangeMs = nowMs - this.#standing.changedAtMs;
-    const waitingMs = view.waitingTokens / capacity.prefillTokensPerMs;
     if (
       view.isDemandPartial ||
       this.#history.getDurationMs(nowMs) < onDemandWindowMs ||
+      !this.#hasSeenDemand(nowMs) ||
       sinceChangeMs < settlingStartups * settings.startupMs ||
-      waitingMs > longWaitMs
+      estimateWaitMs(view) > longWaitMs
     )
       return [];
     const open = this.#countOpen(view);
