--- a/packages/relay/src/relay-daemon.ts
+++ b/packages/relay/src/relay-daemon.ts
@@ -4,6 +4,8 @@
 import { Kernel } from '@medlarlever/core';
 
 import { changeStreamsPlugin } from './change-streams/app.js';
+import { customersPlugin } from './customers/app.js';
+import { dutiesPlugin } from './duties/app.js';
 import { forwardingPlugin } from './forwarding/app.js';
 import {
   requestDrainerToken,
@@ -17,14 +19,18 @@
 import { peersPlugin } from './peers/app.js';
 import { relayApp } from './relay/app.js';
 import { rolesPlugin } from './roles/app.js';
+import { scalingPlugin } from './scaling/app.js';
 import { serverPlugin } from './server/app.js';
 
 const plugins = [
   changeStreamsPlugin,
+  customersPlugin,
   forwardingPlugin,
   peersPlugin,
   relayApp,
+  dutiesPlugin,
   rolesPlugin,
+  scalingPlugin,
   serverPlugin,
 ];
 
--- a/packages/relay/src/targets/target-state.ts
+++ b/packages/relay/src/targets/target-state.ts
@@ -3,6 +3,7 @@
 import type { PromptSegment } from '../requests/relay-request.js';
 
 import { PrefixCacheEstimate } from './prefix-cache-estimate.js';
+import { RequestActivity } from './request-activity.js';
 import type { TargetRecord } from './target-record.js';
 
 /** Load that one instance has placed at a target. */
@@ -52,6 +53,8 @@
   record: TargetRecord;
   /** Monotonic milliseconds at which the target began to leave, if it did. */
   leavingSinceMs: number | undefined;
+  /** Monotonic milliseconds at which the leaving target ends, if it said so. */
+  endsAtMs: number | undefined;
   /**
    * True if the target itself announced in a response that it leaves. Its
    * registration does not revoke that.
@@ -76,6 +79,7 @@
     record: TargetRecord,
     kvCacheTokens: number,
     limiter = createSoleInstanceLimiter(record.id),
+    private readonly activity = new RequestActivity(),
   ) {
     this.record = record;
     this.limiter = limiter;
@@ -208,8 +212,10 @@
     if (this.activeRequestCount === 0) this.recordActivity();
     this.#activeRequestCount += 1;
     this.limiter.takePermit();
+    const endActivity = this.activity.startRequest();
     return createOneTimeCallback(() => {
       this.#activeRequestCount -= 1;
+      endActivity();
     });
   }
 
@@ -291,6 +297,7 @@
   resetAfterRestart(record: TargetRecord): void {
     this.record = record;
     this.leavingSinceMs = undefined;
+    this.endsAtMs = undefined;
     this.hasAnnouncedLeaving = false;
     this.prefixCache.clear();
     this.#consecutiveFailures = 0;
