--- a/packages/relay/src/change-streams/table-watcher.ts
+++ b/packages/relay/src/change-streams/table-watcher.ts
@@ -6,6 +6,8 @@
 import { addJitter, sleep } from '@medlarlever/core';
 import type { Failure } from '@medlarlever/core';
 
+import { runGuarded } from '../shared/guarded-step.js';
+
 import type {
   ChangePage,
   ChangedRow,
@@ -47,7 +49,7 @@
     keys: ReadonlySet<string>,
     origin: SnapshotOrigin,
   ) => void;
-  /** Called after the rows of a page were applied, those of a snapshot included. */
+  /** Called after a page, also a snapshot, once all known rows have been applied. */
   readonly onPage?: (page: ChangePage) => void;
 }
 
@@ -57,6 +59,8 @@
   /** Version of each row, in `#era`. */
   readonly #versionsByKey = new Map<string, number>();
   readonly #removedKeys = new Set<string>();
+  /** Keys of rows whose latest change failed to apply. */
+  readonly #unappliedKeys = new Set<string>();
   /** Era of the last snapshot. */
   #era: number | undefined;
   /** Undefined while the table must be read as a whole. */
@@ -91,6 +95,11 @@
     return this.#lastPosition;
   }
 
+  /** False while a row that was read is not in force, because applying it failed. */
+  get isApplied(): boolean {
+    return this.#unappliedKeys.size === 0;
+  }
+
   /** Returns true if the row exists as of the most recently read changes. */
   hasRow(key: string): boolean {
     return this.#versionsByKey.has(key) && !this.#removedKeys.has(key);
@@ -171,7 +180,10 @@
     for (const key of this.#versionsByKey.keys()) {
       if (!keys.has(key)) this.#versionsByKey.delete(key);
     }
-    this.#options.onSnapshot(keys, { afterOutage, afterRestore });
+    const { onSnapshot, log } = this.#options;
+    runGuarded(log, `snapshot of ${this.name}`, () => {
+      onSnapshot(keys, { afterOutage, afterRestore });
+    });
   }
 
   /**
@@ -186,6 +198,7 @@
     this.#era = era;
     this.#versionsByKey.clear();
     this.#removedKeys.clear();
+    this.#unappliedKeys.clear();
     return !isFirstEra;
   }
 
@@ -196,7 +209,7 @@
       era: position.era,
       version: Math.max(this.#lastPosition?.version ?? 0, position.version),
     };
-    this.#options.onPage?.(page);
+    if (this.isApplied) this.#options.onPage?.(page);
   }
 
   #applyRow(row: ChangedRow, afterRestore: boolean): void {
@@ -205,7 +218,13 @@
     this.#versionsByKey.set(row.key, row.version);
     if (row.value === undefined) this.#removedKeys.add(row.key);
     else this.#removedKeys.delete(row.key);
-    this.#options.onRowChange(row, afterRestore);
+    const { onRowChange, log } = this.#options;
+    this.#unappliedKeys.add(row.key);
+    // One row that cannot be applied must not keep back the others.
+    runGuarded(log, `row of ${this.name}`, () => {
+      onRowChange(row, afterRestore);
+      this.#unappliedKeys.delete(row.key);
+    });
   }
 
   #recordFailure(failure: Failure): void {
--- a/packages/relay/src/customers/configuration-reader.test.ts
+++ b/packages/relay/src/customers/configuration-reader.test.ts
@@ -48,3 +48,21 @@
     t.true(hasEnded);
   },
 );
+
+test.serial('a read that fails does not keep back the next ones', async t => {
+  const clock = installPausedClock(t);
+  let readCount = 0;
+  const reader = new ConfigurationReader(() => {
+    readCount += 1;
+    return readCount === 1
+      ? Promise.reject(new Error('row of an unexpected form'))
+      : Promise.resolve();
+  });
+  const first = reader.requestRead();
+  await clock.tickAsync(300);
+  await t.notThrowsAsync(first);
+  const second = reader.requestRead();
+  await clock.tickAsync(300);
+  await t.notThrowsAsync(second);
+  t.is(readCount, 2);
+});
--- a/packages/relay/src/customers/key-gate.ts
+++ b/packages/relay/src/customers/key-gate.ts
@@ -102,12 +102,13 @@
     route: Route,
   ): Promise<Admission> {
     const { freshness, reader, routes } = this.options;
+    // Not the arrival, which is estimated and may be too early.
     const waitedSinceMs = performance.now();
     for (;;) {
       const now = readClocks();
       const step = decideUnknownKey({
         hasKey: request.keyHash !== undefined,
-        arrivedAtMs: request.arrivedAtMs,
+        arrivedAtMs: waitedSinceMs,
         knownAsOfMs: freshness.getKnownAsOfMs(now),
         waitedMs: now.monotonicMs - waitedSinceMs,
       });
@@ -167,13 +168,13 @@
   table: RouteTable,
   route: Route,
 ): Admission => {
-  if (route.anonymous)
+  if (route.anonymous || !table.requiresKeys)
     return Right({
       request: { ...request, customer: undefined },
       table,
       route,
     });
-  return table.requiresKeys && request.customer === undefined
+  return request.customer === undefined
     ? Left(createUncheckedFailure())
     : Right({ request, table, route });
 };
--- a/packages/relay/src/kernel/tokens.ts
+++ b/packages/relay/src/kernel/tokens.ts
@@ -19,6 +19,7 @@
 import type { LoadExchange } from '../peers/load-exchange.js';
 import type { PeerTopology } from '../peers/peer-topology.js';
 import type { PeerSnapshots } from '../peers/peer-snapshots.js';
+import type { CallerBuffers } from '../buffers/caller-buffers.js';
 import type { Relay } from '../relay/relay.js';
 import type { ServiceStates } from '../relay/service-state.js';
 import type { TargetClient } from '../relay/target-client.js';
@@ -151,6 +152,9 @@
 export const dutyLeaderToken = new InjectionToken<DutyLeader>('duty-leader');
 /** Undefined if the settings ask for no usage reports. */
 export const usageToken = new InjectionToken<UsageParts | undefined>('usage');
+export const callerBuffersToken = new InjectionToken<CallerBuffers>(
+  'caller-buffers',
+);
 export const relayToken = new InjectionToken<Relay>('relay');
 export const requestDrainerToken = new InjectionToken<RequestDrainer>('drain');
 export const eventLoopDelayMonitorToken =
--- a/packages/relay/src/peers/app.ts
+++ b/packages/relay/src/peers/app.ts
@@ -103,6 +103,7 @@
 const createLoadExchange = (kernel: Kernel): LoadExchange =>
   new LoadExchange({
     self: kernel.get(settingsToken).current.instance,
+    log: kernel.get(logToken),
     topology: kernel.get(peerTopologyToken),
     targets: kernel.get(targetRegistryToken),
     crashes: kernel.get(crashTrackerToken),
@@ -116,6 +117,11 @@
     services: kernel.get(serviceStatesToken),
     demand: kernel.get(prefillDemandToken),
     origins: kernel.get(streamOriginsToken),
+    takeConfirmations: () =>
+      kernel.get(changeDistributorToken).takeConfirmations(),
+    onConfirmations: confirmations => {
+      kernel.get(changeDistributorToken).applyConfirmations(confirmations);
+    },
     getRevision: () => kernel.get(routesToken).version,
     onNewerRevision: from => {
       void kernel.get(peerSnapshotsToken).requestSnapshot(from);
@@ -220,6 +226,12 @@
   ]);
 };
 
+/** True if the settings speak of customers, whether or not a configuration is known yet. */
+const mayHaveCustomers = (kernel: Kernel): boolean => {
+  const { revocation, usage } = kernel.get(settingsToken).current;
+  return revocation !== undefined || usage !== undefined;
+};
+
 /** Starts the peer interface and the background tasks; returns its close function. */
 const startPeerInterface = async (
   kernel: Kernel,
@@ -283,8 +295,7 @@
           routes: resolver.get(routesToken),
           targets: resolver.get(targetRegistryToken),
           log: resolver.get(logToken),
-          mayHaveCustomers: () =>
-            resolver.get(settingsToken).current.revocation !== undefined,
+          mayHaveCustomers: () => mayHaveCustomers(resolver),
         }),
     );
     kernel.addLifecycleHook({
--- a/packages/relay/src/peers/load-exchange.ts
+++ b/packages/relay/src/peers/load-exchange.ts
@@ -4,7 +4,7 @@
  */
 import { Right } from 'purify-ts';
 
-import type { Kernel } from '@medlarlever/core';
+import type { Kernel, Log } from '@medlarlever/core';
 
 import type { CutOffInstances } from '../forwarding/cut-off-instances.js';
 import type { StreamOrigins } from '../origins/stream-origins.js';
@@ -13,15 +13,18 @@
 import type { PromptQuarantine } from '../crashes/prompt-quarantine.js';
 import type { CrashTracker } from '../crashes/crash-tracker.js';
 import type { PrefillDemand } from '../roles/prefill-demand.js';
+import { runGuarded } from '../shared/guarded-step.js';
 import type { TargetRegistry } from '../targets/target-registry.js';
 import type { TargetLink } from '../targets/target-link.js';
 import { zeroLoad } from '../targets/target-state.js';
 
 import type { LimitReports } from './limit-reports.js';
 import { PeerLoads } from './peer-loads.js';
+import type { TableConfirmation } from '../change-streams/change-stream.js';
 import { LoadAggregator } from './load-aggregator.js';
 import type { PeerTopology } from './peer-topology.js';
 import {
+  ageReport,
   dataCenterReportMethod,
   loadReportMethod,
   loadReportSchema,
@@ -50,6 +53,7 @@
 export interface LoadExchangeOptions {
   /** Name of this instance. */
   readonly self: string;
+  readonly log: Log;
   readonly topology: PeerTopology;
   readonly targets: TargetRegistry;
   readonly crashes: CrashTracker;
@@ -60,6 +64,12 @@
   readonly origins: StreamOrigins;
   readonly services: ServiceStates;
   readonly demand: PrefillDemand;
+  /** Tables that this instance has found unchanged, for its members; none by default. */
+  readonly takeConfirmations?: () => TableConfirmation[];
+  /** Called with the tables that the aggregator has found unchanged. */
+  readonly onConfirmations?: (
+    confirmations: readonly TableConfirmation[],
+  ) => void;
   /** Returns the configuration version in force on this instance. */
   readonly getRevision: () => number;
   /** Called when a peer reports a newer configuration version. */
@@ -72,7 +82,7 @@
   readonly #peerLoads = new PeerLoads();
   readonly #aggregator: LoadAggregator;
   readonly #ownLoad: OwnLoad;
-  #lastSentLoads = '[]';
+  #lastSentLoads = '[[],[]]';
   #lastSentAtMs = 0;
   #hasScheduledReport = false;
 
@@ -81,7 +91,9 @@
     this.#ownLoad = new OwnLoad(options.targets);
     this.#aggregator = new LoadAggregator({
       topology: options.topology,
+      log: options.log,
       takeOwnReport: () => this.#takeOwnReport(this.#ownLoad.listLoads()),
+      takeConfirmations: options.takeConfirmations ?? (() => []),
     });
   }
 
@@ -106,7 +118,9 @@
     this.#hasScheduledReport = true;
     setTimeout(() => {
       this.#hasScheduledReport = false;
-      this.#sendReport();
+      this.#runGuarded(() => {
+        this.#sendReport();
+      });
     }, newWorkBatchMs);
   }
 
@@ -118,6 +132,11 @@
     return this.#aggregator.listMembers();
   }
 
+  /** True if the member accepts the optional fields of an aggregator's report. */
+  acceptsRemote(member: string): boolean {
+    return this.#aggregator.acceptsRemote(member);
+  }
+
   /** Registers the peer methods that receive load reports. */
   registerMethods(kernel: Kernel): void {
     kernel.registerPeerMethod(loadReportMethod, params => {
@@ -133,7 +152,7 @@
     kernel.registerPeerMethod(dataCenterReportMethod, params => {
       const report = loadReportSchema.parse(params);
       this.#receiveReport(report);
-      this.#aggregator.notifyMembers(report);
+      this.#aggregator.passOnRemoteReport(report);
       return Promise.resolve(Right(null));
     });
   }
@@ -144,11 +163,17 @@
     const { activity } = this.#options.targets;
     const pauses = { activeMs: reportIntervalMs, restMs: maxReportIntervalMs };
     while (await activity.pause(pauses, signal)) {
-      this.#sendReport();
-      this.#applyPeerLoads();
+      this.#runGuarded(() => {
+        this.#sendReport();
+        this.#applyPeerLoads();
+      });
     }
   }
 
+  #runGuarded(step: () => void): void {
+    runGuarded(this.#options.log, 'load report', step);
+  }
+
   #sendReport(): void {
     const { topology, self } = this.#options;
     const aggregator = topology.usesAggregators
@@ -163,7 +188,7 @@
       topology.notifyLinked(loadReportMethod, report);
       return;
     }
-    this.#peerLoads.recordOwnReportedLoads(aggregator, loads);
+    this.#peerLoads.recordOwnReport(aggregator, report);
     topology.recordReportToAggregator(aggregator);
     topology.notifyInstance(aggregator, memberReportMethod, report);
   }
@@ -183,7 +208,10 @@
     loads: LoadReport['loads'],
     reportsToAggregator: boolean,
   ): boolean {
-    const serializedLoads = JSON.stringify(loads.map(load => load.slice(0, 3)));
+    const serializedLoads = JSON.stringify([
+      loads.map(load => load.slice(0, 3)),
+      this.#ownLoad.listHeldTokens(),
+    ]);
     const hasChanged =
       serializedLoads !== this.#lastSentLoads ||
       this.#ownLoad.hasUnreportedPrefills ||
@@ -215,6 +243,7 @@
       from: self,
       revision: getRevision(),
       loads,
+      held: this.#ownLoad.listHeldTokens(),
       placed: prefillTokenTotals,
       ...this.#ownLoad.takeUnreportedEvents(),
       limits: limits.list(),
@@ -225,6 +254,9 @@
       targetCrashes: promptQuarantine.listCrashes(!this.#isAggregatorMember),
       answeredParts: promptQuarantine.listAnswers(),
       refutedCrashes: promptQuarantine.listRefuted(),
+      acceptsRemote: true,
+      remote: [],
+      unchanged: [],
     };
   }
 
@@ -234,7 +266,7 @@
     const { topology, demand } = this.#options;
     topology.recordReportFrom(report.from);
     demand.recordTotals(report.from, report.placed);
-    this.#peerLoads.recordLoads(report.from, report.loads);
+    this.#peerLoads.recordReport(report);
     for (const [id, , , silentMs] of report.loads) {
       targets.findTarget(id)?.recordActivity(silentMs);
     }
@@ -264,7 +296,9 @@
     const { getRevision, onNewerRevision } = this.#options;
     if (report.revision > getRevision())
       onNewerRevision(report.from, report.revision);
-    this.#applyPeerLoads();
+    this.#options.onConfirmations?.(report.unchanged);
+    for (const remote of report.remote) this.#receiveReport(ageReport(remote));
+    if (report.remote.length === 0) this.#applyPeerLoads();
   }
 
   /**
--- a/packages/relay/src/relay/send-watchdog.ts
+++ b/packages/relay/src/relay/send-watchdog.ts
@@ -2,11 +2,9 @@
  * Aborts a send that makes no progress. Used only for sends that can be retried;
  * all others wait until their deadline.
  */
+import { LinkedAbort } from '../shared/linked-abort.js';
 import type { TargetState } from '../targets/target-state.js';
 
-/** Interval between the progress checks of a send. */
-const checkIntervalMs = 100;
-
 /**
  * The target's liveness is checked only after this many times the expected response
  * time without progress.
@@ -26,6 +24,13 @@
   readonly expectedResponseMs: number;
   /** Silence after which the send is aborted even if the target is alive. */
   readonly stallTimeoutMs: number;
+  /**
+   * Longest time between whole events once the first one has arrived; undefined if
+   * `stallTimeoutMs` holds for the whole answer.
+   */
+  readonly eventStallMs?: number;
+  /** Returns true while the answer is not read, because the caller does not read. */
+  readonly isPaused?: () => boolean;
   /** Another signal that aborts the send, such as the request's deadline. */
   readonly signal: AbortSignal;
   readonly checkLiveness: LivenessCheck;
@@ -35,41 +40,50 @@
 
 /** Watches one send until `stop` is called. */
 export class SendWatchdog {
-  /** Aborts when the watchdog or the signal in the options aborts the send. */
-  readonly signal: AbortSignal;
   readonly #options: SendWatchdogOptions;
-  readonly #abortController = new AbortController();
-  readonly #checkTimer: NodeJS.Timeout;
+  readonly #link: LinkedAbort;
+  readonly #endChecks: () => void;
   #lastActivityAtMs = performance.now();
+  #hasEvents = false;
   #isCheckingLiveness = false;
 
   constructor(options: SendWatchdogOptions) {
     this.#options = options;
-    this.signal = AbortSignal.any([
-      options.signal,
-      this.#abortController.signal,
-    ]);
-    this.#checkTimer = setInterval(() => {
+    this.#link = new LinkedAbort(options.signal);
+    this.#endChecks = options.target.activity.addCheck(() => {
       this.#checkProgress();
-    }, checkIntervalMs);
+    });
+  }
+
+  /** Aborts when the watchdog or the signal in the options aborts the send. */
+  get signal(): AbortSignal {
+    return this.#link.signal;
   }
 
   /** Records that part of the answer has arrived. */
   recordActivity(): void {
+    this.#hasEvents = true;
     this.#lastActivityAtMs = performance.now();
   }
 
   stop(): void {
-    clearInterval(this.#checkTimer);
+    this.#endChecks();
+    this.#link.unlink();
+  }
+
+  get #stallTimeoutMs(): number {
+    const { stallTimeoutMs, eventStallMs } = this.#options;
+    return this.#hasEvents ? (eventStallMs ?? stallTimeoutMs) : stallTimeoutMs;
   }
 
   #checkProgress(): void {
-    const { target, expectedResponseMs, stallTimeoutMs, isCutOff } =
-      this.#options;
+    const { target, expectedResponseMs, isCutOff, isPaused } = this.#options;
+    // A target that is not read cannot show progress.
+    if (isPaused?.() === true) this.#lastActivityAtMs = performance.now();
     const silentMs = performance.now() - this.#lastActivityAtMs;
     const isLinkSilent = silentMs >= cutOffSilenceMs && isCutOff();
-    if (silentMs >= stallTimeoutMs || isLinkSilent) {
-      this.#abortController.abort();
+    if (silentMs >= this.#stallTimeoutMs || isLinkSilent) {
+      this.#link.abort();
       return;
     }
     const needsLivenessCheck =
@@ -89,8 +103,13 @@
   async #checkLiveness(): Promise<void> {
     const { target, checkLiveness } = this.#options;
     this.#isCheckingLiveness = true;
-    if (await checkLiveness(target)) target.recordActivity();
-    else this.#abortController.abort();
-    this.#isCheckingLiveness = false;
+    try {
+      if (await checkLiveness(target)) target.recordActivity();
+      else this.#link.abort();
+    } catch {
+      // A check that failed itself says nothing of the target; it is made again.
+    } finally {
+      this.#isCheckingLiveness = false;
+    }
   }
 }
--- a/packages/relay/src/server/app.ts
+++ b/packages/relay/src/server/app.ts
@@ -5,6 +5,7 @@
 import { awaitCloseOrTimeout } from '../kernel/close-timeout.js';
 import {
   configurationFreshnessToken,
+  callerBuffersToken,
   requestDrainerToken,
   droppedLogLinesToken,
   shutdownStartControllerToken,
@@ -66,6 +67,7 @@
     decoder: kernel.get(requestDecoderToken),
     drainer: kernel.get(requestDrainerToken),
     eventLoopDelayMonitor: kernel.get(eventLoopDelayMonitorToken),
+    getMemoryBytes: () => kernel.get(settingsToken).current.memoryBytes,
     ...kernel.get(settingsToken).current.callers,
   });
 
@@ -106,6 +108,7 @@
     targetLink: kernel.get(targetLinkToken),
     configurationAgeMs: () =>
       kernel.get(configurationFreshnessToken).getAgeMs(readClocks()),
+    callerBuffers: kernel.get(callerBuffersToken),
     watchers: [kernel.get(routeWatcherToken), kernel.get(targetWatcherToken)],
     eventLoopDelayMs: () =>
       kernel.get(eventLoopDelayMonitorToken).currentDelayMs,
--- a/packages/relay/src/targets/target-link.ts
+++ b/packages/relay/src/targets/target-link.ts
@@ -4,6 +4,8 @@
  */
 import type { Log } from '@medlarlever/core';
 
+import { runGuarded } from '../shared/guarded-step.js';
+
 import type { TargetRecord } from './target-record.js';
 import type { TargetRegistry } from './target-registry.js';
 import type { TargetState } from './target-state.js';
@@ -80,7 +82,9 @@
   async run(signal: AbortSignal): Promise<void> {
     const { activity } = this.#options.targets;
     while (!signal.aborted) {
-      this.#startProbeIfDue();
+      runGuarded(this.#options.log, 'judgement of the target link', () => {
+        this.#startProbeIfDue();
+      });
       // Without requests there is no evidence to judge until the next failure.
       const restMs = this.#isCutOff ? judgementIntervalMs : Infinity;
       await activity.pause({ activeMs: judgementIntervalMs, restMs }, signal);
--- a/packages/soak/src/faults/fault-plan.ts
+++ b/packages/soak/src/faults/fault-plan.ts
@@ -4,7 +4,7 @@
  */
 import { SeededRandom } from '../shared/seeded-random.js';
 
-import { RouteChange } from './configuration-faults.js';
+import { KeyChange, RouteChange } from './configuration-faults.js';
 import { CrashingPart } from './crashing-part.js';
 import { DutyInterfaceOutage } from './duty-interface-faults.js';
 import type { Fault } from './fault.js';
@@ -68,6 +68,7 @@
   new TargetCut(),
   new RouteChange(),
   new DutyInterfaceOutage(),
+  new KeyChange(),
 ];
 
 /** Time of the first fault, in milliseconds since the start of the plan. */
@@ -97,6 +98,7 @@
   new TargetReplacement(),
   new DepartureByResponse(),
   new RouteChange(),
+  new KeyChange(),
 ];
 
 /** Returns the faults of a period of `faultPeriodMs` milliseconds. */
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -17,11 +17,20 @@
   'class-validator',
 ];
 
-const undiciClientsPlugin = {
-  name: 'undici-clients',
+// Packages and modules of which the daemon uses a small part, and what stands for them.
+const replacements = [
+  [/^undici$/, 'undici-clients.cjs'],
+  [/^prom-client$/, 'prom-client-metrics.cjs'],
+  [/\/client-h2\.js$/, 'no-http2.cjs'],
+];
+
+const usedPartsPlugin = {
+  name: 'used-parts',
   setup({ onResolve }) {
-    const path = fileURLToPath(new URL('undici-clients.cjs', import.meta.url));
-    onResolve({ filter: /^undici$/ }, () => ({ path }));
+    for (const [filter, file] of replacements) {
+      const path = fileURLToPath(new URL(file, import.meta.url));
+      onResolve({ filter }, () => ({ path }));
+    }
   },
 };
 
@@ -32,7 +41,7 @@
   target: 'node20',
   conditions: ['source'],
   external: unusedPackages,
-  plugins: [undiciClientsPlugin],
+  plugins: [usedPartsPlugin],
   minifySyntax: true,
   // Less text to read at the start of the daemon.
   minifyWhitespace: true,
