--- a/packages/relay/src/relay/room-wait.ts
+++ b/packages/relay/src/relay/room-wait.ts
@@ -28,7 +28,7 @@
 
   /** True if others that wait are placed before a request with this work done. */
   mustWait(workTokens: number): boolean {
-    const { rank } = this.options.context.route;
+    const { rank } = this.options.context;
     const tokens = this.#countTokens();
     return this.#state.roomQueue.hasAhead({ rank, workTokens, tokens });
   }
