--- a/packages/relay/src/relay/app.ts
+++ b/packages/relay/src/relay/app.ts
@@ -81,7 +81,11 @@
       callerBuffersToken,
       resolver =>
         new CallerBuffers({
-          getMemoryBytes: () => resolver.get(settingsToken).current.memoryBytes,
+          getMemoryBytes: () => {
+            const { hasMemoryPressure, memoryBytes } =
+              resolver.get(settingsToken).current;
+            return hasMemoryPressure ? memoryBytes : undefined;
+          },
           log: resolver.get(logToken),
         }),
     );
@@ -121,6 +125,8 @@
           resolver.get(peerTopologyToken).usesAggregators,
         callerBuffers: resolver.get(callerBuffersToken),
         engineTurns: new EngineTurns(resolver.get(limitGroupToken)),
+        boundsEngineMemory: () =>
+          resolver.get(settingsToken).current.hasMemoryPressure === true,
         dataCenter: resolver.get(settingsToken).current.dataCenter,
         getEventLoopDelayMs: () =>
           resolver.get(eventLoopDelayMonitorToken).currentDelayMs,
--- a/packages/relay/src/relay/generation-placer.ts
+++ b/packages/relay/src/relay/generation-placer.ts
@@ -7,6 +7,7 @@
 import { chooseDecodeTarget, placeGeneration } from '../placement/placement.js';
 import type { Placement, PlacementOptions } from '../placement/placement.js';
 import { createRoomCheck } from '../room/room-check.js';
+import type { RoomCheck } from '../room/room-check.js';
 import type { Prompt } from '../requests/relay-request.js';
 import type { EngineSettings } from '../routes/route-configuration.js';
 import type { TargetState } from '../targets/target-state.js';
@@ -108,15 +109,7 @@
     const drawsSample = dependencies.isLargeDeployment();
     return {
       targets: openTargets,
-      room: createRoomCheck({
-        targets: openTargets,
-        prompt,
-        capacityTokens: engineSettings.kvTokens,
-        typicalTokens: serviceState.requestTokensAverage.value,
-        holdMs: serviceState.decodeMsAverage.value,
-        turns: dependencies.engineTurns,
-        drawsSample,
-      }),
+      room: this.#createRoomCheck(openTargets, drawsSample),
       leavingTargets: targets.listRecentlyLeavingTargets(context.service),
       prompt,
       prefillSpeed: serviceState.prefillSpeed,
@@ -132,6 +125,26 @@
     };
   }
 
+  /** Undefined where an engine that is full puts requests back and goes on. */
+  #createRoomCheck(
+    targets: readonly TargetState[],
+    drawsSample: boolean,
+  ): RoomCheck | undefined {
+    const { dependencies, context, prompt, engineSettings } = this.options;
+    if (!dependencies.boundsEngineMemory()) return undefined;
+    const { requestTokensAverage, decodeMsAverage } =
+      dependencies.serviceStates.getState(context.service);
+    return createRoomCheck({
+      targets,
+      prompt,
+      capacityTokens: engineSettings.kvTokens,
+      typicalTokens: requestTokensAverage.value,
+      holdMs: decodeMsAverage.value,
+      turns: dependencies.engineTurns,
+      drawsSample,
+    });
+  }
+
   /** Returns a shortage of room if an engine could take the request but for that. */
   #createPlacementFailure(options: PlacementOptions): Failure {
     const withoutRoom = { ...options, room: undefined };
--- a/packages/relay/src/relay/generation-runner.ts
+++ b/packages/relay/src/relay/generation-runner.ts
@@ -119,7 +119,10 @@
 
   async #run(): Promise<void> {
     const { context } = this;
-    if (this.prompt.tokens > this.engineSettings.kvTokens) {
+    if (
+      this.dependencies.boundsEngineMemory() &&
+      this.prompt.tokens > this.engineSettings.kvTokens
+    ) {
       this.failRequest(createPromptTooLargeFailure(this.engineSettings));
       return;
     }
--- a/packages/relay/src/relay/relay.ts
+++ b/packages/relay/src/relay/relay.ts
@@ -99,6 +99,8 @@
   readonly callerBuffers: CallerBuffers;
   /** Order of the instances at engines whose memory is short. */
   readonly engineTurns: EngineTurns;
+  /** True if an engine ends when its requests exceed its memory. */
+  readonly boundsEngineMemory: () => boolean;
   /** Data centre of this instance. */
   readonly dataCenter: string;
   /** Current event loop delay of this process. */
--- a/packages/relay/src/relay/room-wait.test.ts
+++ b/packages/relay/src/relay/room-wait.test.ts
@@ -22,11 +22,11 @@
 const largePrompt = (own: string) =>
   createPrompt(own, { shared: 0, own: 40_000 });
 
-const createRelay = () => {
+const createRelay = ({ boundsEngineMemory = true } = {}) => {
   const targets = [
     createTargetRecord('d1', { service: 'engines', role: 'decode', slots: 8 }),
   ];
-  const parts = createTestRelay({ route, targets });
+  const parts = createTestRelay({ route, targets, boundsEngineMemory });
   const ends: (() => void)[] = [];
   parts.client.onSend = (_target, _options, sink) =>
     new Promise(resolve => {
@@ -104,3 +104,19 @@
   t.is(failure?.retryAfterMs, undefined);
   t.deepEqual(client.sends, []);
 });
+
+test.serial(
+  'where engines put requests back when they are full, no request waits for room',
+  async t => {
+    const clock = installPausedClock(t);
+    const { serve, client, ends } = createRelay({ boundsEngineMemory: false });
+    const answers = ['a', 'b', 'c'].map(own =>
+      serve({ prompt: largePrompt(own) }),
+    );
+    await clock.tickAsync(10);
+    t.is(client.sends.length, 3);
+    for (const end of ends) end();
+    await clock.tickAsync(10);
+    await Promise.all(answers);
+  },
+);
--- a/packages/relay/src/settings/relay-settings.ts
+++ b/packages/relay/src/settings/relay-settings.ts
@@ -70,6 +70,11 @@
   readonly roleLeaseDurationMs: number;
   /** Memory limit of the process in bytes; undefined if none is known. */
   readonly memoryBytes?: number;
+  /**
+   * True if engines end when their requests exceed their memory, and callers and targets
+   * may read slowly.
+   */
+  readonly hasMemoryPressure?: boolean;
   /** Undefined if the platform sets no limit for withdrawn keys. */
   readonly revocation?: RevocationSettings;
   /** Undefined if the platform states no reporting windows. */
