--- a/packages/relay/src/scaling/scaling-policy.test.ts
+++ b/packages/relay/src/scaling/scaling-policy.test.ts
@@ -298,6 +298,17 @@
   t.is(replay.countOpen(undefined, false), 0);
 });
 
+test('where spot targets are refused, on-demand targets keep the lower bound without a queue', t => {
+  const replay = createReplay({
+    onDemand: { a: 0, b: 2, c: 2, d: 2 },
+    getLoad: () => createLoad(20, 10),
+    answer: ({ dataCenter, isSpot }) =>
+      dataCenter === 'a' && isSpot ? 'unavailable' : 'accepted',
+  });
+  replay.runUntil(20_000);
+  t.true(replay.countOpen('a', false) >= settings.min);
+});
+
 test('with one data centre spot targets replace none, as all may be lost at once', t => {
   const replay = createReplay({
     settings: { ...settings, prices: { a: 1 } },
--- a/packages/relay/src/scaling/scaling-policy.ts
+++ b/packages/relay/src/scaling/scaling-policy.ts
@@ -67,8 +67,6 @@
 /** Pause after the platform answered that it got too many calls. */
 const rateLimitPauseMs = 1_000;
 
-const spotOnly: readonly TargetKind[] = ['spot'];
-
 /** What to order now. */
 export interface ScalingDecision {
   readonly orders: readonly ScalingOrder[];
@@ -249,11 +247,15 @@
     const isEnough =
       countSurvivingTargets(this.#countOpen(view)) >= options.need;
     const reason = isEnough ? 'price' : 'need';
-    const kinds = this.#mayAddOnDemand(view, options) ? targetKinds : spotOnly;
+    const mayAddOnDemand = this.#mayAddOnDemand(view, options);
     return options.dataCenters.flatMap(({ name }) =>
-      kinds.flatMap((kind): OrderChange[] => {
-        const desired = getCounts(plan, name)[kind];
+      targetKinds.flatMap((kind): OrderChange[] => {
+        const counts = getCounts(plan, name);
         const before = this.#standing.getDesired(name, kind);
+        const isBound = kind === 'onDemand' && !mayAddOnDemand;
+        const desired = isBound
+          ? Math.min(counts.onDemand, view.settings.min - counts.spot)
+          : counts[kind];
         if (desired <= before) return [];
         return [{ dataCenter: name, kind, before, desired, reason }];
       }),
@@ -263,7 +265,7 @@
   /**
    * Caches are cold at the start of a day and after a loss, which shows as a peak of
    * prompt tokens that is over before an ordered engine serves. While spot targets can be
-   * had, only prompts that wait call for dearer ones.
+   * had, only prompts that wait, and the lower bound, call for dearer ones.
    */
   #mayAddOnDemand(view: ScalingView, options: CapacityPlanOptions): boolean {
     const spotCount = options.dataCenters.filter(
