--- a/packages/relay/src/customers/app.ts
+++ b/packages/relay/src/customers/app.ts
@@ -25,13 +25,13 @@
 import { ConfigurationReader } from './configuration-reader.js';
 import { FreshnessExchange } from './freshness-exchange.js';
 import { KeyGate } from './key-gate.js';
-import { chooseVouchers } from './vouching-instances.js';
+import { chooseFreshnessSources } from './freshness-sources.js';
 
 /**
  * Time for which a restored store is doubted if the platform sets no delay for withdrawals:
  * as long as registrations of targets, which are written again by then.
  */
-const defaultProbationMs = 5_000;
+const defaultRestoreSettlingMs = 5_000;
 
 /** Share of the delay of a withdrawal that a long poll of the operator's table may last. */
 const longPollShare = 0.25;
@@ -51,7 +51,8 @@
 
 const createFreshness = (kernel: Kernel): ConfigurationFreshness => {
   const freshness = new ConfigurationFreshness({
-    getProbationMs: () => getMaxDelayMs(kernel) ?? defaultProbationMs,
+    getRestoreSettlingMs: () =>
+      getMaxDelayMs(kernel) ?? defaultRestoreSettlingMs,
     isFirstStart: kernel.get(settingsToken).current.isFirstStart,
   });
   kernel.get(tableToken).eras.onChange(({ era }) => {
@@ -69,7 +70,7 @@
   const aggregators = topology.usesAggregators
     ? [topology.getAggregator(), ...topology.listRemoteAggregators()]
     : [];
-  const names = chooseVouchers({
+  const names = chooseFreshnessSources({
     candidates: registry
       .listInstances()
       .filter(
--- a/packages/relay/src/customers/configuration-freshness.test.ts
+++ b/packages/relay/src/customers/configuration-freshness.test.ts
@@ -5,7 +5,7 @@
 
 import { ConfigurationFreshness } from './configuration-freshness.js';
 
-const probationMs = 2_000;
+const restoreSettlingMs = 2_000;
 
 const at = (monotonicMs: number, suspendedMs = 0): ClockReading => ({
   monotonicMs,
@@ -14,7 +14,7 @@
 
 const createFreshness = (isFirstStart = false) =>
   new ConfigurationFreshness({
-    getProbationMs: () => probationMs,
+    getRestoreSettlingMs: () => restoreSettlingMs,
     isFirstStart,
   });
 
--- a/packages/relay/src/customers/configuration-freshness.ts
+++ b/packages/relay/src/customers/configuration-freshness.ts
@@ -35,7 +35,7 @@
 }
 
 /** What another instance stated about its configuration. */
-export interface VouchedFreshness {
+export interface ReportedFreshness {
   /** Clocks when the question was sent. */
   readonly sentAt: ClockReading;
   /** Age of the other instance's proof when it answered. */
@@ -50,7 +50,7 @@
    * Time after which a restored store is trusted although its configuration was not
    * written again.
    */
-  readonly getProbationMs: () => number;
+  readonly getRestoreSettlingMs: () => number;
   /** True if no request was served before this start, so that no key was withdrawn. */
   readonly isFirstStart: boolean;
 }
@@ -84,7 +84,7 @@
 
   /**
    * Milliseconds since then; Infinity if it is unknown. A shift of the clocks counts as a
-   * suspension, since short ones would add up over instances that vouch for each other.
+   * suspension, since short ones would add up over instances that confirm each other's configuration.
    */
   getAgeMs(now: ClockReading): number {
     this.#dropDoubtfulProof(now);
@@ -124,7 +124,7 @@
 
   /** Records an answer of another instance whose configuration is in force here. */
   recordAnswer(
-    { sentAt, ageMs, era }: VouchedFreshness,
+    { sentAt, ageMs, era }: ReportedFreshness,
     now: ClockReading,
   ): void {
     if (!this.observeEra(era, now)) return;
@@ -138,8 +138,9 @@
     const firstVersion = (this.#firstTableVersion ??= tableVersion);
     if (rowVersion !== undefined && rowVersion > firstVersion)
       return sentAt.monotonicMs;
-    const probationEndMs = this.#eraSeenAtMs + this.options.getProbationMs();
-    return sentAt.monotonicMs >= probationEndMs ? probationEndMs : undefined;
+    const settlingEndMs =
+      this.#eraSeenAtMs + this.options.getRestoreSettlingMs();
+    return sentAt.monotonicMs >= settlingEndMs ? settlingEndMs : undefined;
   }
 
   #addProof(proof: FreshnessProof, now: ClockReading): void {
--- a/packages/relay/src/customers/freshness-exchange.test.ts
+++ b/packages/relay/src/customers/freshness-exchange.test.ts
@@ -1,4 +1,4 @@
-/** Tests of how instances vouch for each other's configuration. */
+/** Tests of how instances confirm each other's configuration. */
 import { EraTracker, Failure, Kernel, Peer } from '@medlarlever/core';
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
@@ -15,7 +15,7 @@
 
 import { ConfigurationFreshness } from './configuration-freshness.js';
 import { FreshnessExchange } from './freshness-exchange.js';
-import { chooseVouchers } from './vouching-instances.js';
+import { chooseFreshnessSources } from './freshness-sources.js';
 
 const maxDelayMs = 2_400;
 const delayMs = 30;
@@ -59,7 +59,7 @@
   const eras = new EraTracker();
   eras.recordEra(0);
   const freshness = new ConfigurationFreshness({
-    getProbationMs: () => maxDelayMs,
+    getRestoreSettlingMs: () => maxDelayMs,
     isFirstStart: false,
   });
   const readRequests: number[] = [];
@@ -133,7 +133,7 @@
 });
 
 test.serial(
-  'instances that are all cut off do not vouch for each other without end',
+  'instances that are all cut off do not confirm each other without end',
   async t => {
     const { clock, other, instance } = setUp(t);
     other.read();
@@ -199,8 +199,11 @@
     }));
     const choice = { candidates, dataCenter: 'a', random: () => 0.9 };
     const aggregators = new Set(['a1', 'b1']);
-    t.deepEqual(chooseVouchers({ ...choice, aggregators }), ['a1', 'b1']);
-    t.deepEqual(chooseVouchers({ ...choice, aggregators: new Set() }), [
+    t.deepEqual(chooseFreshnessSources({ ...choice, aggregators }), [
+      'a1',
+      'b1',
+    ]);
+    t.deepEqual(chooseFreshnessSources({ ...choice, aggregators: new Set() }), [
       'a2',
       'b2',
     ]);
@@ -210,7 +213,7 @@
       candidates: near,
       aggregators: new Set<string>(),
     };
-    t.deepEqual(chooseVouchers(alone), ['a2', 'a1']);
-    t.deepEqual(chooseVouchers({ ...alone, candidates: [] }), []);
+    t.deepEqual(chooseFreshnessSources(alone), ['a2', 'a1']);
+    t.deepEqual(chooseFreshnessSources({ ...alone, candidates: [] }), []);
   },
 );
--- a/packages/relay/src/customers/vouching-instances.ts
+++ b/packages/relay/src/customers/freshness-sources.ts
@@ -4,15 +4,15 @@
  */
 
 /** Another instance, as far as the choice needs to know it. */
-export interface Voucher {
+export interface FreshnessSource {
   readonly name: string;
   readonly dataCenter: string;
 }
 
 /** What the choice depends on. */
-export interface VoucherChoice {
+export interface FreshnessSourceChoice {
   /** Other instances that are live and can answer. */
-  readonly candidates: readonly Voucher[];
+  readonly candidates: readonly FreshnessSource[];
   readonly dataCenter: string;
   /** Instances that read the store on behalf of others; they know most. */
   readonly aggregators: ReadonlySet<string>;
@@ -20,26 +20,28 @@
   readonly random: () => number;
 }
 
-const maxVouchers = 2;
+const maxSources = 2;
 
 const pick = (
-  vouchers: readonly Voucher[],
-  { aggregators, random }: VoucherChoice,
-): Voucher | undefined => {
-  const preferred = vouchers.filter(({ name }) => aggregators.has(name));
-  const pool = preferred.length > 0 ? preferred : vouchers;
+  sources: readonly FreshnessSource[],
+  { aggregators, random }: FreshnessSourceChoice,
+): FreshnessSource | undefined => {
+  const preferred = sources.filter(({ name }) => aggregators.has(name));
+  const pool = preferred.length > 0 ? preferred : sources;
   return pool[Math.floor(random() * pool.length)];
 };
 
 /** Returns the names of at most two instances, in different data centres if possible. */
-export const chooseVouchers = (choice: VoucherChoice): string[] => {
+export const chooseFreshnessSources = (
+  choice: FreshnessSourceChoice,
+): string[] => {
   const { candidates, dataCenter } = choice;
   const near = candidates.filter(item => item.dataCenter === dataCenter);
   const far = candidates.filter(item => item.dataCenter !== dataCenter);
   const chosen = [pick(near, choice), pick(far, choice)].filter(
     item => item !== undefined,
   );
-  if (chosen.length < maxVouchers) {
+  if (chosen.length < maxSources) {
     const rest = candidates.filter(item => !chosen.includes(item));
     const another = pick(rest, choice);
     if (another !== undefined) chosen.push(another);
--- a/packages/relay/src/forwarding/forwarded-request-handler.ts
+++ b/packages/relay/src/forwarding/forwarded-request-handler.ts
@@ -73,7 +73,7 @@
     }
   };
 
-/** Failure of a sender that may be no instance and so may not vouch for a customer. */
+/** Failure of a sender that may be no instance and so may not name a customer. */
 const createForbiddenFailure = (): Failure =>
   new Failure(
     'forbidden',
--- a/packages/relay/src/peers/app.ts
+++ b/packages/relay/src/peers/app.ts
@@ -210,7 +210,7 @@
 };
 
 /**
- * True if an instance has the address. Without customers no request is vouched for, and
+ * True if an instance has the address. Without customers no request names a customer, and
  * every sender is taken for an instance, as the platform's network rules allow no other.
  */
 const isInstanceAddress = (
