--- a/packages/relay/src/relay/app.ts
+++ b/packages/relay/src/relay/app.ts
@@ -10,6 +10,8 @@
   logToken,
   eventLoopDelayMonitorToken,
   limitGroupToken,
+  overloadGuardToken,
+  relayMetricsToken,
   metricsRegistryToken,
   loadExchangeToken,
   promptQuarantineToken,
@@ -38,6 +40,7 @@
 import { DataCenterReachability } from '../targets/data-center-reachability.js';
 
 import { createLivenessCheck } from './liveness-check.js';
+import { OverloadGuard } from './overload.js';
 import { Relay } from './relay.js';
 import { ServiceStates } from './service-state.js';
 
@@ -78,8 +81,27 @@
       callerBuffersToken,
       resolver =>
         new CallerBuffers({
-          getMemoryBytes: () => resolver.get(settingsToken).current.memoryBytes,
+          getMemoryBytes: () => {
+            const { hasMemoryPressure, memoryBytes } =
+              resolver.get(settingsToken).current;
+            return hasMemoryPressure ? memoryBytes : undefined;
+          },
+          log: resolver.get(logToken),
+        }),
+    );
+    kernel.provide(
+      relayMetricsToken,
+      resolver => new RelayMetrics(resolver.get(metricsRegistryToken)),
+    );
+    kernel.provide(
+      overloadGuardToken,
+      resolver =>
+        new OverloadGuard({
+          routes: resolver.get(routesToken),
+          metrics: resolver.get(relayMetricsToken),
           log: resolver.get(logToken),
+          getEventLoopDelayMs: () =>
+            resolver.get(eventLoopDelayMonitorToken).currentDelayMs,
         }),
     );
     kernel.provide(relayToken, resolver => {
@@ -96,13 +118,15 @@
         targetLink: resolver.get(targetLinkToken),
         forwarder: resolver.get(requestForwarderToken),
         dataCenterReachability: new DataCenterReachability(),
-        metrics: new RelayMetrics(resolver.get(metricsRegistryToken)),
+        metrics: resolver.get(relayMetricsToken),
         log: resolver.get(logToken),
         random: resolver.get(randomToken),
         isLargeDeployment: () =>
           resolver.get(peerTopologyToken).usesAggregators,
         callerBuffers: resolver.get(callerBuffersToken),
         engineTurns: new EngineTurns(resolver.get(limitGroupToken)),
+        boundsEngineMemory: () =>
+          resolver.get(settingsToken).current.hasMemoryPressure === true,
         dataCenter: resolver.get(settingsToken).current.dataCenter,
         getEventLoopDelayMs: () =>
           resolver.get(eventLoopDelayMonitorToken).currentDelayMs,
--- a/packages/relay/src/server/app.ts
+++ b/packages/relay/src/server/app.ts
@@ -11,6 +11,7 @@
   shutdownStartControllerToken,
   logToken,
   eventLoopDelayMonitorToken,
+  overloadGuardToken,
   metricsRegistryToken,
   instanceRegistryToken,
   relayToken,
@@ -68,6 +69,7 @@
     drainer: kernel.get(requestDrainerToken),
     eventLoopDelayMonitor: kernel.get(eventLoopDelayMonitorToken),
     getMemoryBytes: () => kernel.get(settingsToken).current.memoryBytes,
+    overloadGuard: kernel.get(overloadGuardToken),
     ...kernel.get(settingsToken).current.callers,
   });
 
--- a/packages/relay/src/server/caller-server.ts
+++ b/packages/relay/src/server/caller-server.ts
@@ -11,6 +11,7 @@
 import type { NestFastifyApplication } from '@nestjs/platform-fastify';
 import type { FastifyInstance } from 'fastify';
 
+import type { OverloadGuard } from '../relay/overload.js';
 import type { Relay } from '../relay/relay.js';
 import type { RouteTableHolder } from '../routes/route-table-holder.js';
 
@@ -23,6 +24,7 @@
   bodyReaderProvider,
   requestDrainerProvider,
   eventLoopDelayMonitorProvider,
+  overloadGuardProvider,
   relayProvider,
   requestDecoderProvider,
   routesProvider,
@@ -61,6 +63,7 @@
   readonly eventLoopDelayMonitor: EventLoopDelayMonitor;
   /** Returns the memory limit of the process, if there is one. */
   readonly getMemoryBytes?: () => number | undefined;
+  readonly overloadGuard?: OverloadGuard;
   readonly host: string;
   readonly port: number;
 }
@@ -81,6 +84,7 @@
       provide: eventLoopDelayMonitorProvider,
       useValue: options.eventLoopDelayMonitor,
     },
+    { provide: overloadGuardProvider, useValue: options.overloadGuard ?? null },
   ],
 });
 
--- a/packages/relay/src/server/nest-providers.ts
+++ b/packages/relay/src/server/nest-providers.ts
@@ -5,3 +5,4 @@
 export const bodyReaderProvider = 'body-reader';
 export const requestDrainerProvider = 'drain';
 export const eventLoopDelayMonitorProvider = 'loop-delay';
+export const overloadGuardProvider = 'overload-guard';
