--- a/packages/relay/src/change-streams/table-watcher.ts
+++ b/packages/relay/src/change-streams/table-watcher.ts
@@ -110,14 +110,18 @@
     return this.#versionsByKey.get(key);
   }
 
-  /** Reads the whole table once, beside the watch, and applies what is new. */
-  async readNow(): Promise<void> {
+  /**
+   * Reads the whole table once, beside the watch, and applies what is new. Returns whether
+   * the read succeeded.
+   */
+  async readNow(): Promise<boolean> {
     const snapshot = await this.#options.changeStream.listRows();
     snapshot.ifRight(page => {
       if (this.#lastPosition?.era !== page.position.era)
         this.#lastPosition = undefined;
       this.#applySnapshot(page, false);
     });
+    return snapshot.isRight();
   }
 
   /** Watches the table until the signal aborts. */
--- a/packages/relay/src/customers/configuration-reader.test.ts
+++ b/packages/relay/src/customers/configuration-reader.test.ts
@@ -12,7 +12,7 @@
     const startsMs: number[] = [];
     const reader = new ConfigurationReader(() => {
       startsMs.push(performance.now());
-      return Promise.resolve();
+      return Promise.resolve(true);
     });
     for (let i = 0; i < 999; i += 1) {
       void reader.requestRead();
@@ -30,7 +30,9 @@
     const reader = new ConfigurationReader(
       () =>
         new Promise(resolve => {
-          ends.push(resolve);
+          ends.push(() => {
+            resolve(true);
+          });
         }),
     );
     void reader.requestRead();
@@ -56,7 +58,7 @@
     readCount += 1;
     return readCount === 1
       ? Promise.reject(new Error('row of an unexpected form'))
-      : Promise.resolve();
+      : Promise.resolve(true);
   });
   const first = reader.requestRead();
   await clock.tickAsync(300);
@@ -66,3 +68,27 @@
   await t.notThrowsAsync(second);
   t.is(readCount, 2);
 });
+
+test.serial('reads that fail become fewer until one succeeds', async t => {
+  const clock = installPausedClock(t);
+  let readCount = 0;
+  let isDown = true;
+  const reader = new ConfigurationReader(() => {
+    readCount += 1;
+    return Promise.resolve(!isDown);
+  });
+  for (let i = 0; i < 8_000; i += 100) {
+    void reader.requestRead();
+    await clock.tickAsync(100);
+  }
+  t.true(readCount >= 5 && readCount <= 9, `${readCount} reads in 8 s`);
+  isDown = false;
+  void reader.requestRead();
+  await clock.tickAsync(1_600);
+  readCount = 0;
+  for (let i = 0; i < 1_000; i += 100) {
+    void reader.requestRead();
+    await clock.tickAsync(100);
+  }
+  t.true(readCount >= 4);
+});
--- a/packages/relay/src/customers/configuration-reader.ts
+++ b/packages/relay/src/customers/configuration-reader.ts
@@ -5,17 +5,22 @@
  */
 import { sleep } from '@medlarlever/core';
 
-/** At most five reads a second. */
+/** At most five reads a second, and fewer while they fail: all instances may be reading. */
 const minReadIntervalMs = 200;
+const maxReadIntervalMs = 1_600;
 
 /** Joins requests for a read. */
 export class ConfigurationReader {
   #lastStartMs = -Infinity;
+  #intervalMs = minReadIntervalMs;
   #running: Promise<void> = Promise.resolve();
   #next: Promise<void> | undefined;
 
-  /** `read` reads the table once and applies its rows; it reports failures itself. */
-  constructor(private readonly read: () => Promise<void>) {}
+  /**
+   * `read` reads the table once, applies its rows and resolves to true if it succeeded; it
+   * reports failures itself.
+   */
+  constructor(private readonly read: () => Promise<boolean>) {}
 
   /** Resolves at the end of a read that starts after this call. */
   requestRead(): Promise<void> {
@@ -25,12 +30,19 @@
 
   async #startNext(running: Promise<void>): Promise<void> {
     await running;
-    const pauseMs = this.#lastStartMs + minReadIntervalMs - performance.now();
+    const pauseMs = this.#lastStartMs + this.#intervalMs - performance.now();
     if (pauseMs > 0) await sleep(pauseMs);
     this.#lastStartMs = performance.now();
     this.#next = undefined;
-    // A read that fails unexpectedly must not keep back the next ones.
-    this.#running = this.read().catch(() => undefined);
+    this.#running = this.#readOnce();
     await this.#running;
   }
+
+  async #readOnce(): Promise<void> {
+    // A read that fails unexpectedly must not keep back the next ones.
+    const hasSucceeded = await this.read().catch(() => false);
+    this.#intervalMs = hasSucceeded
+      ? minReadIntervalMs
+      : Math.min(maxReadIntervalMs, 2 * this.#intervalMs);
+  }
 }
