Read the targets anew before a stream's only version is assumed

Cause: with no memory of a stream, an instance took the only version in its list. The list can be seconds old (suspension, silent store connection), a stream may go on for longer than the assumed 15 s where a route's timeout is longer, and a registration that changed its version without a new start left no trace of the old one. Each joins text of two versions with status 200.

Change: the list is read again, once for all callers that wait, and for at most 400 ms; versions count for three times the longest timeout of the routes. Tests for each of the three failed before.

--- a/packages/relay/src/origins/stream-origin-finder.test.ts
+++ b/packages/relay/src/origins/stream-origin-finder.test.ts
@@ -41,15 +41,19 @@
   origins = new StreamOrigins(),
   peers = [],
   onlyVersion,
+  refreshTargets = () => Promise.resolve(true),
 }: {
   readonly origins?: StreamOrigins;
   readonly peers?: readonly Peer[];
-  readonly onlyVersion?: string;
+  readonly onlyVersion?: string | (() => string | undefined);
+  readonly refreshTargets?: () => Promise<boolean>;
 }) =>
   new StreamOriginFinder({
     origins,
     listPeers: () => peers,
-    findOnlyVersion: () => onlyVersion,
+    findOnlyVersion: () =>
+      typeof onlyVersion === 'function' ? onlyVersion() : onlyVersion,
+    refreshTargets,
   });
 
 const createKnowing = (): StreamOrigins => {
@@ -95,6 +99,40 @@
   t.is((await finder.find('b1', ['engines', 'other'])).source, 'unknown');
 });
 
+// The list of targets may be seconds old after a suspension or on a silent connection,
+// while the stream began at a version that came since.
+test('a version that has come since the list was read is not overlooked', async t => {
+  let versions = ['v1'];
+  const finder = createFinder({
+    onlyVersion: () => (versions.length === 1 ? versions[0] : undefined),
+    refreshTargets: () => {
+      versions = ['v1', 'v2'];
+      return Promise.resolve(true);
+    },
+  });
+  t.is((await finder.find('b1', ['engines'])).source, 'unknown');
+});
+
+test('without a fresh list of targets, the peers are asked', async t => {
+  const finder = createFinder({
+    peers: [new FakePeer(createKnowing())],
+    onlyVersion: 'v1',
+    refreshTargets: () => Promise.resolve(false),
+  });
+  t.deepEqual(await finder.find('a1', ['engines']), {
+    origin,
+    source: 'asked',
+  });
+});
+
+test('a list of targets that does not come in time is not waited for', async t => {
+  const finder = createFinder({
+    onlyVersion: 'v1',
+    refreshTargets: () => new Promise(() => undefined),
+  });
+  t.is((await finder.find('b1', ['engines'])).source, 'unknown');
+});
+
 test('origins are reported once, and a version without a name stays so', t => {
   const one = createKnowing();
   one.record('a2', { service: 'engines' });
--- a/packages/relay/src/origins/stream-origin-finder.ts
+++ b/packages/relay/src/origins/stream-origin-finder.ts
@@ -1,4 +1,5 @@
 /** Finds out where a stream began that a caller takes up again. */
+import { sleep } from '@medlarlever/core';
 import type { Kernel, Peer } from '@medlarlever/core';
 import { Right } from 'purify-ts';
 import { z } from 'zod';
@@ -16,6 +17,9 @@
 /** Peers answer from memory; one that is slower is out of reach. */
 const askTimeoutMs = 150;
 
+/** A list of targets that takes longer to read is not waited for; peers are asked instead. */
+const refreshTimeoutMs = 400;
+
 /** How an origin became known; written to the log. */
 export type OriginSource = 'told' | 'asked' | 'only_version' | 'unknown';
 
@@ -35,6 +39,11 @@
    * longer than streams last, so that every stream began there.
    */
   readonly findOnlyVersion: (service: string) => string | undefined;
+  /**
+   * Reads the list of targets anew; resolves to false if that fails. What is known
+   * otherwise may be seconds old, and the stream may have begun since at a new version.
+   */
+  readonly refreshTargets: () => Promise<boolean>;
 }
 
 /** Looks up origins here, by the versions that there were, and at peers. */
@@ -61,7 +70,7 @@
       const told = this.options.origins.find(request);
       if (told !== undefined) return { origin: told, source: 'told' };
     }
-    const origin = this.#findOnlyOrigin(services);
+    const origin = await this.#confirmOnlyOrigin(services);
     if (origin !== undefined) return { origin, source: 'only_version' };
     const asked =
       request === undefined ? undefined : await this.#askPeers(request);
@@ -70,6 +79,17 @@
       : { origin: asked, source: 'asked' };
   }
 
+  async #confirmOnlyOrigin(
+    services: readonly string[],
+  ): Promise<StreamOrigin | undefined> {
+    if (this.#findOnlyOrigin(services) === undefined) return undefined;
+    const isRefreshed = await Promise.race([
+      this.options.refreshTargets(),
+      sleep(refreshTimeoutMs).then(() => false),
+    ]);
+    return isRefreshed ? this.#findOnlyOrigin(services) : undefined;
+  }
+
   #findOnlyOrigin(services: readonly string[]): StreamOrigin | undefined {
     const [service, ...others] = services;
     if (service === undefined || others.length > 0) return undefined;
--- a/packages/relay/src/peers/app.ts
+++ b/packages/relay/src/peers/app.ts
@@ -43,6 +43,8 @@
 import { StreamOriginFinder } from '../origins/stream-origin-finder.js';
 import { StreamOrigins } from '../origins/stream-origins.js';
 import { startOrder } from '../kernel/start-order.js';
+import { CoalescedCall } from '../shared/coalesced-call.js';
+import { computeStreamLifetimeMs } from '../targets/software-versions.js';
 import { isKnownAddress } from '../forwarding/known-addresses.js';
 import { createForwardedRequestHandler } from '../forwarding/forwarded-request-handler.js';
 import { openPeerInterface } from '../server/peer-interface.js';
@@ -175,15 +177,22 @@
   );
 };
 
-const createStreamOriginFinder = (kernel: Kernel): StreamOriginFinder =>
-  new StreamOriginFinder({
+const createStreamOriginFinder = (kernel: Kernel): StreamOriginFinder => {
+  const targetWatcher = kernel.get(targetWatcherToken);
+  const targetRefresh = new CoalescedCall(() => targetWatcher.readNow());
+  return new StreamOriginFinder({
     origins: kernel.get(streamOriginsToken),
     listPeers: () => listOriginKeepers(kernel),
     findOnlyVersion: service =>
-      kernel
-        .get(targetRegistryToken)
-        .findOnlyVersion(service, kernel.get(targetWatcherToken).knownForMs),
+      kernel.get(targetRegistryToken).findOnlyVersion(service, {
+        knownForMs: targetWatcher.knownForMs,
+        streamLifetimeMs: computeStreamLifetimeMs(
+          kernel.get(routesToken).currentTable?.getLongestTimeoutMs(service),
+        ),
+      }),
+    refreshTargets: () => targetRefresh.run(),
   });
+};
 
 /** Selects the instances among which the limits of targets are divided. */
 const getLimitGroup = (kernel: Kernel): LimitGroup =>
--- a/packages/relay/src/routes/route-table.ts
+++ b/packages/relay/src/routes/route-table.ts
@@ -73,15 +73,27 @@
 
   /** Longest latency target of the routes to the service; undefined without any. */
   getLongestLatencyTargetMs(service: string): number | undefined {
-    const targetsMs = this.configuration.routes
-      .filter(({ services }) => services.some(({ name }) => name === service))
-      .map(({ latencyTargetMs }) => latencyTargetMs);
-    return targetsMs.length > 0 ? Math.max(...targetsMs) : undefined;
+    return this.#findLongest(service, ({ latencyTargetMs }) => latencyTargetMs);
+  }
+
+  /** Longest timeout of the routes to the service; undefined without any. */
+  getLongestTimeoutMs(service: string): number | undefined {
+    return this.#findLongest(service, ({ timeoutMs }) => timeoutMs);
   }
 
   get services(): readonly Service[] {
     return this.configuration.services;
   }
+
+  #findLongest(
+    service: string,
+    getMs: (route: Route) => number,
+  ): number | undefined {
+    const timesMs = this.configuration.routes
+      .filter(({ services }) => services.some(({ name }) => name === service))
+      .map(getMs);
+    return timesMs.length > 0 ? Math.max(...timesMs) : undefined;
+  }
 }
 
 /** Picks a service of the route by weight; `random` is uniform in [0, 1). */
--- a/packages/relay/src/targets/software-versions.ts
+++ b/packages/relay/src/targets/software-versions.ts
@@ -1,8 +1,26 @@
 /** Knows which software versions of a service served lately. */
 import type { TargetRecord } from './target-record.js';
 
-/** Streams end sooner than this after they began, over all tries of a caller. */
-const streamLifetimeMs = 15_000;
+/** Shortest time for which a stream may go on, over all tries of its caller. */
+const minStreamLifetimeMs = 15_000;
+
+/** Tries of a caller for one stream, each of which may take the time of its route. */
+const maxTriesPerStream = 3;
+
+/**
+ * Returns the time after which a stream has ended, over all tries of its caller.
+ * `longestTimeoutMs` is the longest timeout of the routes that lead to the service.
+ */
+export const computeStreamLifetimeMs = (longestTimeoutMs = 0): number =>
+  Math.max(minStreamLifetimeMs, maxTriesPerStream * longestTimeoutMs);
+
+/** How long the versions of a service must have been known. */
+export interface VersionHistory {
+  /** Time for which the list of targets has been complete. */
+  readonly knownForMs: number;
+  /** Time after which a stream of the service has ended. */
+  readonly streamLifetimeMs: number;
+}
 
 /** Tracks the versions of registered and of recently removed targets. */
 export class SoftwareVersions {
@@ -19,12 +37,12 @@
 
   /**
    * Returns the version that all streams of the service began at, if there has been
-   * just one. `knownForMs` is the time for which the list of targets has been complete.
+   * just one for as long as a stream may go on.
    */
   findOnlyVersion(
     service: string,
     records: readonly TargetRecord[],
-    knownForMs: number,
+    { knownForMs, streamLifetimeMs }: VersionHistory,
   ): string | undefined {
     if (knownForMs < streamLifetimeMs) return undefined;
     const sinceMs = performance.now() - streamLifetimeMs;
--- a/packages/relay/src/targets/target-registry.test.ts
+++ b/packages/relay/src/targets/target-registry.test.ts
@@ -45,6 +45,20 @@
   t.deepEqual(endedTargetIds, ['t1']);
 });
 
+// The registration may name another software version before it names the new start.
+test('the version that a registration named before still counts', t => {
+  const { registry } = createRegistry();
+  const find = () =>
+    registry.findOnlyVersion('api', {
+      knownForMs: 60_000,
+      streamLifetimeMs: 15_000,
+    });
+  registry.registerTarget(createTargetRecord('t1', { softwareVersion: 'v1' }));
+  t.is(find(), 'v1');
+  registry.registerTarget(createTargetRecord('t1', { softwareVersion: 'v2' }));
+  t.is(find(), undefined);
+});
+
 test('a removed target is no longer counted and ends its incarnation once', t => {
   const { registry, endedTargetIds } = createRegistry();
   registry.registerTarget(createTargetRecord('t1'));
--- a/packages/relay/src/targets/target-registry.ts
+++ b/packages/relay/src/targets/target-registry.ts
@@ -6,6 +6,7 @@
 import { RequestActivity } from './request-activity.js';
 import type { TargetRecord } from './target-record.js';
 import { SoftwareVersions } from './software-versions.js';
+import type { VersionHistory } from './software-versions.js';
 import { TargetState } from './target-state.js';
 
 /**
@@ -88,11 +89,14 @@
 
   /**
    * Returns the software version at which every stream of the service began, if there
-   * was only one. `knownForMs` is the time for which the registrations were all known.
+   * was only one.
    */
-  findOnlyVersion(service: string, knownForMs: number): string | undefined {
+  findOnlyVersion(
+    service: string,
+    history: VersionHistory,
+  ): string | undefined {
     const records = this.listTargets().map(({ record }) => record);
-    return this.#softwareVersions.findOnlyVersion(service, records, knownForMs);
+    return this.#softwareVersions.findOnlyVersion(service, records, history);
   }
 
   /** Engines that take no new work, but from which can still be copied. */
@@ -165,6 +169,8 @@
       this.#options.onIncarnationEnded?.(state.record);
       state.resetAfterRestart(record);
     } else {
+      if (state.record.softwareVersion !== record.softwareVersion)
+        this.#softwareVersions.recordRemoval(state.record);
       state.record = record;
     }
     return state;
