Read the size of an engine's cache when it is used

Cause: after a restart the store lists the engines before the configuration, and the estimate of each engine's cache was created with an assumed 100,000 tokens for the life of the process.

The test registers an engine before its configuration; it failed before.

--- a/packages/relay/src/placement/placement.test.ts
+++ b/packages/relay/src/placement/placement.test.ts
@@ -163,10 +163,10 @@
 });
 
 test('a plain request goes to a local target until that is much busier', t => {
-  const localTarget = new TargetState(createTargetRecord('n'), 0);
+  const localTarget = new TargetState(createTargetRecord('n'), () => 0);
   const remoteTarget = new TargetState(
     createTargetRecord('f', { dataCenter: 'b' }),
-    0,
+    () => 0,
   );
   const place = () =>
     selectPlainTarget({
@@ -194,10 +194,10 @@
 });
 
 test('an unreachable data centre is used only when there is no other', t => {
-  const localTarget = new TargetState(createTargetRecord('n'), 0);
+  const localTarget = new TargetState(createTargetRecord('n'), () => 0);
   const remoteTarget = new TargetState(
     createTargetRecord('f', { dataCenter: 'b' }),
-    0,
+    () => 0,
   );
   for (let i = 0; i < 3; i += 1) localTarget.startRequest();
   const place = (targets: readonly TargetState[]) =>
@@ -271,7 +271,7 @@
     softwareVersion =>
       new TargetState(
         createTargetRecord(softwareVersion, { softwareVersion }),
-        0,
+        () => 0,
       ),
   );
   targets[0]?.startRequest();
@@ -302,7 +302,7 @@
 
 test('of targets that are loaded alike, one with an idle connection is chosen', t => {
   const targets = ['t1', 't2', 't3'].map(
-    id => new TargetState(createTargetRecord(id), 1_000),
+    id => new TargetState(createTargetRecord(id), () => 1_000),
   );
   const isConnected = ({ record }: TargetState) => record.id === 't2';
   const choose = () =>
--- a/packages/relay/src/targets/prefix-cache-estimate.ts
+++ b/packages/relay/src/targets/prefix-cache-estimate.ts
@@ -14,8 +14,12 @@
   readonly #segments = new Map<string, CachedSegment>();
   #totalTokens = 0;
 
-  /** The capacity includes the tokens of running requests. */
-  constructor(private readonly capacityTokens: number) {}
+  /**
+   * `getCapacityTokens` returns the capacity, which includes the tokens of running
+   * requests. It is read at each use: after a restart, engines are known before the
+   * configuration that states it.
+   */
+  constructor(private readonly getCapacityTokens: () => number) {}
 
   /**
    * Records segments that the engine starts to prefill or copy now. Other engines
@@ -67,8 +71,9 @@
   }
 
   #evictLeastRecentlyUsed(): void {
+    const capacityTokens = this.getCapacityTokens();
     for (const [id, { tokens }] of this.#segments) {
-      if (this.#totalTokens <= this.capacityTokens) return;
+      if (this.#totalTokens <= capacityTokens) return;
       this.#segments.delete(id);
       this.#totalTokens -= tokens;
     }
--- a/packages/relay/src/targets/target-registry.test.ts
+++ b/packages/relay/src/targets/target-registry.test.ts
@@ -69,15 +69,41 @@
 });
 
 test('a segment counts as cached only if all segments before it are', t => {
-  const cache = new PrefixCacheEstimate(1_000);
+  const cache = new PrefixCacheEstimate(() => 1_000);
   const segments = ['a', 'b', 'c'].map(id => ({ id, tokens: 100 }));
   cache.addSegments(segments.slice(0, 1));
   cache.addSegments(segments.slice(2));
   t.is(cache.countCachedTokens(segments), 100);
 });
 
+// After a restart, the store may list the engines before the configuration. With a size
+// assumed then, the instance forgot most of what the engines keep, and had it read again.
+test('the size of a cache is that of the configuration, also if that comes later', t => {
+  let kvCacheTokens: number | undefined;
+  const registry = new TargetRegistry({
+    log: createMemoryLog(),
+    getKvCacheTokens: () => kvCacheTokens,
+  });
+  registry.registerTarget(createTargetRecord('t1'));
+  const cache = registry.findTarget('t1')?.prefixCache;
+  const parts = Array.from({ length: 20 }, (_, i) => ({
+    id: `part-${i}`,
+    tokens: 13_000,
+  }));
+  const countCached = () =>
+    parts.filter(part => (cache?.countCachedTokens([part]) ?? 0) > 0).length;
+  cache?.addSegments(parts);
+  t.is(countCached(), 20);
+  kvCacheTokens = 366_000;
+  cache?.addSegments(parts);
+  t.is(countCached(), 20);
+  kvCacheTokens = 26_000;
+  cache?.addSegments([{ id: 'last', tokens: 13_000 }]);
+  t.is(countCached(), 1);
+});
+
 test('the least recently used segments are evicted', t => {
-  const cache = new PrefixCacheEstimate(250);
+  const cache = new PrefixCacheEstimate(() => 250);
   const [a, b, c] = ['a', 'b', 'c'].map(id => ({ id, tokens: 100 }));
   if (a === undefined || b === undefined || c === undefined) return;
   cache.addSegments([a]);
--- a/packages/relay/src/targets/target-registry.ts
+++ b/packages/relay/src/targets/target-registry.ts
@@ -38,13 +38,13 @@
   readonly wasLeaving: boolean;
 }
 
-/** Cache size assumed for services without a configured size. */
-const defaultKvCacheTokens = 100_000;
-
 /** Log, cache sizes and callbacks of the registry. */
 export interface TargetRegistryOptions {
   readonly log: Log;
-  /** Returns the cache size in tokens of an engine of the service. */
+  /**
+   * Returns the cache size in tokens of an engine of the service; undefined while the
+   * configuration does not state it, which leaves the estimate unbounded.
+   */
   readonly getKvCacheTokens: (service: string) => number | undefined;
   /** Creates the limiter of a target; by default, this instance is the only one. */
   readonly createLimiter?: (target: string) => RequestLimiter;
@@ -197,12 +197,10 @@
   }
 
   #addTarget(record: TargetRecord): TargetState {
-    const kvCacheTokens =
-      this.#options.getKvCacheTokens(record.service) ?? defaultKvCacheTokens;
     const limiter = this.#options.createLimiter?.(record.id);
     const state = new TargetState(
       record,
-      kvCacheTokens,
+      () => this.#options.getKvCacheTokens(record.service) ?? Infinity,
       limiter,
       this.activity,
     );
--- a/packages/relay/src/targets/target-state.ts
+++ b/packages/relay/src/targets/target-state.ts
@@ -87,13 +87,13 @@
 
   constructor(
     record: TargetRecord,
-    kvCacheTokens: number,
+    getKvCacheTokens: () => number,
     limiter = createSoleInstanceLimiter(record.id),
     readonly activity = new RequestActivity(),
   ) {
     this.record = record;
     this.limiter = limiter;
-    this.prefixCache = new PrefixCacheEstimate(kvCacheTokens);
+    this.prefixCache = new PrefixCacheEstimate(getKvCacheTokens);
   }
 
   get isLeaving(): boolean {
