Load no HTTP/2 and no schema compilers at the start

Cause: Fastify loads the runtime's HTTP/2 and the compilers for route schemas at each start; the daemon uses neither. After a loss of all instances nothing is served until they are up.

--- a/packages/relay/src/server/caller-server.ts
+++ b/packages/relay/src/server/caller-server.ts
@@ -118,6 +118,11 @@
   );
 };
 
+/** Compiles the schema of a route; the only route has none. */
+const buildNoCompiler = () => () => {
+  throw new Error('routes of callers have no schemas');
+};
+
 const createFastifyAdapter = (): FastifyAdapter =>
   new FastifyAdapter({
     requestTimeout: 0,
@@ -128,6 +133,13 @@
     // All paths are rewritten to a single route, so that Fastify neither decodes
     // nor rejects any path.
     rewriteUrl: () => '/',
+    // Fastify's own compilers are loaded at each start, whether they are used or not.
+    schemaController: {
+      compilersFactory: {
+        buildValidator: buildNoCompiler,
+        buildSerializer: buildNoCompiler,
+      },
+    },
     http: {
       headersTimeout: defaultHeaderTimeoutMs,
       connectionsCheckingInterval: connectionCheckIntervalMs,
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -22,6 +22,7 @@
   [/^undici$/, 'undici-clients.cjs'],
   [/^prom-client$/, 'prom-client-metrics.cjs'],
   [/\/client-h2\.js$/, 'no-http2.cjs'],
+  [/^node:http2$/, 'no-http2.cjs'],
 ];
 
 const usedPartsPlugin = {
