Break the two circles of imports of the relay and the soak

Faults act on a FaultScene, an abstract class that the soak's run extends, instead of the run itself. No behaviour changes.

--- a/packages/relay/src/relay/generation-placer.ts
+++ b/packages/relay/src/relay/generation-placer.ts
@@ -13,7 +13,7 @@
 import type { TargetState } from '../targets/target-state.js';
 
 import type { RequestContext } from './request-context.js';
-import type { RelayDependencies } from './relay.js';
+import type { RelayDependencies } from './relay-dependencies.js';
 import { RoomShortage } from './room-wait.js';
 import {
   canBeContinued,
--- a/packages/relay/src/relay/generation-runner.ts
+++ b/packages/relay/src/relay/generation-runner.ts
@@ -27,7 +27,7 @@
 import { computeEventStallMs, minStreamStallTimeoutMs } from './event-stall.js';
 import { GenerationPlacer } from './generation-placer.js';
 import type { RequestContext } from './request-context.js';
-import type { RelayDependencies } from './relay.js';
+import type { RelayDependencies } from './relay-dependencies.js';
 import { RoomShortage, RoomWait } from './room-wait.js';
 import { RequestRunner, minServerErrorStatus } from './request-runner.js';
 import { isConnectFailure } from './send-failures.js';
--- a/packages/relay/src/relay/request-forwarding.ts
+++ b/packages/relay/src/relay/request-forwarding.ts
@@ -4,7 +4,7 @@
 import type { Forwarding } from '../forwarding/request-forwarder.js';
 
 import type { RequestContext } from './request-context.js';
-import type { RelayDependencies } from './relay.js';
+import type { RelayDependencies } from './relay-dependencies.js';
 import type { CallerSink } from './response-sinks.js';
 import { createTargetFailure, isConnectFailure } from './send-failures.js';
 
--- a/packages/relay/src/relay/request-runner.ts
+++ b/packages/relay/src/relay/request-runner.ts
@@ -8,7 +8,7 @@
 import type { TargetState } from '../targets/target-state.js';
 
 import type { RequestContext } from './request-context.js';
-import type { RelayDependencies } from './relay.js';
+import type { RelayDependencies } from './relay-dependencies.js';
 import { runCheckedSend } from './checked-send.js';
 import { computeEventStallMs } from './event-stall.js';
 import { RequestForwarding } from './request-forwarding.js';
--- a/packages/relay/src/relay/target-outcomes.ts
+++ b/packages/relay/src/relay/target-outcomes.ts
@@ -4,7 +4,7 @@
 import type { TargetState } from '../targets/target-state.js';
 
 import type { RequestContext } from './request-context.js';
-import type { RelayDependencies } from './relay.js';
+import type { RelayDependencies } from './relay-dependencies.js';
 import type { PrefillOutcome, SendOutcome } from './target-client.js';
 
 type FailedOutcome = Exclude<
--- a/packages/soak/src/faults/configuration-faults.ts
+++ b/packages/soak/src/faults/configuration-faults.ts
@@ -1,5 +1,5 @@
 /** Configuration changes that an operator makes during a run. */
-import type { SoakRun } from '../run/soak-run.js';
+import type { FaultScene } from './fault-scene.js';
 import type { SeededRandom } from '../shared/seeded-random.js';
 
 import { Fault, waitBetweenSeconds } from './fault.js';
@@ -8,7 +8,7 @@
 export class KeyChange extends Fault {
   readonly name = 'change of a key';
 
-  async inject(run: SoakRun, random: SeededRandom): Promise<void> {
+  async inject(run: FaultScene, random: SeededRandom): Promise<void> {
     const customer = run.customerKeys.pickCustomer(random);
     run.addKey(customer);
     await waitBetweenSeconds(random, 0, 2);
@@ -23,7 +23,7 @@
 export class RouteChange extends Fault {
   readonly name = 'route move';
 
-  async inject(run: SoakRun, random: SeededRandom): Promise<void> {
+  async inject(run: FaultScene, random: SeededRandom): Promise<void> {
     run.switchMovingRoute();
     if (!random.nextBoolean(0.3)) return;
     await waitBetweenSeconds(random, 0.1, 1);
--- a/packages/soak/src/faults/crashing-part.ts
+++ b/packages/soak/src/faults/crashing-part.ts
@@ -1,5 +1,5 @@
 /** Callers whose prompts have a part that ends each engine that begins an answer. */
-import type { SoakRun } from '../run/soak-run.js';
+import type { FaultScene } from './fault-scene.js';
 import type { SeededRandom } from '../shared/seeded-random.js';
 
 import { Fault, waitBetweenSeconds } from './fault.js';
@@ -8,7 +8,7 @@
 export class CrashingPart extends Fault {
   readonly name = 'part that crashes engines';
 
-  async inject(run: SoakRun, random: SeededRandom): Promise<void> {
+  async inject(run: FaultScene, random: SeededRandom): Promise<void> {
     if (run.crashingPart !== undefined) return;
     const endPart = run.startCrashingPart();
     const endFault = run.faultLog.beginFault('engines', this.name);
--- a/packages/soak/src/faults/duty-interface-faults.ts
+++ b/packages/soak/src/faults/duty-interface-faults.ts
@@ -2,7 +2,7 @@
 import type { DutyBehavior } from '@medlarlever/platform/stand-ins';
 
 import { dutyInterfaceSubject } from '../run/fault-log.js';
-import type { SoakRun } from '../run/soak-run.js';
+import type { FaultScene } from './fault-scene.js';
 import type { SeededRandom } from '../shared/seeded-random.js';
 
 import { Fault, waitBetweenSeconds } from './fault.js';
@@ -23,7 +23,7 @@
 export class DutyInterfaceOutage extends Fault {
   readonly name = 'duty interface outage';
 
-  async inject(run: SoakRun, random: SeededRandom): Promise<void> {
+  async inject(run: FaultScene, random: SeededRandom): Promise<void> {
     const { dutyInterface } = run;
     const mode = random.pickItem(outageModes);
     const endFault = run.faultLog.beginFault(
--- a/packages/soak/src/faults/fault.ts
+++ b/packages/soak/src/faults/fault.ts
@@ -2,7 +2,7 @@
  * Base class of the faults that a soak run injects from outside the instance
  * processes.
  */
-import type { SoakRun } from '../run/soak-run.js';
+import type { FaultScene } from './fault-scene.js';
 import type { SeededRandom } from '../shared/seeded-random.js';
 
 /** A kind of fault. */
@@ -12,7 +12,7 @@
    * Injects the fault and ends it; resolves when the fault is over. All random
    * choices come from `random`, so that they depend only on the seed.
    */
-  abstract inject(run: SoakRun, random: SeededRandom): Promise<void>;
+  abstract inject(run: FaultScene, random: SeededRandom): Promise<void>;
 }
 
 const msPerSecond = 1_000;
--- a/packages/soak/src/faults/instance-faults.ts
+++ b/packages/soak/src/faults/instance-faults.ts
@@ -6,7 +6,7 @@
   FaultSignal,
   InstanceProcess,
 } from '../processes/instance-process.js';
-import type { SoakRun } from '../run/soak-run.js';
+import type { FaultScene } from './fault-scene.js';
 import type { SeededRandom } from '../shared/seeded-random.js';
 
 import { Fault, waitBetweenSeconds } from './fault.js';
@@ -16,7 +16,7 @@
  * ready.
  */
 const restartInstance = async (
-  run: SoakRun,
+  run: FaultScene,
   random: SeededRandom,
   instance: InstanceProcess,
   signal: 'SIGTERM' | 'SIGKILL',
@@ -35,7 +35,7 @@
 export class SequentialStops extends Fault {
   readonly name = 'stops in turn';
 
-  async inject(run: SoakRun, random: SeededRandom): Promise<void> {
+  async inject(run: FaultScene, random: SeededRandom): Promise<void> {
     const count = random.nextBoolean(0.5) ? 1 : 2;
     const selectedInstances = random.sampleItems(
       run.listIdleInstances(),
@@ -53,7 +53,7 @@
 export class SimultaneousKills extends Fault {
   readonly name = 'kills';
 
-  async inject(run: SoakRun, random: SeededRandom): Promise<void> {
+  async inject(run: FaultScene, random: SeededRandom): Promise<void> {
     const maxCount = run.instances.length - 1;
     const count = Math.ceil(random.nextBetween(0, maxCount));
     const selectedInstances = random.sampleItems(
@@ -72,7 +72,7 @@
 
 /** A fault that one signal starts and another ends, on one instance. */
 abstract class SignalFault extends Fault {
-  async inject(run: SoakRun, random: SeededRandom): Promise<void> {
+  async inject(run: FaultScene, random: SeededRandom): Promise<void> {
     const [instance] = random.sampleItems(run.listIdleInstances(), 1);
     if (instance === undefined) return;
     await run.runWithReservedInstance(instance, async () => {
@@ -106,7 +106,7 @@
 export class SettingsReload extends Fault {
   readonly name = 'reload';
 
-  async inject(run: SoakRun, random: SeededRandom): Promise<void> {
+  async inject(run: FaultScene, random: SeededRandom): Promise<void> {
     const [instance] = random.sampleItems(run.listIdleInstances(), 1);
     await instance?.reloadSettings();
   }
--- a/packages/soak/src/faults/network-faults.ts
+++ b/packages/soak/src/faults/network-faults.ts
@@ -1,7 +1,7 @@
 /** Network faults that the proxies between the processes inject. */
 import type { FaultProxy, SilencedDirection } from '../network/fault-proxy.js';
 import type { InstanceProcess } from '../processes/instance-process.js';
-import type { SoakRun } from '../run/soak-run.js';
+import type { FaultScene } from './fault-scene.js';
 import type { SeededRandom } from '../shared/seeded-random.js';
 
 import { Fault, waitBetweenSeconds } from './fault.js';
@@ -33,7 +33,7 @@
 
 /** A fault on some links of one instance. */
 abstract class LinkFault extends Fault {
-  async inject(run: SoakRun, random: SeededRandom): Promise<void> {
+  async inject(run: FaultScene, random: SeededRandom): Promise<void> {
     const instance = random.pickItem(run.instances);
     const links = pickLinks(random, instance);
     const endFault = run.faultLog.beginFault(instance.name, this.name);
--- a/packages/soak/src/faults/store-faults.ts
+++ b/packages/soak/src/faults/store-faults.ts
@@ -2,7 +2,7 @@
 import type { StoreBehavior } from '@medlarlever/platform/stand-ins';
 
 import { storeSubject } from '../run/fault-log.js';
-import type { SoakRun } from '../run/soak-run.js';
+import type { FaultScene } from './fault-scene.js';
 import type { SeededRandom } from '../shared/seeded-random.js';
 
 import { Fault, waitBetweenSeconds } from './fault.js';
@@ -22,7 +22,7 @@
 export class StoreOutage extends Fault {
   readonly name = 'store outage';
 
-  async inject(run: SoakRun, random: SeededRandom): Promise<void> {
+  async inject(run: FaultScene, random: SeededRandom): Promise<void> {
     const behavior = random.pickItem(outageModes);
     const endFault = run.faultLog.beginFault(storeSubject, behavior);
     for (const { store } of run.instances) store.behavior = behavior;
@@ -36,7 +36,7 @@
 export class SingleInstanceStoreOutage extends Fault {
   readonly name = 'store outage for one';
 
-  async inject(run: SoakRun, random: SeededRandom): Promise<void> {
+  async inject(run: FaultScene, random: SeededRandom): Promise<void> {
     const { store, name } = random.pickItem(run.instances);
     const behavior = random.pickItem(outageModes);
     const endFault = run.faultLog.beginFault(name, `store ${behavior}`);
@@ -51,7 +51,7 @@
 export class StoreDelay extends Fault {
   readonly name = 'slow store';
 
-  async inject(run: SoakRun, random: SeededRandom): Promise<void> {
+  async inject(run: FaultScene, random: SeededRandom): Promise<void> {
     const endFault = run.faultLog.beginFault(storeSubject, this.name);
     for (const { store } of run.instances) store.delayMs = storeDelayMs;
     await waitBetweenSeconds(random, 0.5, 5);
@@ -67,7 +67,7 @@
 export class StoreRestore extends Fault {
   readonly name = 'restored store';
 
-  async inject(run: SoakRun, random: SeededRandom): Promise<void> {
+  async inject(run: FaultScene, random: SeededRandom): Promise<void> {
     const backup = run.createStoreBackup();
     await waitBetweenSeconds(random, 0.5, 6);
     const endFault = run.faultLog.beginFault(storeSubject, this.name);
@@ -85,7 +85,7 @@
 export class StoreHistoryLoss extends Fault {
   readonly name = 'lost history';
 
-  inject(run: SoakRun): Promise<void> {
+  inject(run: FaultScene): Promise<void> {
     for (const { store } of run.instances) {
       store.oldestRetainedPosition = store.position;
     }
--- a/packages/soak/src/faults/target-cut.ts
+++ b/packages/soak/src/faults/target-cut.ts
@@ -1,7 +1,7 @@
 /** Instances that reach no target, while callers, the store and the others reach them. */
 import type { FaultProxy } from '../network/fault-proxy.js';
 import type { InstanceProcess } from '../processes/instance-process.js';
-import type { SoakRun } from '../run/soak-run.js';
+import type { FaultScene } from './fault-scene.js';
 import type { SeededRandom } from '../shared/seeded-random.js';
 
 import { Fault } from './fault.js';
@@ -31,7 +31,7 @@
 export class TargetCut extends Fault {
   readonly name = 'cut off from targets';
 
-  async inject(run: SoakRun, random: SeededRandom): Promise<void> {
+  async inject(run: FaultScene, random: SeededRandom): Promise<void> {
     const count = Math.ceil(random.nextBetween(0, run.instances.length - 1));
     const instances = random.sampleItems(run.instances, count);
     const mode = random.pickItem(cutModes);
--- a/packages/soak/src/faults/target-faults.ts
+++ b/packages/soak/src/faults/target-faults.ts
@@ -5,7 +5,7 @@
 import { createNoFaults } from '@medlarlever/platform/stand-ins';
 import type { TargetFaults } from '@medlarlever/platform/stand-ins';
 
-import type { SoakRun } from '../run/soak-run.js';
+import type { FaultScene } from './fault-scene.js';
 import type { SeededRandom } from '../shared/seeded-random.js';
 
 import { Fault, waitBetweenSeconds } from './fault.js';
@@ -14,7 +14,7 @@
 export class TargetReplacement extends Fault {
   readonly name = 'replacement';
 
-  async inject(run: SoakRun, random: SeededRandom): Promise<void> {
+  async inject(run: FaultScene, random: SeededRandom): Promise<void> {
     const [leaving] = random.sampleItems(
       run.targetFleet.listRedundantTargets(),
       1,
@@ -30,7 +30,7 @@
 export class TargetCrash extends Fault {
   readonly name = 'crash';
 
-  async inject(run: SoakRun, random: SeededRandom): Promise<void> {
+  async inject(run: FaultScene, random: SeededRandom): Promise<void> {
     const [target] = random.sampleItems(
       run.targetFleet.listRedundantTargets(),
       1,
@@ -64,7 +64,7 @@
 export class TargetGrayFailure extends Fault {
   readonly name = 'grey target';
 
-  async inject(run: SoakRun, random: SeededRandom): Promise<void> {
+  async inject(run: FaultScene, random: SeededRandom): Promise<void> {
     const target = random.pickItem(run.targetFleet.listTargets());
     const endFault = run.faultLog.beginFault(target.id, this.name);
     target.faults = {
@@ -81,7 +81,7 @@
 export class DepartureByResponse extends Fault {
   readonly name = 'departure by response';
 
-  async inject(run: SoakRun, random: SeededRandom): Promise<void> {
+  async inject(run: FaultScene, random: SeededRandom): Promise<void> {
     const [leaving] = random.sampleItems(
       run.targetFleet.listRedundantTargets(),
       1,
@@ -97,7 +97,7 @@
 export class TargetPause extends Fault {
   readonly name = 'pause of a target';
 
-  async inject(run: SoakRun, random: SeededRandom): Promise<void> {
+  async inject(run: FaultScene, random: SeededRandom): Promise<void> {
     const target = random.pickItem(run.targetFleet.listTargets());
     target.pauseMs = Math.round(random.nextBetween(300, 3_000));
     await waitBetweenSeconds(random, 0.5, 4);
@@ -112,7 +112,7 @@
 export class TargetLimit extends Fault {
   readonly name = 'limit of a target';
 
-  async inject(run: SoakRun, random: SeededRandom): Promise<void> {
+  async inject(run: FaultScene, random: SeededRandom): Promise<void> {
     const target = random.pickItem(run.targetFleet.listTargets());
     target.requestLimit = random.nextBetween(0, 4).toFixed(1);
     await waitBetweenSeconds(random, 5, 9);
--- a/packages/soak/src/run/soak-run.ts
+++ b/packages/soak/src/run/soak-run.ts
@@ -5,6 +5,7 @@
 import { FakeDutyInterface, FakeStore } from '@medlarlever/platform/stand-ins';
 import type { StoreBackup } from '@medlarlever/platform/stand-ins';
 
+import { FaultScene } from '../faults/fault-scene.js';
 import { InstanceProcess } from '../processes/instance-process.js';
 import { SeededRandom } from '../shared/seeded-random.js';
 import type { PlannedFault } from '../faults/fault-plan.js';
@@ -53,11 +54,11 @@
   new Promise(resolve => setTimeout(resolve, ms));
 
 /** A running soak; faults act on its instances, targets and configuration. */
-export class SoakRun {
-  readonly faultLog = new FaultLog();
-  readonly instances: InstanceProcess[] = [];
-  readonly targetFleet: TargetFleet;
-  readonly customerKeys = new CustomerKeys();
+export class SoakRun extends FaultScene {
+  override readonly faultLog = new FaultLog();
+  override readonly instances: InstanceProcess[] = [];
+  override readonly targetFleet: TargetFleet;
+  override readonly customerKeys = new CustomerKeys();
   readonly #stopController = new AbortController();
   readonly #reservedInstances = new Set<InstanceProcess>();
   readonly #attempts: Attempt[] = [];
@@ -69,8 +70,9 @@
   private constructor(
     private readonly options: SoakRunOptions,
     private readonly store: FakeStore,
-    readonly dutyInterface: FakeDutyInterface,
+    override readonly dutyInterface: FakeDutyInterface,
   ) {
+    super();
     this.targetFleet = new TargetFleet({
       store,
       random: new SeededRandom(options.seed),
@@ -92,23 +94,17 @@
     return run;
   }
 
-  /** Aborts when the run ends. */
-  get stopSignal(): AbortSignal {
+  override get stopSignal(): AbortSignal {
     return this.#stopController.signal;
   }
 
-  /** Returns the instances that no signal fault has reserved. */
-  listIdleInstances(): InstanceProcess[] {
+  override listIdleInstances(): InstanceProcess[] {
     return this.instances.filter(
       instance => !this.#reservedInstances.has(instance),
     );
   }
 
-  /**
-   * Runs the action with the instance reserved, so that no other signal fault
-   * picks it.
-   */
-  async runWithReservedInstance(
+  override async runWithReservedInstance(
     instance: InstanceProcess,
     action: () => Promise<void>,
   ): Promise<void> {
@@ -121,33 +117,23 @@
     }
   }
 
-  /**
-   * Waits until a started instance is ready; records the instance when it does
-   * not become ready.
-   */
-  async waitUntilReady(instance: InstanceProcess): Promise<void> {
+  override async waitUntilReady(instance: InstanceProcess): Promise<void> {
     const isReady = await instance.waitUntilReady(this.stopSignal);
     if (!isReady) this.#unreadyInstances.push(instance.name);
   }
 
-  /**
-   * Writes a new configuration in which the moving route leads to the other
-   * service.
-   */
-  switchMovingRoute(): void {
+  override switchMovingRoute(): void {
     const current = this.#configurations.at(-1)?.service;
     const other = movingServices.find(name => name !== current);
     this.#changeConfiguration(other ?? '');
   }
 
-  /** Gives the customer one more key. */
-  addKey(customer: string): void {
+  override addKey(customer: string): void {
     this.customerKeys.addKey(customer);
     this.#changeConfiguration();
   }
 
-  /** Withdraws the customer's oldest key, unless it is the only one. */
-  withdrawKey(customer: string): void {
+  override withdrawKey(customer: string): void {
     this.customerKeys.withdrawOldest(customer);
     this.#changeConfiguration();
   }
@@ -161,14 +147,12 @@
     this.#writeConfiguration();
   }
 
-  /** Part of prompts that crashes engines at present, if there is one. */
-  get crashingPart(): string | undefined {
+  override get crashingPart(): string | undefined {
     return this.#crashingPartPeriods.find(({ toMs }) => toMs === Infinity)
       ?.part;
   }
 
-  /** Lets callers send prompts with a part that crashes engines; ends it when called. */
-  startCrashingPart(): () => void {
+  override startCrashingPart(): () => void {
     const part = `bad${this.#crashingPartPeriods.length}`;
     const fromMs = performance.now();
     const period = { part, fromMs, toMs: Infinity };
@@ -179,8 +163,7 @@
     };
   }
 
-  /** Records that the instances reach no target; call the result when they do again. */
-  startTargetCut(instances: readonly string[]): () => void {
+  override startTargetCut(instances: readonly string[]): () => void {
     const period = { instances, fromMs: performance.now(), toMs: Infinity };
     this.#targetCuts.push(period);
     return () => {
@@ -188,18 +171,15 @@
     };
   }
 
-  /** Copies all rows of the store. */
-  createStoreBackup(): StoreBackup {
+  override createStoreBackup(): StoreBackup {
     return this.store.createBackup();
   }
 
-  /** Restores the store; what was written since the backup is lost. */
-  restoreStore(backup: StoreBackup): void {
+  override restoreStore(backup: StoreBackup): void {
     this.store.restoreBackup(backup);
   }
 
-  /** Writes again what the operator and the targets wrote last. */
-  writeLostRows(): Promise<void> {
+  override writeLostRows(): Promise<void> {
     this.#writeConfiguration();
     return this.targetFleet.writeLostRows();
   }
