Let short prompts that will be late go behind those in time

Cause: in a burst of short prompts the decode engines' slots are used up, and engines admit what is equally urgent in the order of arrival.

Hypothesis: what will be late anyway loses little by waiting longer. Change: a short prompt that is expected after its latency target when it is sent gets the level of the longest prompts of its rank. Ranks stay in order.

The replay of an overload in urgency.test.ts has 10 more prompts in time than in order of arrival and fails without the change.

--- a/packages/relay/src/placement/urgency.test.ts
+++ b/packages/relay/src/placement/urgency.test.ts
@@ -53,16 +53,53 @@
   const inOrder = countInTime(replayQueue(createBurst(), () => 0));
   const byUrgency = countInTime(
     replayQueue(createBurst(), ({ prefillMs }) =>
-      computeUrgency({ rank: 1, prefillMs, latencyTargetMs }),
+      computeUrgency({
+        rank: 1,
+        prefillMs,
+        latencyTargetMs,
+        expectedLatencyMs: prefillMs,
+      }),
     ),
   );
   t.true(byUrgency >= inOrder + 15, `${byUrgency} against ${inOrder}`);
 });
 
+// More prompts than the engine can do in time: in the order of arrival, the queue grows
+// until each prompt waits longer than its callers want.
+test('in an overload, prompts that will be late do not make the others late', t => {
+  const prompts = Array.from({ length: 120 }, (_, i) => ({
+    arrivedMs: i * 30,
+    prefillMs: 40,
+  }));
+  const countInTime = (durations: readonly number[]) =>
+    durations.filter(ms => ms <= latencyTargetMs).length;
+  const inOrder = countInTime(replayQueue(prompts, () => 0));
+  // What waits in time at the arrival of each prompt, as the instances count it.
+  const urgencies = new Map<WaitingPrompt, number>();
+  let freeAtMs = 0;
+  for (const prompt of prompts) {
+    const startMs = Math.max(freeAtMs, prompt.arrivedMs);
+    const expectedLatencyMs = startMs + prompt.prefillMs - prompt.arrivedMs;
+    const options = { ...prompt, rank: 1, latencyTargetMs, expectedLatencyMs };
+    if (expectedLatencyMs <= latencyTargetMs)
+      freeAtMs = startMs + prompt.prefillMs;
+    urgencies.set(prompt, computeUrgency(options));
+  }
+  const byUrgency = countInTime(
+    replayQueue(prompts, prompt => urgencies.get(prompt) ?? 0),
+  );
+  t.true(byUrgency >= inOrder + 10, `${byUrgency} against ${inOrder}`);
+});
+
 test('no prompt of a rank is more urgent than one of a higher rank', t => {
   const levels = [0, 1, 2].map(rank =>
     [1, 100, 10_000].map(prefillMs =>
-      computeUrgency({ rank, prefillMs, latencyTargetMs }),
+      computeUrgency({
+        rank,
+        prefillMs,
+        latencyTargetMs,
+        expectedLatencyMs: prefillMs,
+      }),
     ),
   );
   t.deepEqual(levels, [
@@ -73,5 +110,11 @@
 });
 
 test('the level stays within the engines’ range', t => {
-  t.is(computeUrgency({ rank: 40, prefillMs: 1, latencyTargetMs }), 9);
+  const urgency = computeUrgency({
+    rank: 40,
+    prefillMs: 1,
+    latencyTargetMs,
+    expectedLatencyMs: 1,
+  });
+  t.is(urgency, 9);
 });
--- a/packages/relay/src/placement/urgency.ts
+++ b/packages/relay/src/placement/urgency.ts
@@ -24,19 +24,32 @@
   readonly prefillMs: number;
   /** Time to the first event that the route aims for. */
   readonly latencyTargetMs: number;
+  /** Expected time from the arrival of the request to its first event. */
+  readonly expectedLatencyMs: number;
 }
 
-const computeLevelInRank = (prefillShare: number): number => {
-  if (prefillShare <= shortPrefillShare) return 0;
+const computeLevelInRank = (options: UrgencyOptions): number => {
+  const { prefillMs, latencyTargetMs } = options;
+  const prefillShare = prefillMs / latencyTargetMs;
+  if (prefillShare <= shortPrefillShare) return isLate(options) ? lateLevel : 0;
   return prefillShare <= mediumPrefillShare ? 1 : 2;
 };
 
-/** Returns the urgency level, from 0 (most urgent) to 9. */
-export const computeUrgency = ({
-  rank,
-  prefillMs,
+/** Level in its rank of a short prompt that will be late, beside the longest ones. */
+const lateLevel = levelsPerRank - 1;
+
+const isLate = ({
+  expectedLatencyMs,
   latencyTargetMs,
-}: UrgencyOptions): number => {
-  const levelInRank = computeLevelInRank(prefillMs / latencyTargetMs);
+}: UrgencyOptions): boolean => expectedLatencyMs > latencyTargetMs;
+
+/**
+ * Returns the urgency level, from 0 (most urgent) to 9. While more short requests come than
+ * can be in time, those that will be late go behind the others: in the order of arrival, all
+ * would be late. Longer ones wait long as it is, and their callers would leave.
+ */
+export const computeUrgency = (options: UrgencyOptions): number => {
+  const { rank } = options;
+  const levelInRank = computeLevelInRank(options);
   return Math.min(maxUrgency, rank * levelsPerRank + levelInRank);
 };
--- a/packages/relay/src/relay/generation-runner.ts
+++ b/packages/relay/src/relay/generation-runner.ts
@@ -255,13 +255,31 @@
     this.#kvCacheHandle = undefined;
   }
 
-  /** Urgency level for the admission of an engine that must compute the tokens. */
-  #computeUrgency(prefillTokens: number): number {
+  /**
+   * Urgency level for the admission of an engine that must compute the tokens and is
+   * expected to make the first event in `expectedMs`.
+   */
+  #computeUrgency(prefillTokens: number, expectedMs: number): number {
     const { rank, route } = this.context;
     const { latencyTargetMs } = route;
     const { prefillSpeed } = this.serviceState;
     const prefillMs = prefillSpeed.estimatePrefillMs(prefillTokens);
-    return computeUrgency({ rank, prefillMs, latencyTargetMs });
+    const expectedLatencyMs = this.#expectLatency(expectedMs);
+    return computeUrgency({
+      rank,
+      prefillMs,
+      latencyTargetMs,
+      expectedLatencyMs,
+    });
+  }
+
+  /** Expected time from the arrival to the first event; 0 once the caller has events. */
+  #expectLatency(expectedMs: number): number {
+    const { context } = this;
+    const hasEvents =
+      this.#responseSink.writeCount > 0 ||
+      context.request.resumeAfterEventId !== undefined;
+    return hasEvents ? 0 : context.elapsedMs + expectedMs;
   }
 
   /**
@@ -316,7 +334,7 @@
       context.request,
       {
         remainingMs: context.remainingMs,
-        urgency: this.#computeUrgency(prefillTokens),
+        urgency: this.#computeUrgency(prefillTokens, expectedFirstEventMs),
         copySourceAddress: copySource?.record.address,
         signal: watchdog.signal,
       },
@@ -426,6 +444,7 @@
         remainingMs: context.remainingMs,
         urgency: this.#computeUrgency(
           isColocated ? placement.prefillTokens : 0,
+          isColocated ? placement.expectedFirstEventMs : kvTransferMs,
         ),
         kvCacheHandle,
         copySourceAddress: isColocated
