--- a/packages/relay/src/placement/placement.test.ts
+++ b/packages/relay/src/placement/placement.test.ts
@@ -8,12 +8,9 @@
 import { TargetState } from '../targets/target-state.js';
 
 import { checkAdmission } from './admission.js';
-import {
-  selectPlainTarget,
-  chooseDecodeTarget,
-  placeGeneration,
-} from './placement.js';
-import type { PlacementOptions } from './placement.js';
+import { selectPlainTarget } from './plain-target.js';
+import { chooseDecodeTarget, placeGeneration } from './placement.js';
+import type { PlacementOptions } from './placement-options.js';
 import { PrefillSpeed } from './prefill-speed.js';
 
 const createOptions = (
--- a/packages/relay/src/placement/target-sampling.test.ts
+++ b/packages/relay/src/placement/target-sampling.test.ts
@@ -4,7 +4,7 @@
 
 import { sampleTargets, findRendezvousTarget } from './target-sampling.js';
 import { placeGeneration } from './placement.js';
-import type { PlacementOptions } from './placement.js';
+import type { PlacementOptions } from './placement-options.js';
 import { PrefillSpeed } from './prefill-speed.js';
 
 const instanceCount = 80;
--- a/packages/relay/src/relay/generation-placer.ts
+++ b/packages/relay/src/relay/generation-placer.ts
@@ -5,7 +5,8 @@
 
 import { checkAdmission } from '../placement/admission.js';
 import { chooseDecodeTarget, placeGeneration } from '../placement/placement.js';
-import type { Placement, PlacementOptions } from '../placement/placement.js';
+import type { Placement } from '../placement/placement.js';
+import type { PlacementOptions } from '../placement/placement-options.js';
 import { createRoomCheck } from '../room/room-check.js';
 import type { RoomCheck } from '../room/room-check.js';
 import type { Prompt } from '../requests/relay-request.js';
--- a/packages/relay/src/relay/plain-request-runner.ts
+++ b/packages/relay/src/relay/plain-request-runner.ts
@@ -4,7 +4,7 @@
  */
 import { Failure } from '@medlarlever/core';
 
-import { selectPlainTarget } from '../placement/placement.js';
+import { selectPlainTarget } from '../placement/plain-target.js';
 import type { TargetState } from '../targets/target-state.js';
 
 import {
