Judge short prompts with their wait for a decode slot, and put no long one back

Cause: a short prompt counted as in time until its own time was up when it was sent.

Change: the wait for a slot follows from the requests at the engine that are in time and from the measured length of streams. Only prompts that are short as a whole are put back.

--- a/packages/relay/src/placement/event-gaps.ts
+++ b/packages/relay/src/placement/event-gaps.ts
@@ -19,6 +19,12 @@
     this.#eventCount += 1;
   }
 
+  /** Time from the first event to the last one; undefined before the first one. */
+  get durationMs(): number | undefined {
+    if (this.#eventCount === 0) return undefined;
+    return this.#lastEventAtMs - this.#firstEventAtMs;
+  }
+
   /** Mean time between events; undefined with fewer than `minEventCount`. */
   get meanGapMs(): number | undefined {
     if (this.#eventCount < minEventCount) return undefined;
--- a/packages/relay/src/placement/urgency.test.ts
+++ b/packages/relay/src/placement/urgency.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 
-import { computeUrgency } from './urgency.js';
+import { computeUrgency, goesBehind } from './urgency.js';
 
 const latencyTargetMs = 600;
 
@@ -56,6 +56,7 @@
       computeUrgency({
         rank: 1,
         prefillMs,
+        promptMs: prefillMs,
         latencyTargetMs,
         expectedLatencyMs: prefillMs,
       }),
@@ -80,9 +81,14 @@
   for (const prompt of prompts) {
     const startMs = Math.max(freeAtMs, prompt.arrivedMs);
     const expectedLatencyMs = startMs + prompt.prefillMs - prompt.arrivedMs;
-    const options = { ...prompt, rank: 1, latencyTargetMs, expectedLatencyMs };
-    if (expectedLatencyMs <= latencyTargetMs)
-      freeAtMs = startMs + prompt.prefillMs;
+    const options = {
+      ...prompt,
+      promptMs: prompt.prefillMs,
+      rank: 1,
+      latencyTargetMs,
+      expectedLatencyMs,
+    };
+    if (!goesBehind(options)) freeAtMs = startMs + prompt.prefillMs;
     urgencies.set(prompt, computeUrgency(options));
   }
   const byUrgency = countInTime(
@@ -91,12 +97,25 @@
   t.true(byUrgency >= inOrder + 10, `${byUrgency} against ${inOrder}`);
 });
 
+// An engine that preempts a long prompt reads it again, which makes others late as well.
+test('a long prompt that will be late is not put back, whatever is left of it to compute', t => {
+  const urgency = computeUrgency({
+    rank: 1,
+    prefillMs: 0,
+    promptMs: 330,
+    latencyTargetMs,
+    expectedLatencyMs: 2 * latencyTargetMs,
+  });
+  t.is(urgency, 3);
+});
+
 test('no prompt of a rank is more urgent than one of a higher rank', t => {
   const levels = [0, 1, 2].map(rank =>
     [1, 100, 10_000].map(prefillMs =>
       computeUrgency({
         rank,
         prefillMs,
+        promptMs: prefillMs,
         latencyTargetMs,
         expectedLatencyMs: prefillMs,
       }),
@@ -113,6 +132,7 @@
   const urgency = computeUrgency({
     rank: 40,
     prefillMs: 1,
+    promptMs: 1,
     latencyTargetMs,
     expectedLatencyMs: 1,
   });
--- a/packages/relay/src/relay/generation-runner.ts
+++ b/packages/relay/src/relay/generation-runner.ts
@@ -14,7 +14,9 @@
 import { kvTransferMs } from '../placement/placement.js';
 import type { Placement } from '../placement/placement.js';
 import { prefillOverheadMs } from '../placement/prefill-speed.js';
-import { computeUrgency } from '../placement/urgency.js';
+import { estimateSlotWaitMs } from '../placement/slot-wait.js';
+import { computeUrgency, goesBehind } from '../placement/urgency.js';
+import type { UrgencyOptions } from '../placement/urgency.js';
 import type { Prompt } from '../requests/relay-request.js';
 import type { EngineSettings } from '../routes/route-configuration.js';
 import type { TargetRecord } from '../targets/target-record.js';
@@ -256,20 +258,31 @@
   }
 
   /**
-   * Urgency level for the admission of an engine that must compute the tokens and is
-   * expected to make the first event in `expectedMs`.
+   * What the urgency depends on at an engine that must compute the tokens and is expected
+   * to make the first event in `expectedMs`.
    */
-  #computeUrgency(prefillTokens: number, expectedMs: number): number {
+  #createUrgencyOptions(
+    prefillTokens: number,
+    expectedMs: number,
+  ): UrgencyOptions {
     const { rank, route } = this.context;
-    const { latencyTargetMs } = route;
     const { prefillSpeed } = this.serviceState;
-    const prefillMs = prefillSpeed.estimatePrefillMs(prefillTokens);
-    const expectedLatencyMs = this.#expectLatency(expectedMs);
-    return computeUrgency({
+    return {
       rank,
-      prefillMs,
-      latencyTargetMs,
-      expectedLatencyMs,
+      prefillMs: prefillSpeed.estimatePrefillMs(prefillTokens),
+      promptMs: prefillSpeed.estimatePrefillMs(this.prompt.tokens),
+      latencyTargetMs: route.latencyTargetMs,
+      expectedLatencyMs: this.#expectLatency(expectedMs),
+    };
+  }
+
+  #estimateSlotWaitMs(target: TargetState): number {
+    const { decodeRequests, streamMsAverage } = this.serviceState;
+    return estimateSlotWaitMs({
+      requestCount: target.activeRequestCount,
+      lateShare: decodeRequests.lateShare,
+      slots: this.engineSettings.slots,
+      slotMs: streamMsAverage.value,
     });
   }
 
@@ -334,7 +347,9 @@
       context.request,
       {
         remainingMs: context.remainingMs,
-        urgency: this.#computeUrgency(prefillTokens, expectedFirstEventMs),
+        urgency: computeUrgency(
+          this.#createUrgencyOptions(prefillTokens, expectedFirstEventMs),
+        ),
         copySourceAddress: copySource?.record.address,
         signal: watchdog.signal,
       },
@@ -419,6 +434,16 @@
       target,
       placement.expectedFirstEventMs,
     );
+    const expectedMs =
+      this.#estimateSlotWaitMs(target) +
+      (isColocated ? placement.expectedFirstEventMs : kvTransferMs);
+    const urgencyOptions = this.#createUrgencyOptions(
+      isColocated ? placement.prefillTokens : 0,
+      expectedMs,
+    );
+    const endDecodeRequest = this.serviceState.decodeRequests.start(
+      goesBehind(urgencyOptions),
+    );
     const startedAtMs = performance.now();
     const eventGapMeter = new EventGapMeter();
     const answerProgress = new AnswerProgress(() => {
@@ -442,10 +467,7 @@
       record,
       {
         remainingMs: context.remainingMs,
-        urgency: this.#computeUrgency(
-          isColocated ? placement.prefillTokens : 0,
-          isColocated ? placement.expectedFirstEventMs : kvTransferMs,
-        ),
+        urgency: computeUrgency(urgencyOptions),
         kvCacheHandle,
         copySourceAddress: isColocated
           ? placement.copySource?.record.address
@@ -459,6 +481,7 @@
     endPrefill();
     endRequest();
     this.#endDecodeHold();
+    endDecodeRequest();
     this.#recordEventGap(target, eventGapMeter);
     dependencies.metrics.recordSend(context.service, outcome.kind);
     if (outcome.kind === 'whole') {
@@ -468,6 +491,9 @@
       this.serviceState.decodeMsAverage.addSample(
         performance.now() - startedAtMs,
       );
+      const { durationMs } = eventGapMeter;
+      if (durationMs !== undefined)
+        this.serviceState.streamMsAverage.addSample(durationMs);
       this.#responseSink.finish();
       context.completeRequest(outcome.status, record);
       return true;
--- a/packages/relay/src/relay/service-state.ts
+++ b/packages/relay/src/relay/service-state.ts
@@ -1,5 +1,6 @@
 /** State that the relay keeps for each service. */
 import { PrefillSpeed } from '../placement/prefill-speed.js';
+import { DecodeRequests } from '../placement/slot-wait.js';
 import { RoomQueue } from '../room/room-queue.js';
 import { RetryBudget } from '../retries/retry-budget.js';
 import type { RetryBudgetOptions } from '../retries/retry-budget.js';
@@ -15,6 +16,9 @@
   readonly prefillTokensAverage: MovingAverage;
   /** Time for which a request takes a slot of a decode engine, in milliseconds. */
   readonly decodeMsAverage: MovingAverage;
+  /** Time from the first event of a stream to its end, in milliseconds. */
+  readonly streamMsAverage: MovingAverage;
+  readonly decodeRequests: DecodeRequests;
   /** Tokens that one request takes at an engine, with the output that may come. */
   readonly requestTokensAverage: MovingAverage;
   /** Requests that wait for room at the engines. */
@@ -50,6 +54,8 @@
       eventGapAverage: new MovingAverage(),
       prefillTokensAverage: new MovingAverage(),
       decodeMsAverage: new MovingAverage(),
+      streamMsAverage: new MovingAverage(),
+      decodeRequests: new DecodeRequests(),
       requestTokensAverage: new MovingAverage(),
       roomQueue: new RoomQueue(),
       assignedPrefillTokens: 0,
