Answer a request although the list of targets cannot be read

Found in the last read of the change: an unexpected error while the list is read anew would have left the request of a stream that is taken up without an answer. The test failed before.

--- a/packages/relay/src/origins/stream-origin-finder.test.ts
+++ b/packages/relay/src/origins/stream-origin-finder.test.ts
@@ -125,6 +125,14 @@
   });
 });
 
+test('an unexpected error while the list is read leaves the stream unknown', async t => {
+  const finder = createFinder({
+    onlyVersion: 'v1',
+    refreshTargets: () => Promise.reject(new Error('defect')),
+  });
+  t.is((await finder.find('b1', ['engines'])).source, 'unknown');
+});
+
 test('a list of targets that does not come in time is not waited for', async t => {
   const finder = createFinder({
     onlyVersion: 'v1',
--- a/packages/relay/src/origins/stream-origin-finder.ts
+++ b/packages/relay/src/origins/stream-origin-finder.ts
@@ -84,7 +84,8 @@
   ): Promise<StreamOrigin | undefined> {
     if (this.#findOnlyOrigin(services) === undefined) return undefined;
     const isRefreshed = await Promise.race([
-      this.options.refreshTargets(),
+      // A defect of the read must not keep the request from its answer.
+      this.options.refreshTargets().catch(() => false),
       sleep(refreshTimeoutMs).then(() => false),
     ]);
     return isRefreshed ? this.#findOnlyOrigin(services) : undefined;
