--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,6 +1,6 @@
 /**
- * Clients read a long answer slowly while their instance is being stopped. The instance
- * breaks the answers off although they make progress and there is time left.
+ * An instance gets SIGTERM while clients go on to send long streams over connections that
+ * they keep. It accepts some that it can't complete and ends in the middle of them.
  */
 import http from 'node:http';
 
@@ -11,121 +11,138 @@
   createAttemptId,
   createConfiguration,
   createRoute,
+  elapsedS,
+  engineService,
   isTroubled,
   plainService,
   runCase,
+  send,
   sleep,
 } from '../lib/kit.mjs';
 
 const zones = ['a', 'b', 'c'];
-const contracts = [
-  ...['base', 'drain', 'config', 'cost', 'retry', 'recover', 'health', 'pool'],
-  ...['split', 'stream', 'engine', 'pressure', 'platform'],
-];
-const answerBytes = 20_000_000;
-/** A slow client has a line of 32 Mbit/s, which takes 5 s for the answer. */
-const slowBytesPerSecond = 4_000_000;
-/** The client's line is paced in steps of this length. */
-const minPauseMs = 10;
+/** Connections that clients keep to the instance. */
+const connectionCount = 160;
+const sendIntervalMs = 40;
+/** Clients send for so long, with the SIGTERM after the first part. */
+const beforeMs = 3_000;
+const afterMs = 4_000;
 /** Timeout of the route, and the clients' deadline. */
 const timeoutMs = 6_000;
-const clientCount = 4;
-
-/** Reads an answer at the speed of the client's line. */
-const download = ({ host, port }, id, path, bytesPerSecond) =>
-  new Promise(resolve => {
-    const startMs = performance.now();
-    const agent = new http.Agent({ keepAlive: true });
-    let receivedBytes = 0;
-    const finish = result => {
-      agent.destroy();
-      const tookMs = Math.round(performance.now() - startMs);
-      resolve({ id, receivedBytes, tookMs, ...result });
-    };
-    const request = http.request({
-      ...{ host, port: port + 16, path, agent },
-      headers: {
-        host: 'desk.example',
-        'x-medlarlever-attempt-id': id,
-        'x-medlarlever-deadline-ms': String(timeoutMs),
-      },
-    });
-    request.on('response', response => {
-      const { statusCode: status } = response;
-      const announcedBytes = Number(response.headers['content-length']);
-      response.on('data', chunk => {
-        receivedBytes += chunk.length;
-        const elapsedMs = performance.now() - startMs;
-        const aheadMs = (receivedBytes / bytesPerSecond) * 1_000 - elapsedMs;
-        if (aheadMs < minPauseMs) return;
-        response.pause();
-        setTimeout(() => response.resume(), aheadMs);
-      });
-      response.on('end', () => {
-        finish({ status, announcedBytes, end: 'complete' });
-      });
-      response.on('error', error => {
-        finish({ status, announcedBytes, end: error.code ?? error.message });
-      });
-    });
-    request.on('error', error => {
-      finish({ end: error.code ?? error.message });
-    });
-    request.end();
-  });
+const pieceCount = 50;
+const pieceGapMs = 90;
+/** The rule excuses only requests that were sent no later than this after the SIGTERM. */
+const excusedMs = 3_000;
 
 await runCase(import.meta.url, async record => {
   const store = new Store();
-  const answer = 'x'.repeat(answerBytes);
+  const register = runner =>
+    store.put('servers', runner.id, runner.registration);
   for (const [i, zone] of zones.entries()) {
-    const runner = await new Runner({
-      ...{ id: `i-${i}`, service: 'app', zone },
+    const engine = await new Runner({
+      ...{ id: `e-${i}`, service: 'lm', zone, slots: 64, stage: 'decode' },
       run: async (self, request, response) => {
         const id = request.headers['x-medlarlever-attempt-id'];
-        record.write('runner', self.id, 'runs', id);
-        await sleep(40);
-        response.on('close', () => {
-          const result = response.writableFinished
-            ? 'has sent all of its answer to'
-            : 'was cut off by the instance in its answer to';
-          record.write('runner', self.id, result, id);
+        record.write('engine', self.id, 'runs', id);
+        response.writeHead(200, {
+          ...self.createHeaders(request),
+          'content-type': 'text/event-stream',
         });
-        self.answer(request, response, answer);
+        for (let piece = 1; piece <= pieceCount; piece += 1) {
+          await sleep(pieceGapMs);
+          if (response.destroyed) {
+            record.write('engine', self.id, 'is cut off in', id);
+            return;
+          }
+          response.write(`id: ${piece}\ndata: piece ${piece}\n\n`);
+        }
+        response.end();
       },
     }).start();
-    store.put('servers', runner.id, runner.registration);
+    register(engine);
+    const plain = await new Runner({
+      ...{ id: `p-${i}`, service: 'app', zone, slots: 64 },
+      run: async (self, request, response) => {
+        await sleep(500);
+        self.answer(request, response, 'entry');
+      },
+    }).start();
+    register(plain);
   }
-  const route = createRoute('/export/', 'idempotent', 'app', {
-    timeout_ms: timeoutMs,
-  });
-  const services = [plainService('app')];
-  store.put('op', 'config', createConfiguration(7, [route], services));
-  const system = new System({ store, zones, contracts });
+  const routes = [
+    createRoute('/ask/', 'streaming', 'lm', {
+      ...{ resumable: false, max_attempts: 1, session_affinity: true },
+      ...{ timeout_ms: timeoutMs, target_latency_ms: 800 },
+      target_gap_ms: 400,
+    }),
+    createRoute('/guide/', 'idempotent', 'app'),
+  ];
+  const services = [engineService('lm'), plainService('app')];
+  store.put('op', 'config', createConfiguration(7, routes, services));
+  const system = new System({ store, zones });
   await system.start();
   await sleep(4_000);
 
   const [instance] = system.instances;
-  instance.child.kill('SIGTERM');
-  record.write('SIGTERM to', instance.name);
-  // The balancer still sends new connections for about two seconds.
-  await sleep(500);
-  const bytesPerSecond = isTroubled ? slowBytesPerSecond : Infinity;
-  const results = await Promise.all(
-    Array.from({ length: clientCount }, () => {
+  const agent = new http.Agent({
+    keepAlive: true,
+    maxSockets: connectionCount,
+    maxFreeSockets: connectionCount,
+    scheduling: 'lifo',
+  });
+  const opened = await Promise.all(
+    Array.from({ length: connectionCount }, () => {
       const id = createAttemptId();
-      record.write('client sends', id);
-      return download(instance, id, '/export/guide', bytesPerSecond);
+      return send(instance, { path: `/guide/${id}`, id, agent });
     }),
   );
-  for (const result of results)
-    record.write('client got', JSON.stringify(result));
-  await sleep(1_000);
-  const line = system
-    .findLines(instance, 'request_ended')
-    .map(text => text.slice(0, 320));
-  record.write(...line.slice(0, 1));
+  const statuses = new Set(opened.map(({ status }) => status));
+  record.write('connections opened by reads with', [...statuses].join(' '));
+
+  const streams = [];
+  const sendFor = async ms => {
+    const untilMs = performance.now() + ms;
+    while (performance.now() < untilMs) {
+      const id = createAttemptId();
+      streams.push(
+        send(instance, {
+          ...{ path: '/ask/title', method: 'POST', body: Buffer.from('q') },
+          ...{ id, agent },
+          headers: {
+            'x-medlarlever-deadline-ms': String(timeoutMs),
+            'x-medlarlever-model': 'm',
+            'x-medlarlever-token-count': '146,80',
+            'x-medlarlever-prompt-prefix': `aa:80,${id}:66`,
+          },
+        }),
+      );
+      await sleep(sendIntervalMs);
+    }
+  };
+  await sendFor(beforeMs);
+  const termS = elapsedS();
+  if (isTroubled) {
+    instance.child.kill('SIGTERM');
+    record.write('SIGTERM to', instance.name);
+  }
+  await sendFor(afterMs);
+  let lostCount = 0;
+  const results = await Promise.all(streams);
+  for (const result of results) {
+    const { id, status, error, isComplete, text, sentS, endedS } = result;
+    const tookMs = (endedS - sentS) * 1_000;
+    const sentAfterMs = (sentS - termS) * 1_000;
+    const pieces = text.split('\n\n').length - 1;
+    record.write(
+      ...['stream', id, 'sent', Math.round(sentAfterMs), 'ms after SIGTERM:'],
+      ...[status ?? error, isComplete ? 'complete' : 'incomplete', pieces],
+      ...['pieces after', Math.round(tookMs), 'ms'],
+    );
+    const isCut = status === 200 && !isComplete && tookMs < timeoutMs;
+    if (isCut && sentAfterMs > excusedMs) lostCount += 1;
+  }
   record.write('processes that ended:', JSON.stringify(system.exits));
-  return results.some(
-    ({ end, tookMs }) => end !== 'complete' && tookMs < timeoutMs,
-  );
+  record.write('streams cut that were sent later than 3 s:', lostCount);
+  agent.destroy();
+  return lostCount > 0;
 });
