Refuse requests late in a stop that can't end before the drain does

Cause: the end of the drain is known when it starts, but the time available to a request was unbounded until connections close, 3.2 s later. What came until then was accepted whatever its deadline.

Change: the time is bounded from 2.5 s on, when new connections no longer come. A refusal because of the stop closes its connection, since a kept one leads to the same instance again.

Both tests failed before: 'the time available to a request is bounded before connections close' (Infinity in place of 4700) and 'a refusal because of the stop closes the connection, another one keeps it' (keep-alive in place of close).

--- a/packages/relay/src/server/failure-response.ts
+++ b/packages/relay/src/server/failure-response.ts
@@ -13,6 +13,13 @@
   readonly closesConnection: boolean;
 }
 
+/**
+ * Returns true if the caller must come back on a new connection. A kept one leads to the
+ * same instance, which is stopping.
+ */
+const needsNewConnection = ({ code }: Failure): boolean =>
+  code === 'shutting_down';
+
 /** Writes the failure's status, its body and the time to come back. */
 export const sendFailureResponse = (
   response: ServerResponse,
@@ -31,7 +38,8 @@
     const seconds = failure.retryAfterMs / msPerSecond;
     headers.push('Retry-After', seconds.toFixed(3));
   }
-  if (closesConnection) headers.push('Connection', 'close');
+  if (closesConnection || needsNewConnection(failure))
+    headers.push('Connection', 'close');
   response.writeHead(failure.status, headers);
   response.end(body);
 };
--- a/packages/relay/src/server/http-caller.test.ts
+++ b/packages/relay/src/server/http-caller.test.ts
@@ -1,26 +1,38 @@
 import { createServer } from 'node:http';
 import { connect } from 'node:net';
 import type { AddressInfo } from 'node:net';
+import { setImmediate } from 'node:timers/promises';
 
+import { Failure } from '@medlarlever/core';
 import test from 'ava';
+import type { ExecutionContext } from 'ava';
+import { request } from 'undici';
 
 import { HttpCaller } from './http-caller.js';
 
-test('the bytes that a caller has not read are counted until it disconnects', async t => {
-  const server = createServer();
+/** Starts a server that passes each request on as a caller; resolves to its port. */
+const startServer = async (
+  t: ExecutionContext,
+  onCaller: (caller: HttpCaller) => void,
+): Promise<number> => {
+  const server = createServer((_message, response) => {
+    onCaller(new HttpCaller(response, { isClosing: () => false }));
+  });
   await new Promise<void>(resolve => {
     server.listen(0, '127.0.0.1', resolve);
   });
-  const { port } = server.address() as AddressInfo;
-  const arrived = new Promise<HttpCaller>(resolve => {
-    server.once('request', (_message, response) => {
-      resolve(new HttpCaller(response, { isClosing: () => false }));
-    });
-  });
+  t.teardown(() => server.close());
+  return (server.address() as AddressInfo).port;
+};
+
+test('the bytes that a caller has not read are counted until it disconnects', async t => {
+  const callers: HttpCaller[] = [];
+  const port = await startServer(t, caller => callers.push(caller));
   const socket = connect(port, '127.0.0.1');
   socket.pause();
   socket.write('GET / HTTP/1.1\r\nhost: desk.example\r\n\r\n');
-  const caller = await arrived;
+  while (callers.length === 0) await setImmediate();
+  const [caller] = callers as [HttpCaller];
   caller.writeHead({ status: 200, headers: [], isCloseDelimited: false });
   t.is(caller.bufferedBytes < 1_000, true);
   // More than the buffers of both sockets hold.
@@ -35,5 +47,19 @@
   socket.destroy();
   await gone;
   t.is(caller.bufferedBytes, 0);
-  server.close();
+});
+
+// Guards against callers that resend to an instance that stops until it is gone.
+test('a refusal because of the stop closes the connection, another one keeps it', async t => {
+  for (const [code, connection] of [
+    ['shutting_down', 'close'],
+    ['overloaded', 'keep-alive'],
+  ] as const) {
+    const port = await startServer(t, caller => {
+      caller.sendFailure(new Failure(code, 'refused'));
+    });
+    const { headers, body } = await request(`http://127.0.0.1:${port}/`);
+    await body.dump();
+    t.is(headers.connection, connection);
+  }
 });
--- a/packages/relay/src/server/request-drainer.test.ts
+++ b/packages/relay/src/server/request-drainer.test.ts
@@ -73,3 +73,19 @@
     t.true(state.hasEnded);
   },
 );
+
+// Guards against accepting requests late in a stop that can't end before the drain does.
+test.serial(
+  'the time available to a request is bounded before connections close',
+  async t => {
+    const { clock, drainer, startDrain } = setUp(t);
+    startDrain();
+    await clock.tickAsync(2_400);
+    t.is(drainer.remainingMs, Infinity);
+    await clock.tickAsync(100);
+    t.is(drainer.remainingMs, 4_700);
+    await clock.tickAsync(600);
+    t.false(drainer.isClosing);
+    t.is(drainer.remainingMs, 4_100);
+  },
+);
--- a/packages/relay/src/server/request-drainer.ts
+++ b/packages/relay/src/server/request-drainer.ts
@@ -8,6 +8,15 @@
  */
 const balancerDetectionMs = 3_200;
 
+/**
+ * Milliseconds from the start of the drain after which only requests are accepted whose
+ * deadline lies before its end. New connections come for about two seconds, and their
+ * requests seldom take as long as the drain: refusing them would cost more callers than
+ * the few that it cuts off. Later requests come on kept connections only, and have to be
+ * completed if they are accepted.
+ */
+const unboundedAcceptanceMs = 2_500;
+
 /**
  * Milliseconds before the process is killed at which the drain stops waiting.
  */
@@ -22,8 +31,11 @@
   #isClosing = false;
   #runningRequests = 0;
   #onIdle: (() => void) | undefined;
-  /** End of the drain, in milliseconds on the monotonic clock. */
-  #deadlineAtMs = Infinity;
+  /**
+   * Latest deadline of an accepted request, in milliseconds on the monotonic clock: the
+   * end of the drain once the acceptance is bounded.
+   */
+  #latestDeadlineMs = Infinity;
 
   /** True after the drain has started. */
   get isDraining(): boolean {
@@ -36,11 +48,11 @@
   }
 
   /**
-   * Time in milliseconds available to a request that arrives now. Unbounded until
-   * the load balancer has detected the stop.
+   * Time in milliseconds available to a request that arrives now: until the end of the
+   * drain, which cuts off what still runs. Unbounded for the first part of the drain.
    */
   get remainingMs(): number {
-    return this.#isClosing ? this.#deadlineAtMs - performance.now() : Infinity;
+    return this.#latestDeadlineMs - performance.now();
   }
 
   /** Number of requests that are currently running. */
@@ -69,8 +81,11 @@
   ): Promise<void> {
     this.#isDraining = true;
     const deadlineAtMs = performance.now() + graceMs - shutdownReserveMs;
-    this.#deadlineAtMs = deadlineAtMs;
-    await sleep(Math.min(balancerDetectionMs, graceMs / 2));
+    const detectionMs = Math.min(balancerDetectionMs, graceMs / 2);
+    const unboundedMs = Math.min(unboundedAcceptanceMs, detectionMs);
+    await sleep(unboundedMs);
+    this.#latestDeadlineMs = deadlineAtMs;
+    await sleep(detectionMs - unboundedMs);
     this.#isClosing = true;
     await this.#waitUntilIdle(deadlineAtMs - performance.now());
     stopAccepting();
