Let a stream go on only with a stream

Cause: once a stream had begun, the next answer was accepted by its status alone, and the head of the first answer was kept although nothing of it had reached the caller.

Change: after the start, an answer needs the status and the media type of the first one; until then the head is that of the answer that is forwarded; nothing is sent again if the caller has a part of an answer that can't go on.

--- a/packages/relay/src/relay/generation-runner.ts
+++ b/packages/relay/src/relay/generation-runner.ts
@@ -226,7 +226,9 @@
   protected override canRetry(): boolean {
     const { route } = this.context;
     return (
-      route.resumable && this.possibleExecutionCount + 1 < route.maxAttempts
+      route.resumable &&
+      this.#responseSink.canBeContinued &&
+      this.possibleExecutionCount + 1 < route.maxAttempts
     );
   }
 
--- a/packages/relay/src/relay/response-sinks.ts
+++ b/packages/relay/src/relay/response-sinks.ts
@@ -116,17 +116,18 @@
 const okStatus = 200;
 const eventStreamType = 'text/event-stream';
 
-/** Returns the media type of the answer; undefined if it names none. */
+/** Returns the media type of the answer, without parameters; undefined if it names none. */
 const getMediaType = ({ headers }: ResponseHead): string | undefined => {
   const index = headers.findIndex(
     (name, i) => i % 2 === 0 && name.toLowerCase() === 'content-type',
   );
-  return index === -1 ? undefined : headers[index + 1]?.toLowerCase();
+  if (index === -1) return undefined;
+  const [type] = (headers[index + 1] ?? '').split(';');
+  return type?.trim().toLowerCase();
 };
 
 const isEventStream = (head: ResponseHead): boolean =>
-  head.status === okStatus &&
-  getMediaType(head)?.startsWith(eventStreamType) === true;
+  head.status === okStatus && getMediaType(head) === eventStreamType;
 
 /**
  * Forwards the bytes of a stream as they arrive, or whole events if the stream is
@@ -159,13 +160,22 @@
     return this.#writeCount;
   }
 
+  /** False if the caller has a part of an answer with which no target can go on. */
+  get canBeContinued(): boolean {
+    if (!this.#options.caller.hasStarted) return true;
+    const isStream = this.#head !== undefined && mayHoldEvents(this.#head);
+    return isStream && this.lastEventId !== undefined;
+  }
+
   override onHead(head: ResponseHead): boolean {
-    if (!this.#options.acceptsStatus(head.status)) return false;
+    const { acceptsStatus, caller } = this.#options;
+    if (!acceptsStatus(head.status)) return false;
+    if (caller.hasStarted && !this.#continuesStream(head)) return false;
+    if (!caller.hasStarted) this.#head = head;
     this.#eventBuffer.takeIncompleteEvent();
     this.#boundary = new EventBoundary();
     this.#currentHead = head;
     this.#currentBytes = 0;
-    this.#head ??= head;
     return true;
   }
 
@@ -198,6 +208,17 @@
     this.#options.caller.end();
   }
 
+  /** True if the answer is of the kind that the caller has a part of. */
+  #continuesStream(head: ResponseHead): boolean {
+    const started = this.#head;
+    return (
+      started !== undefined &&
+      this.canBeContinued &&
+      head.status === started.status &&
+      getMediaType(head) === getMediaType(started)
+    );
+  }
+
   get #isInsideEvent(): boolean {
     return this.#options.isResumable
       ? this.#eventBuffer.isInsideEvent
@@ -236,4 +257,5 @@
 
 /** False if the answer is certainly no stream of events, such as an error page. */
 const mayHoldEvents = (head: ResponseHead): boolean =>
-  getMediaType(head) === undefined || isEventStream(head);
+  isEventStream(head) ||
+  (head.status === okStatus && getMediaType(head) === undefined);
