Bound the memory for requests that other instances hand over

Cause: forwarded messages were bounded one by one, not in their sum, and their text stayed on the heap while the request ran.

Change: they are read as bytes, up to a tenth of the process memory, and refused beyond it, unrun. An instance that gets this refusal passes it on and does not try targets that it can't reach.

The test 'forwarded requests that exceed a share of the memory are refused, unrun' failed before (8 requests run, 4 have room).

--- a/packages/relay/src/forwarding/forwarded-request-handler.ts
+++ b/packages/relay/src/forwarding/forwarded-request-handler.ts
@@ -1,5 +1,5 @@
 /** Serves requests that other instances hand over because they reach no target. */
-import type { ServerResponse } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 
 import { Failure } from '@medlarlever/core';
 import type { Log } from '@medlarlever/core';
@@ -7,6 +7,7 @@
 
 import type { Relay } from '../relay/relay.js';
 import type { RelayRequest } from '../requests/relay-request.js';
+import { BodyReader } from '../server/body-reader.js';
 import { HttpCaller } from '../server/http-caller.js';
 import type { RequestDrainer } from '../server/request-drainer.js';
 
@@ -14,9 +15,19 @@
   answerResult,
   decodeForwardedRequest,
   failureResult,
+  maxForwardedBytes,
   resultHeaderName,
 } from './forwarded-request.js';
 
+/**
+ * Share of the process memory that forwarded requests may take. Several instances may hand
+ * over all of their requests at once.
+ */
+const forwardedMemoryShare = 0.1;
+
+/** Longest pause between two parts of a forwarded request. */
+const maxPauseMs = 3_000;
+
 /** Dependencies of {@link createForwardedRequestHandler}. */
 export interface ForwardedRequestHandlerOptions {
   readonly relay: Relay;
@@ -24,43 +35,57 @@
   readonly log: Log;
   /** True if requests are taken from the address, the remote one of the connection. */
   readonly isAccepted: (remoteAddress: string | undefined) => boolean;
+  /** Returns the memory limit of the process, if there is one. */
+  readonly getMemoryBytes: () => number | undefined;
 }
 
-/** Answers the message of another instance on the response. */
+/** Answers a message of another instance, of which only the head has been read. */
 export type ForwardedRequestHandler = (
-  message: unknown,
-  from: string,
+  message: IncomingMessage,
   response: ServerResponse,
 ) => Promise<void>;
 
 /** Creates the handler of the peer interface. */
-export const createForwardedRequestHandler =
-  ({
-    relay,
-    drainer,
-    log,
-    isAccepted,
-  }: ForwardedRequestHandlerOptions): ForwardedRequestHandler =>
-  async (message, from, response) => {
-    const caller = new HttpCaller(response, {
-      isClosing: () => false,
-      resultHeader: {
-        name: resultHeaderName,
-        answer: answerResult,
-        failure: failureResult,
-      },
-      // The end of the connection would not tell the other instance a whole answer.
-      endsByFraming: true,
-    });
-    if (!isAccepted(response.socket?.remoteAddress)) {
-      caller.sendFailure(createForbiddenFailure());
+export const createForwardedRequestHandler = ({
+  relay,
+  drainer,
+  log,
+  isAccepted,
+  getMemoryBytes,
+}: ForwardedRequestHandlerOptions): ForwardedRequestHandler => {
+  const bodyReader = new BodyReader(getMemoryBytes, forwardedMemoryShare);
+
+  const serveRequest = async (
+    message: IncomingMessage,
+    from: string,
+    caller: HttpCaller,
+  ): Promise<void> => {
+    const limits = { maxBytes: maxForwardedBytes, maxPauseMs };
+    const body = await bodyReader.readBody(message, limits);
+    if (body.isLeft()) {
+      caller.sendFailure(body.extract());
       return;
     }
-    const finishRequest = drainer.startRequest();
+    const bytes = body.unsafeCoerce();
     try {
-      const request = decodeRequest(message, from);
+      const request = decodeRequest(bytes, from);
       if (request.isLeft()) caller.sendFailure(request.extract());
       else await relay.serve(request.unsafeCoerce(), caller);
+    } finally {
+      bodyReader.releaseBytes(bytes.length);
+    }
+  };
+
+  return async (message, response) => {
+    const from = String(message.headers['x-instance'] ?? '');
+    const caller = createCaller(response);
+    if (!isAccepted(message.socket.remoteAddress)) {
+      caller.sendFailure(createForbiddenFailure());
+      return;
+    }
+    const finishRequest = drainer.startRequest();
+    try {
+      await serveRequest(message, from, caller);
     } catch (error) {
       log.writeEvent('step_failed', {
         step: 'forwarded request',
@@ -72,6 +97,19 @@
       finishRequest();
     }
   };
+};
+
+const createCaller = (response: ServerResponse): HttpCaller =>
+  new HttpCaller(response, {
+    isClosing: () => false,
+    resultHeader: {
+      name: resultHeaderName,
+      answer: answerResult,
+      failure: failureResult,
+    },
+    // The end of the connection would not tell the other instance a whole answer.
+    endsByFraming: true,
+  });
 
 /** Failure of a sender that may be no instance and so may not name a customer. */
 const createForbiddenFailure = (): Failure =>
@@ -81,10 +119,12 @@
   );
 
 const decodeRequest = (
-  message: unknown,
+  bytes: Buffer,
   from: string,
 ): Either<Failure, RelayRequest> =>
-  Either.encase(() => decodeForwardedRequest(message, from)).mapLeft(
+  Either.encase(() =>
+    decodeForwardedRequest(JSON.parse(bytes.toString('utf8')), from),
+  ).mapLeft(
     error =>
       new Failure('malformed_body', `the forwarded request: ${error.message}`),
   );
--- a/packages/relay/src/forwarding/request-forwarding.test.ts
+++ b/packages/relay/src/forwarding/request-forwarding.test.ts
@@ -151,6 +151,43 @@
   ]);
 });
 
+// Guards against an instance that runs out of memory because others hand their requests over.
+test('forwarded requests that exceed a share of the memory are refused, unrun', async t => {
+  const requestCount = 8;
+  const bodyBytes = 300_000;
+  const [cut, other] = await startInstances(
+    t,
+    ['cut', 'other'],
+    { kind: 'non_idempotent' },
+    new FakeDeployment(),
+    { memoryBytes: 16_000_000 },
+  );
+  if (cut === undefined || other === undefined) return t.fail();
+  await cutOff(cut);
+  const release = new AbortController();
+  other.client.onSend = async (_target, _options, sink) => {
+    await waitForAbort(release.signal);
+    return sendCompleteResponse(sink, 'ok');
+  };
+  const served = Promise.all(
+    Array.from({ length: requestCount }, (_, i) =>
+      cut.serve({ id: `a${i}`, body: Buffer.alloc(bodyBytes, 'b') }),
+    ),
+  );
+  await pause(500);
+  release.abort();
+  const callers = await served;
+  const runCount = other.client.sends.length;
+  // A tenth of the memory holds four of the messages, whose bodies are in base64.
+  t.true(runCount >= 1 && runCount <= 4, `${runCount} requests`);
+  t.is(callers.filter(({ text }) => text === 'ok').length, runCount);
+  const refused = callers.filter(
+    ({ failure }) =>
+      failure?.code === 'overloaded' && failure.executed === 'no',
+  );
+  t.is(refused.length, requestCount - runCount);
+});
+
 test('a request from a sender that is no known instance is refused', async t => {
   const deployment = new FakeDeployment();
   const names = ['cut', 'other'];
--- a/packages/relay/src/peers/app.ts
+++ b/packages/relay/src/peers/app.ts
@@ -263,6 +263,7 @@
       drainer: kernel.get(requestDrainerToken),
       log: kernel.get(logToken),
       isAccepted: remoteAddress => isInstanceAddress(kernel, remoteAddress),
+      getMemoryBytes: () => kernel.get(settingsToken).current.memoryBytes,
     }),
     ...kernel.get(settingsToken).current.peers,
   });
--- a/packages/relay/src/relay/request-forwarding.ts
+++ b/packages/relay/src/relay/request-forwarding.ts
@@ -35,6 +35,8 @@
 export class RequestForwarding {
   /** Names of the instances that could not take this request. */
   readonly #failedInstances = new Set<string>();
+  /** Refusal of an instance that reaches targets, but has no room for the request. */
+  #overload: Failure | undefined;
   #hasRun = false;
 
   constructor(
@@ -52,17 +54,21 @@
     return this.isPossible && this.dependencies.targetLink.isCutOff;
   }
 
-  /** Forwards the request; the answer is written to the sink, which is not finished. */
+  /**
+   * Forwards the request; the answer is written to the sink, which is not finished. If other
+   * instances have no room for it, it ends with their refusal: the targets are not reached
+   * from here, and a failed attempt there could not be told from one that ran.
+   */
   async run(sink: CallerSink): Promise<ForwardingEnd> {
     this.#hasRun = true;
     while (this.#failedInstances.size < maxForwardings) {
       const forwarding = await this.#forwardOnce(sink);
-      if (forwarding === undefined) return undefined;
+      if (forwarding === undefined) break;
       const end = this.#judge(forwarding);
       if (end !== undefined) return end;
       this.#failedInstances.add(forwarding.instance);
     }
-    return undefined;
+    return this.#overload && this.#endUnrun(this.#overload);
   }
 
   async #forwardOnce(sink: CallerSink): Promise<Forwarding | undefined> {
@@ -106,8 +112,14 @@
       context.mayHaveExecuted = true;
       return failure;
     }
+    if (failure.code === 'overloaded') this.#overload = failure;
     if (elsewhereCodes.has(failure.code)) return undefined;
-    return context.mayHaveExecuted
+    return this.#endUnrun(failure);
+  }
+
+  /** Returns how a request ends that the other instance has not run. */
+  #endUnrun(failure: Failure): Failure {
+    return this.context.mayHaveExecuted
       ? createTargetFailure(failure.message)
       : failure;
   }
--- a/packages/relay/src/server/body-reader.ts
+++ b/packages/relay/src/server/body-reader.ts
@@ -8,8 +8,8 @@
 /** Maximum number of body bytes buffered for all requests together. */
 const maxBufferedBytes = 64 * 1024 * 1024;
 
-/** Share of the process memory that request bodies may take, if that is less. */
-const bodyMemoryShare = 0.2;
+/** Share of the process memory that bodies from callers may take, if that is less. */
+const callerMemoryShare = 0.2;
 
 const overloadRetryAfterMs = 500;
 
@@ -24,14 +24,18 @@
 export class BodyReader {
   #bufferedBytes = 0;
 
-  /** `getMemoryBytes` returns the memory limit of the process, if there is one. */
+  /**
+   * `getMemoryBytes` returns the memory limit of the process, if there is one; bodies may
+   * take `memoryShare` of it.
+   */
   constructor(
     private readonly getMemoryBytes: () => number | undefined = () => undefined,
+    private readonly memoryShare = callerMemoryShare,
   ) {}
 
   get #maxBufferedBytes(): number {
     const memoryBytes = this.getMemoryBytes() ?? Infinity;
-    return Math.min(maxBufferedBytes, memoryBytes * bodyMemoryShare);
+    return Math.min(maxBufferedBytes, memoryBytes * this.memoryShare);
   }
 
   /** Number of body bytes currently buffered. */
--- a/packages/relay/src/server/peer-interface.ts
+++ b/packages/relay/src/server/peer-interface.ts
@@ -2,12 +2,12 @@
 import { NotificationServer, PeerServer, rpcPath } from '@medlarlever/core';
 import type { Kernel, Log } from '@medlarlever/core';
 import Fastify from 'fastify';
+import type { FastifyInstance } from 'fastify';
 import { isJSONRPCRequest } from 'json-rpc-2.0';
 
 import {
   customerForwardPath,
   forwardPath,
-  maxForwardedBytes,
 } from '../forwarding/forwarded-request.js';
 import type { ForwardedRequestHandler } from '../forwarding/forwarded-request-handler.js';
 
@@ -23,6 +23,23 @@
   readonly port: number;
 }
 
+/** Registers the paths of forwarded requests, whose handler reads the body itself. */
+const registerForwarding = (
+  scope: FastifyInstance,
+  serveForwardedRequest: ForwardedRequestHandler,
+): void => {
+  scope.removeAllContentTypeParsers();
+  scope.addContentTypeParser('*', (_request, _payload, done) => {
+    done(null);
+  });
+  for (const path of [forwardPath, customerForwardPath]) {
+    scope.post(path, async (request, reply) => {
+      reply.hijack();
+      await serveForwardedRequest(request.raw, reply.raw);
+    });
+  }
+};
+
 /** Starts serving calls from peers. Returns a function that stops the server. */
 export const openPeerInterface = async (
   options: PeerInterfaceOptions,
@@ -45,18 +62,10 @@
       logFailedStep(call.method, from, response.error.message);
     return reply.send(response);
   });
-  const { serveForwardedRequest } = options;
-  for (const path of [forwardPath, customerForwardPath]) {
-    fastify.post(
-      path,
-      { bodyLimit: maxForwardedBytes },
-      async (request, reply) => {
-        const from = String(request.headers['x-instance'] ?? '');
-        reply.hijack();
-        await serveForwardedRequest(request.body, from, reply.raw);
-      },
-    );
-  }
+  await fastify.register(scope => {
+    registerForwarding(scope, options.serveForwardedRequest);
+    return Promise.resolve();
+  });
   const notifications = new NotificationServer({
     server: fastify.server,
     identifySender: ({ headers }) => String(headers['x-instance'] ?? ''),
