Let streams go on only at targets that can't have restarted unseen

Cause: the version of a target was that of its last registration, and nothing told one incarnation of an engine from the next while the list of targets could not be read.

Change: an open connection leads to the same process, so while the list is not current a target counts as known only by a connection that is older than the last page of the list, or overlapped with one. Streams go on only at known targets; those that begin elsewhere have no origin.

--- a/packages/relay/src/change-streams/table-watcher.test.ts
+++ b/packages/relay/src/change-streams/table-watcher.test.ts
@@ -64,7 +64,7 @@
   value: Buffer.from(value),
 });
 
-const setUp = (t: ExecutionContext) => {
+const setUp = (t: ExecutionContext, settlingMs?: number) => {
   const clock = FakeTimers.install({ now: 0 });
   const stop = new AbortController();
   t.teardown(() => {
@@ -80,6 +80,7 @@
     log,
     random: () => 0.5,
     waitMs: 1_500,
+    settlingMs,
     onRowChange: ({ key, value }) => {
       if (key === 'defect') throw new Error('defect');
       appliedChanges.push(`${key}=${value?.toString() ?? ''}`);
@@ -196,3 +197,26 @@
     t.deepEqual(watcher.lastPosition, { era: 1, version: 7 });
   },
 );
+
+// Guards against rows from before an outage that count as current while it lasts, and while
+// they are written again after it.
+test.serial(
+  'the rows are known until the last page before an outage, until they have settled',
+  async t => {
+    const { clock, changeStream, watcher } = setUp(t, 2_000);
+    t.is(watcher.knownUntilMs, -Infinity);
+    await clock.tickAsync(200);
+    t.is(watcher.knownUntilMs, Infinity);
+    const lastPageMs = performance.now();
+    changeStream.state = 'down';
+    await clock.tickAsync(1_000);
+    const { knownUntilMs } = watcher;
+    t.true(knownUntilMs >= lastPageMs && knownUntilMs <= lastPageMs + 100);
+    changeStream.state = 'up';
+    await clock.tickAsync(1_500);
+    t.true(watcher.isConnected);
+    t.is(watcher.knownUntilMs, knownUntilMs);
+    await clock.tickAsync(2_000);
+    t.is(watcher.knownUntilMs, Infinity);
+  },
+);
--- a/packages/relay/src/change-streams/table-watcher.ts
+++ b/packages/relay/src/change-streams/table-watcher.ts
@@ -36,6 +36,8 @@
   readonly random: () => number;
   /** Maximum time that the platform may hold a long poll for changes. */
   readonly waitMs: number;
+  /** Time after an outage or a restore in which rows may be outdated; 0 by default. */
+  readonly settlingMs?: number;
   /**
    * Called when a row is added, changed or removed (`value` is undefined).
    * `afterRestore` is true for the rows of the first snapshot after a restore.
@@ -67,6 +69,10 @@
   #lastPosition: StreamPosition | undefined;
   #consecutiveFailures = 0;
   #hasConnected = false;
+  /** Monotonic time of the last query that succeeded. */
+  #lastSuccessMs = -Infinity;
+  /** Value of `knownUntilMs` since the last outage or restore, until it is settled. */
+  #knownBeforeDoubtMs = Infinity;
   /** Monotonic time since which no query has failed; undefined while they fail. */
   #connectedSinceMs: number | undefined;
 
@@ -84,6 +90,17 @@
     return this.#consecutiveFailures === 0 && this.#lastPosition !== undefined;
   }
 
+  /**
+   * Monotonic milliseconds up to which all changes of the table are known; `Infinity`
+   * while they arrive. After an outage it is the time before it until the rows are settled.
+   */
+  get knownUntilMs(): number {
+    if (!this.#hasConnected) return -Infinity;
+    const { settlingMs = 0 } = this.#options;
+    const isSettled = this.isConnected && this.knownForMs >= settlingMs;
+    return isSettled ? Infinity : this.#knownBeforeDoubtMs;
+  }
+
   /** Time for which all changes of the table have been known; 0 while they are not. */
   get knownForMs(): number {
     if (this.#connectedSinceMs === undefined || !this.isConnected) return 0;
@@ -198,6 +215,7 @@
     if (this.#era === era) return false;
     const isFirstEra = this.#era === undefined;
     // A restored table lacks the latest changes until they are written again.
+    if (!isFirstEra) this.#beginDoubt();
     this.#connectedSinceMs = performance.now();
     this.#era = era;
     this.#versionsByKey.clear();
@@ -231,7 +249,13 @@
     });
   }
 
+  #beginDoubt(): void {
+    if (this.knownUntilMs === Infinity)
+      this.#knownBeforeDoubtMs = this.#lastSuccessMs;
+  }
+
   #recordFailure(failure: Failure): void {
+    this.#beginDoubt();
     this.#connectedSinceMs = undefined;
     this.#consecutiveFailures += 1;
     if (this.#consecutiveFailures > 1) return;
@@ -242,6 +266,7 @@
   }
 
   #recordSuccess(): void {
+    this.#lastSuccessMs = performance.now();
     this.#connectedSinceMs ??= performance.now();
     if (this.#consecutiveFailures > 0 || !this.#hasConnected) {
       this.#hasConnected = true;
--- a/packages/relay/src/change-streams/watcher-factories.ts
+++ b/packages/relay/src/change-streams/watcher-factories.ts
@@ -141,6 +141,7 @@
   const watcher = new TableWatcher({
     changeStream: source.changeStream,
     ...rest,
+    settlingMs: registrationGraceMs,
     onRowChange,
     onSnapshot,
   });
--- a/packages/relay/src/placement/placement-options.ts
+++ b/packages/relay/src/placement/placement-options.ts
@@ -32,6 +32,11 @@
    * so any version may prefill.
    */
   readonly origin: StreamOrigin | undefined;
+  /**
+   * False if the target may be another incarnation than the one that is registered, of
+   * which the software version is not known; true by default.
+   */
+  readonly isIncarnationKnown?: (target: TargetState) => boolean;
   /** True if this instance has an idle connection to the target; true by default. */
   readonly isConnected?: (target: TargetState) => boolean;
 }
--- a/packages/relay/src/placement/plain-target.ts
+++ b/packages/relay/src/placement/plain-target.ts
@@ -21,6 +21,7 @@
     | 'dataCenter'
     | 'origin'
     | 'isConnected'
+    | 'isIncarnationKnown'
   >,
 ): TargetState | undefined => {
   const candidates = filterAnsweringTargets(options).map(target => {
--- a/packages/relay/src/placement/target-filters.ts
+++ b/packages/relay/src/placement/target-filters.ts
@@ -38,14 +38,16 @@
 export const filterAnsweringTargets = (
   options: Pick<
     PlacementOptions,
-    'targets' | 'excluded' | 'unreached' | 'origin'
+    'targets' | 'excluded' | 'unreached' | 'origin' | 'isIncarnationKnown'
   >,
 ): TargetState[] => {
-  const { targets, origin } = options;
-  return filterUsableTargets({
-    ...options,
-    targets: targets.filter(({ record }) => canContinueStream(record, origin)),
-  });
+  const { targets, origin, isIncarnationKnown } = options;
+  const answering = targets.filter(
+    target =>
+      canContinueStream(target.record, origin) &&
+      (origin === undefined || isIncarnationKnown?.(target) !== false),
+  );
+  return filterUsableTargets({ ...options, targets: answering });
 };
 
 /** Returns the candidate of the lowest cost; undefined if there is none. */
--- a/packages/relay/src/relay/generation-placer.ts
+++ b/packages/relay/src/relay/generation-placer.ts
@@ -122,6 +122,8 @@
       unreached: dataCenterReachability.takeUnreachableDataCenters(),
       isConnected: ({ record }) =>
         dependencies.targetClient.hasIdleConnection(record),
+      isIncarnationKnown: ({ record }) =>
+        dependencies.targetClient.isIncarnationKnown(record),
       random: drawsSample ? random : undefined,
     };
   }
--- a/packages/relay/src/relay/generation-runner.test.ts
+++ b/packages/relay/src/relay/generation-runner.test.ts
@@ -312,6 +312,45 @@
 
 const resumableRoute = { ...streamRoute, resumable: true, maxAttempts: 3 };
 
+const createVersionRecord = (id: string) =>
+  createTargetRecord(id, {
+    service: 'engines',
+    role: 'decode',
+    softwareVersion: 'v1',
+  });
+
+// Guards against a stream that goes on at an engine that restarted at another version while
+// the list of targets can't be read.
+test('a stream does not go on at an engine that may have restarted', async t => {
+  const { serve, client } = createTestRelay({
+    route: { ...streamRoute, resumable: true, maxAttempts: 3 },
+    targets: ['d1', 'd2'].map(createVersionRecord),
+  });
+  client.onSend = ({ id }, _options, sink) => {
+    client.unknownTargetIds.add(id === 'd1' ? 'd2' : 'd1');
+    return Promise.resolve(sendIncompleteResponse(sink, 'id: 1\ndata: a\n\n'));
+  };
+  const caller = await serve({ prompt: longPrompt });
+  t.is(client.sends.length, 1);
+  t.true(caller.isAborted);
+});
+
+test('a stream that began at an engine that may have restarted does not go on', async t => {
+  const { serve, client, origins } = createTestRelay({
+    route: { ...streamRoute, resumable: true, maxAttempts: 3 },
+    targets: ['d1', 'd2'].map(createVersionRecord),
+  });
+  for (const id of ['d1', 'd2']) client.unknownTargetIds.add(id);
+  client.onSend = (_target, _options, sink) => {
+    client.unknownTargetIds.clear();
+    return Promise.resolve(sendIncompleteResponse(sink, 'id: 1\ndata: a\n\n'));
+  };
+  const caller = await serve({ id: 'a1', prompt: longPrompt });
+  t.is(client.sends.length, 1);
+  t.true(caller.isAborted);
+  t.is(origins.find('a1'), undefined);
+});
+
 test('a stream that broke before its first event may begin at another version', async t => {
   const { serve, client, origins } = createTestRelay({
     route: resumableRoute,
--- a/packages/relay/src/relay/generation-runner.ts
+++ b/packages/relay/src/relay/generation-runner.ts
@@ -61,6 +61,8 @@
   /** Engine that holds the KV cache of `#kvCacheHandle`. */
   #kvCacheTarget: TargetState | undefined;
   #prefillCount = 0;
+  /** True if it is not known which software version made the first events. */
+  #isOriginUnknown = false;
   /** Frees the memory of the KV cache that a prefill engine holds. */
   #endPrefillHold: () => void = () => undefined;
   /** Frees the memory that the request takes at its decode engine. */
@@ -228,6 +230,7 @@
     return (
       route.resumable &&
       this.#responseSink.canBeContinued &&
+      !this.#isOriginUnknown &&
       this.possibleExecutionCount + 1 < route.maxAttempts
     );
   }
@@ -424,7 +427,7 @@
     const endRequest = this.startRequest(target);
     this.#endDecodeHold = this.#holdTokens(target, 'decode');
     if (isColocated) placement.copySource?.limiter.takePermit();
-    this.recordOrigin(record);
+    const isOriginKnown = this.recordOrigin(record);
     const endPrefill = isColocated
       ? this.#startPrefill(
           target,
@@ -452,8 +455,7 @@
       dependencies.promptQuarantine.recordAnswer(this.#sharedParts);
     });
     this.#onEvent = () => {
-      const { service, softwareVersion } = record;
-      context.origin ??= { service, softwareVersion };
+      this.#recordFirstEvent(record, isOriginKnown);
       eventGapMeter.recordEvent();
       answerProgress.recordEvent();
       endPrefill();
@@ -504,6 +506,13 @@
     return this.#handleStreamFailure({ target, record, suspectParts }, outcome);
   }
 
+  /** The first event fixes the software version at which the stream may go on. */
+  #recordFirstEvent(record: TargetRecord, isOriginKnown: boolean): void {
+    const { service, softwareVersion } = record;
+    if (isOriginKnown) this.context.origin ??= { service, softwareVersion };
+    else this.#isOriginUnknown = true;
+  }
+
   #recordEventGap(target: TargetState, { meanGapMs }: EventGapMeter): void {
     if (meanGapMs === undefined) return;
     this.dependencies.metrics.recordEventGap(this.context.service, meanGapMs);
--- a/packages/relay/src/relay/plain-request-runner.ts
+++ b/packages/relay/src/relay/plain-request-runner.ts
@@ -83,6 +83,8 @@
       origin: this.context.origin,
       dataCenter,
       isConnected: ({ record }) => targetClient.hasIdleConnection(record),
+      isIncarnationKnown: ({ record }) =>
+        targetClient.isIncarnationKnown(record),
     });
   }
 
--- a/packages/relay/src/relay/request-runner.ts
+++ b/packages/relay/src/relay/request-runner.ts
@@ -109,13 +109,18 @@
 
   /**
    * Tells the other instances where the stream begins, before its first event, so that
-   * its caller can take it up again at any of them.
+   * its caller can take it up again at any of them. Nothing is told if the target may be
+   * of another software version than its registration says; returns false then.
    */
-  protected recordOrigin({ service, softwareVersion }: TargetRecord): void {
+  protected recordOrigin(record: TargetRecord): boolean {
+    if (!this.dependencies.targetClient.isIncarnationKnown(record))
+      return false;
     const { request, route } = this.context;
-    if (route.kind !== 'stream' || !route.resumable) return;
+    if (route.kind !== 'stream' || !route.resumable) return true;
+    const { service, softwareVersion } = record;
     const firstRequest = request.resumedRequestId ?? request.id;
     this.dependencies.onStreamBegin(firstRequest, { service, softwareVersion });
+    return true;
   }
 
   /**
--- a/packages/relay/src/relay/target-client.ts
+++ b/packages/relay/src/relay/target-client.ts
@@ -121,6 +121,12 @@
   /** True if a request to the target needs no new connection. */
   abstract hasIdleConnection(target: TargetRecord): boolean;
 
+  /**
+   * False if the target may have restarted since the list of targets was read, so that the
+   * software version of its registration may not be the one that serves.
+   */
+  abstract isIncarnationKnown(target: TargetRecord): boolean;
+
   /** Closes the connections to a target that is gone. */
   abstract closeConnections(address: string): void;
 }
