Count data as progress of plain answers, and wait for slow callers

Cause: the watchdog of a request that may be sent again was told of the events of streams only, and not that a caller didn't read; it went on after a part of the answer had been forwarded.

Change: each part of an answer counts; silence is no reason to abort while the caller doesn't read or once a part was forwarded. A request counts as running until its connection has taken the answer, so that a stop doesn't end before.

Three tests of slow-readers failed before.

--- a/packages/relay/src/buffers/answer-buffer.ts
+++ b/packages/relay/src/buffers/answer-buffer.ts
@@ -74,12 +74,9 @@
   /** Resolves when the target may be read again or the caller has disconnected. */
   async waitForSpace(): Promise<void> {
     const { caller, buffers } = this.#options;
-    if (!buffers.isEnabled) {
-      await caller.waitForDrain();
-      return;
-    }
     this.#isPaused = true;
-    await this.#waitForFreeShare();
+    if (buffers.isEnabled) await this.#waitForFreeShare();
+    else await caller.waitForDrain();
     this.#isPaused = false;
   }
 
--- a/packages/relay/src/forwarding/forwarded-request-handler.ts
+++ b/packages/relay/src/forwarding/forwarded-request-handler.ts
@@ -94,7 +94,7 @@
       });
       endAfterDefect(caller, error);
     } finally {
-      finishRequest();
+      void caller.waitUntilSent().then(finishRequest);
     }
   };
 };
--- a/packages/relay/src/relay/generation-runner.ts
+++ b/packages/relay/src/relay/generation-runner.ts
@@ -463,7 +463,7 @@
       target.recordAnswer();
       dependencies.targetLink.recordAnswer();
     };
-    this.#responseSink.onWholeEvent = () => {
+    this.#responseSink.onProgress = () => {
       watchdog?.recordActivity();
     };
     context.recordSend();
--- a/packages/relay/src/relay/plain-request-runner.ts
+++ b/packages/relay/src/relay/plain-request-runner.ts
@@ -115,10 +115,9 @@
     const sink = this.#createResponseSink();
     context.recordSend();
     const watchdog = this.#createSendWatchdog(target);
-    if (sink instanceof StreamingResponseSink)
-      sink.onWholeEvent = () => {
-        watchdog?.recordActivity();
-      };
+    sink.onProgress = () => {
+      watchdog?.recordActivity();
+    };
     const outcome = await this.sendOnce(
       record,
       {
@@ -163,12 +162,14 @@
 
   #createSendWatchdog(target: TargetState): SendWatchdog | undefined {
     if (!this.canRetry()) return this.createEventWatchdog(target);
-    const { remainingMs, signal } = this.context;
+    const { remainingMs, signal, caller } = this.context;
     return new SendWatchdog({
       target,
       // No expected response time: targets without engines have no liveness check.
       expectedResponseMs: Infinity,
       stallTimeoutMs: stallTimeoutShare * remainingMs,
+      // A part of an answer can't be taken back, so the rest is awaited.
+      isPaused: () => this.answerBuffer.isPaused || caller.hasStarted,
       signal,
       checkLiveness: this.dependencies.checkLiveness,
       isCutOff: () => this.dependencies.targetLink.isCutOff,
--- a/packages/relay/src/relay/response-sinks.ts
+++ b/packages/relay/src/relay/response-sinks.ts
@@ -16,6 +16,12 @@
 
 /** Passes the answers to one request on to its caller. */
 export abstract class CallerSink extends ResponseSink {
+  /**
+   * Called when the answer makes progress: for each part of a plain answer, and for each
+   * part of a stream that ends at least one event or is not made of events.
+   */
+  onProgress: () => void = () => undefined;
+
   /** Called when the current answer has an event that is too long to be one. */
   onOverlongEvent: () => void = () => undefined;
 
@@ -65,11 +71,13 @@
     this.#bufferedChunks = [];
     this.#bufferedBytes = 0;
     this.onRunStart();
+    this.onProgress();
     this.answerBuffer.hold(0);
     return this.acceptsStatus(head.status);
   }
 
   override onData(chunk: Buffer): boolean {
+    this.onProgress();
     if (this.#isForwarding) return this.answerBuffer.write(chunk);
     this.#bufferedChunks.push(chunk);
     this.#bufferedBytes += chunk.length;
@@ -134,8 +142,6 @@
  * resumable. The head is sent with the first bytes.
  */
 export class StreamingResponseSink extends CallerSink {
-  /** Called for data that ends at least one event, or is not made of events. */
-  onWholeEvent: () => void = () => undefined;
   readonly #options: StreamingResponseSinkOptions;
   readonly #eventBuffer = new ServerSentEventBuffer();
   #boundary = new EventBoundary();
@@ -228,7 +234,7 @@
   #takeForwardableBytes(chunk: Buffer): Buffer {
     const head = this.#currentHead;
     if (head !== undefined && !mayHoldEvents(head)) {
-      this.onWholeEvent();
+      this.onProgress();
       return chunk;
     }
     const tracker = this.#options.isResumable
@@ -236,7 +242,7 @@
       : this.#boundary;
     const bytes = tracker.appendChunk(chunk);
     if (tracker.isOverlong) this.onOverlongEvent();
-    if (tracker.hasCompletedEvent) this.onWholeEvent();
+    if (tracker.hasCompletedEvent) this.onProgress();
     return bytes;
   }
 
--- a/packages/relay/src/relay/send-watchdog.ts
+++ b/packages/relay/src/relay/send-watchdog.ts
@@ -29,7 +29,10 @@
    * `stallTimeoutMs` holds for the whole answer.
    */
   readonly eventStallMs?: number;
-  /** Returns true while the answer is not read, because the caller does not read. */
+  /**
+   * Returns true while silence does not end the send: while the answer is not read, because
+   * the caller does not read, or once it can't be had from another target.
+   */
   readonly isPaused?: () => boolean;
   /** Another signal that aborts the send, such as the request's deadline. */
   readonly signal: AbortSignal;
--- a/packages/relay/src/relay/slow-readers.test.ts
+++ b/packages/relay/src/relay/slow-readers.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 
 import { FakeCaller } from '../fixtures/fake-caller.js';
+import { waitForAbort } from '../fixtures/fake-target-client.js';
 import type { SendScript } from '../fixtures/fake-target-client.js';
 import { installPausedClock } from '../fixtures/paused-clock.js';
 import {
@@ -67,6 +68,17 @@
   return signal.aborted ? { kind: 'aborted' } : { kind: 'whole', status: 200 };
 };
 
+/** Serves an idempotent request without a prompt, which may be sent to a second target. */
+const servePlain = (onSend: SendScript, caller: FakeCaller) => {
+  const parts = createTestRelay({
+    route: { kind: 'idempotent', timeoutMs: 6_000, maxAttempts: 2 },
+    memoryBytes: 250_000_000,
+  });
+  parts.client.onSend = onSend;
+  const end = parts.relay.serve(createRequest(), caller);
+  return { ...parts, end };
+};
+
 const serveSlowly = (
   onSend: SendScript,
   caller: FakeCaller,
@@ -230,3 +242,79 @@
     t.is(targetRegistry.listTargets()[0]?.isAvoided, false);
   },
 );
+
+// Each of the next two guards against answers that are cut although they make progress.
+test.serial(
+  'a long plain answer to a caller that reads slowly is not broken off',
+  async t => {
+    const clock = installPausedClock(t);
+    const chunks = Array.from({ length: 40 }, () => 'x'.repeat(50_000));
+    const caller = new SlowCaller(500_000);
+    const { end, client } = servePlain(
+      (_target, { signal }, sink) => sendChunks(sink, chunks, 100, signal),
+      caller,
+    );
+    await clock.tickAsync(5_500);
+    await end;
+    t.is(client.sends.length, 1);
+    t.true(caller.isEnded);
+    t.is(caller.receivedBytes, 2_000_000);
+  },
+);
+
+test.serial(
+  'a short plain answer that comes slowly is not broken off',
+  async t => {
+    const clock = installPausedClock(t);
+    const chunks = Array.from({ length: 50 }, () => 'x');
+    const caller = new FakeCaller();
+    const { end, client } = servePlain(
+      (_target, { signal }, sink) => sendChunks(sink, chunks, 100, signal),
+      caller,
+    );
+    await clock.tickAsync(5_500);
+    await end;
+    t.is(client.sends.length, 1);
+    t.is(caller.text, chunks.join(''));
+  },
+);
+
+test.serial(
+  'a plain answer that stalls before any of it was forwarded is sent again',
+  async t => {
+    const clock = installPausedClock(t);
+    const caller = new FakeCaller();
+    const { end, client } = servePlain(async (_target, { signal }, sink) => {
+      if (client.sends.length > 1)
+        return sendChunks(sink, ['whole'], 0, signal);
+      sink.onHead(eventStreamHead);
+      sink.onData(Buffer.from('a'));
+      await waitForAbort(signal);
+      return { kind: 'aborted' };
+    }, caller);
+    await clock.tickAsync(4_000);
+    await end;
+    t.is(client.sends.length, 2);
+    t.is(caller.text, 'whole');
+  },
+);
+
+test.serial(
+  'a plain answer that falls silent after a part was forwarded is awaited',
+  async t => {
+    const clock = installPausedClock(t);
+    const caller = new FakeCaller();
+    const { end, client } = servePlain(async (_target, { signal }, sink) => {
+      sink.onHead({ status: 200, headers: [], isCloseDelimited: false });
+      sink.onData(Buffer.alloc(100_000, 'x'));
+      await wait(4_000);
+      return signal.aborted
+        ? { kind: 'aborted' }
+        : { kind: 'whole', status: 200 };
+    }, caller);
+    await clock.tickAsync(5_000);
+    await end;
+    t.is(client.sends.length, 1);
+    t.true(caller.isEnded);
+  },
+);
--- a/packages/relay/src/server/http-caller.test.ts
+++ b/packages/relay/src/server/http-caller.test.ts
@@ -25,12 +25,18 @@
   return (server.address() as AddressInfo).port;
 };
 
-test('the bytes that a caller has not read are counted until it disconnects', async t => {
-  const callers: HttpCaller[] = [];
-  const port = await startServer(t, caller => callers.push(caller));
+/** Opens a connection that sends a request and reads no answer until it is resumed. */
+const connectPaused = (port: number) => {
   const socket = connect(port, '127.0.0.1');
   socket.pause();
   socket.write('GET / HTTP/1.1\r\nhost: desk.example\r\n\r\n');
+  return socket;
+};
+
+test('the bytes that a caller has not read are counted until it disconnects', async t => {
+  const callers: HttpCaller[] = [];
+  const port = await startServer(t, caller => callers.push(caller));
+  const socket = connectPaused(port);
   while (callers.length === 0) await setImmediate();
   const [caller] = callers as [HttpCaller];
   caller.writeHead({ status: 200, headers: [], isCloseDelimited: false });
@@ -49,6 +55,30 @@
   t.is(caller.bufferedBytes, 0);
 });
 
+// Guards against a stop that ends while a slow caller still reads its answer.
+test('an answer is sent once the connection has taken all of it, or is closed', async t => {
+  const callers: HttpCaller[] = [];
+  const port = await startServer(t, caller => callers.push(caller));
+  for (const end of ['resume', 'destroy'] as const) {
+    const socket = connectPaused(port);
+    while (callers.length === 0) await setImmediate();
+    const [caller] = callers.splice(0) as [HttpCaller];
+    caller.writeHead({ status: 200, headers: [], isCloseDelimited: false });
+    caller.write(Buffer.alloc(32 * 1024 * 1024));
+    caller.end();
+    let isSent = false;
+    const sent = caller.waitUntilSent().then(() => {
+      isSent = true;
+    });
+    for (let i = 0; i < 10; i += 1) await setImmediate();
+    t.false(isSent);
+    socket[end]();
+    await sent;
+    t.true(isSent);
+    socket.destroy();
+  }
+});
+
 // Guards against callers that resend to an instance that stops until it is gone.
 test('a refusal because of the stop closes the connection, another one keeps it', async t => {
   for (const [code, connection] of [
--- a/packages/relay/src/server/http-caller.ts
+++ b/packages/relay/src/server/http-caller.ts
@@ -96,6 +96,17 @@
     });
   }
 
+  /** Resolves when the connection has taken the whole response, or is closed. */
+  waitUntilSent(): Promise<void> {
+    const response = this.#response;
+    if (response.writableFinished || response.destroyed)
+      return Promise.resolve();
+    return new Promise(resolve => {
+      response.once('finish', resolve);
+      response.once('close', resolve);
+    });
+  }
+
   override end(): void {
     this.#response.end();
   }
--- a/packages/relay/src/server/relay-controller.ts
+++ b/packages/relay/src/server/relay-controller.ts
@@ -88,7 +88,8 @@
         arrivedAtMs,
       );
     } finally {
-      finishRequest();
+      // A stop waits for callers that still read.
+      void caller.waitUntilSent().then(finishRequest);
     }
   }
 
