Count a crash against a request only until it is answered

Cause: each crash counts against every request under way, by a fingerprint that all readers of a page share, without a time to live, and no answer took a count back.

Change: a request that is run to its end after a crash has not caused it. Instances report crashes with their age and such answers, in new fields; the old field stays for earlier versions.

--- a/packages/relay/src/crashes/crash-tracker.ts
+++ b/packages/relay/src/crashes/crash-tracker.ts
@@ -1,20 +1,16 @@
 /**
- * Counts the targets that crashed while they ran the same request. A broken
+ * Finds out which requests were under way at targets that crashed. A broken
  * connection is only a suspected crash; it is confirmed when the target turns out
  * to be gone, to refuse connections or to have restarted.
  */
 import type { Log } from '@medlarlever/core';
-import { LRUCache } from 'lru-cache';
 
 import { getStartMs } from '../targets/target-record.js';
 import type { TargetRecord } from '../targets/target-record.js';
 
+import { RequestQuarantine } from './request-quarantine.js';
 import type { SharedParts, TargetCrash } from './target-crash.js';
 
-/** Number of crashed targets at which a request is rejected. */
-const poisonCrashThreshold = 3;
-const maxTrackedRequests = 5_000;
-
 /**
  * Longest time between a broken connection and the confirmation of the crash
  * for both to be attributed to the same crash.
@@ -45,13 +41,10 @@
   readonly onCrash?: (crash: TargetCrash) => void;
 }
 
-/** Crash counts of requests; requests are identified by their fingerprints. */
+/** Requests that are suspected of crashes, by target, and those that are refused. */
 export class CrashTracker {
-  readonly #crashedTargetsByRequest = new LRUCache<string, Set<string>>({
-    max: maxTrackedRequests,
-  });
+  readonly requests = new RequestQuarantine();
   readonly #suspectedRequestsByTarget = new Map<string, SuspectedRequest[]>();
-  #unreportedCrashes: [string, string][] = [];
 
   constructor(private readonly options: CrashTrackerOptions) {}
 
@@ -88,10 +81,14 @@
       suspects: suspects.length,
       confirmed_after_ms: Math.round(nowMs - first.suspectedAtMs),
     });
-    for (const { fingerprint } of suspects) {
+    for (const { fingerprint, startedAtMs, suspectedAtMs } of suspects) {
       if (fingerprint === undefined) continue;
-      this.recordCrash(fingerprint, targetId);
-      this.#unreportedCrashes.push([fingerprint, targetId]);
+      this.requests.recordCrash({
+        fingerprint,
+        target: targetId,
+        startedAtMs,
+        atMs: suspectedAtMs,
+      });
     }
     this.options.onCrash?.({
       target: targetId,
@@ -103,37 +100,6 @@
     });
   }
 
-  /** Counts a confirmed crash, found here or reported by a peer. */
-  recordCrash(fingerprint: string, targetId: string): void {
-    const crashedTargets =
-      this.#crashedTargetsByRequest.get(fingerprint) ?? new Set();
-    crashedTargets.add(targetId);
-    this.#crashedTargetsByRequest.set(fingerprint, crashedTargets);
-  }
-
-  /** True while there are crashes that have not been sent to the peers. */
-  get hasUnreportedCrashes(): boolean {
-    return this.#unreportedCrashes.length > 0;
-  }
-
-  /**
-   * Returns and clears the crashes to send to the peers, as pairs of request
-   * fingerprint and target id.
-   */
-  takeUnreportedCrashes(): [string, string][] {
-    const crashes = this.#unreportedCrashes;
-    this.#unreportedCrashes = [];
-    return crashes;
-  }
-
-  /** True when the request crashed so many targets that it must be rejected. */
-  isPoisonRequest(fingerprint: string): boolean {
-    return (
-      (this.#crashedTargetsByRequest.get(fingerprint)?.size ?? 0) >=
-      poisonCrashThreshold
-    );
-  }
-
   #listRecentSuspects(targetId: string, nowMs: number): SuspectedRequest[] {
     const suspects = this.#suspectedRequestsByTarget.get(targetId) ?? [];
     return suspects.filter(
--- /dev/null
+++ b/packages/relay/src/crashes/request-quarantine.test.ts
@@ -0,0 +1,83 @@
+import test from 'ava';
+
+import { installPausedClock } from '../fixtures/paused-clock.js';
+
+import { RequestQuarantine } from './request-quarantine.js';
+
+const createCrash = (target: string, atMs = performance.now()) => ({
+  fingerprint: 'f',
+  target,
+  startedAtMs: 0,
+  atMs,
+});
+
+/** Lets the quarantines of two instances exchange what they have not told each other. */
+const exchange = (one: RequestQuarantine, two: RequestQuarantine): void => {
+  const [fromOne, fromTwo] = [one, two].map(
+    quarantine => [quarantine.takeCrashes(), quarantine.takeAnswers()] as const,
+  );
+  if (fromOne !== undefined) two.apply(...fromOne);
+  if (fromTwo !== undefined) one.apply(...fromTwo);
+};
+
+test.serial(
+  'a request that crashes three targets is refused everywhere',
+  async t => {
+    const clock = installPausedClock(t);
+    const [one, two] = [new RequestQuarantine(), new RequestQuarantine()];
+    for (const target of ['a', 'b', 'c']) {
+      t.false(one.isRefused('f') || two.isRefused('f'));
+      one.recordCrash(createCrash(target));
+      await clock.tickAsync(1_000);
+      exchange(one, two);
+    }
+    t.true(one.isRefused('f'));
+    t.true(two.isRefused('f'));
+  },
+);
+
+// Guards against a page that is refused for good because many read it while targets crash.
+test.serial(
+  'a request that is answered between the crashes is not refused, wherever it was answered',
+  async t => {
+    const clock = installPausedClock(t);
+    const [one, two] = [new RequestQuarantine(), new RequestQuarantine()];
+    for (const target of ['a', 'b', 'c', 'd']) {
+      one.recordCrash(createCrash(target));
+      await clock.tickAsync(50);
+      exchange(one, two);
+      two.recordAnswer('f');
+      exchange(two, one);
+      t.false(one.isRefused('f') || two.isRefused('f'), target);
+      await clock.tickAsync(5_000);
+    }
+  },
+);
+
+test.serial(
+  'a crash that is reported after a later answer does not count',
+  async t => {
+    const clock = installPausedClock(t);
+    const [one, two] = [new RequestQuarantine(), new RequestQuarantine()];
+    const crashedAtMs = performance.now();
+    await clock.tickAsync(40);
+    two.recordAnswer('f');
+    for (const target of ['a', 'b', 'c'])
+      one.recordCrash(createCrash(target, crashedAtMs));
+    t.true(one.isRefused('f'));
+    exchange(one, two);
+    t.false(two.isRefused('f'));
+    exchange(two, one);
+    t.false(one.isRefused('f'));
+  },
+);
+
+test.serial('an answer from before a crash says nothing of it', async t => {
+  const clock = installPausedClock(t);
+  const quarantine = new RequestQuarantine();
+  quarantine.recordAnswer('f');
+  await clock.tickAsync(10);
+  for (const target of ['a', 'b', 'c'])
+    quarantine.recordCrash(createCrash(target));
+  t.true(quarantine.isRefused('f'));
+});
--- a/packages/relay/src/peers/load-exchange.ts
+++ b/packages/relay/src/peers/load-exchange.ts
@@ -32,6 +32,7 @@
 } from './load-report.js';
 import type { LoadReport } from './load-report.js';
 import { OwnLoad } from './own-load.js';
+import { applyRequestReports, takeRequestReports } from './request-reports.js';
 
 /** Interval for reporting changed loads; engine load changes on this time scale. */
 const reportIntervalMs = 150;
@@ -223,7 +224,7 @@
       this.#ownLoad.hasUnreportedPrefills ||
       this.#options.limits.hasNews ||
       this.#options.origins.hasUnreported ||
-      this.#options.crashes.hasUnreportedCrashes ||
+      this.#options.crashes.requests.hasNews ||
       this.#options.promptQuarantine.hasNews;
     const nowMs = performance.now();
     const needsRepetition =
@@ -255,7 +256,7 @@
       limits: limits.list(),
       cutOff: this.#options.targetLink.isCutOff ? [self] : [],
       begun: origins.takeUnreported(),
-      crashes: crashes.takeUnreportedCrashes(),
+      ...takeRequestReports(crashes.requests),
       // Members of an aggregator hear of the causes from it.
       targetCrashes: promptQuarantine.listCrashes(!this.#isAggregatorMember),
       answeredParts: promptQuarantine.listAnswers(),
@@ -288,9 +289,7 @@
     for (const [id, meanRatio, sampleCount] of report.pace) {
       targets.findTarget(id)?.mergeSlownessSamples({ meanRatio, sampleCount });
     }
-    for (const [fingerprint, target] of report.crashes) {
-      crashes.recordCrash(fingerprint, target);
-    }
+    applyRequestReports(crashes.requests, report);
     promptQuarantine.apply({
       crashes: report.targetCrashes,
       answers: report.answeredParts,
--- a/packages/relay/src/peers/load-report.ts
+++ b/packages/relay/src/peers/load-report.ts
@@ -1,6 +1,10 @@
 /** Messages in which instances report their load on the targets to each other. */
 import { z } from 'zod';
 
+import {
+  answeredRequestSchema,
+  reportedRequestCrashSchema,
+} from '../crashes/request-crash.js';
 import {
   answeredPartSchema,
   reportedCrashSchema,
@@ -61,7 +65,14 @@
   answeredParts: z.array(answeredPartSchema).default([]),
   /** Incarnations that were reported as crashed and have answered since. */
   refutedCrashes: z.array(z.string()).default([]),
-  /** Request fingerprint, and the target that crashed while processing the request. */
+  /** Crashes with the requests that may have caused them. */
+  requestCrashes: z.array(reportedRequestCrashSchema).default([]),
+  /** Requests that were answered after such a crash. */
+  answeredRequests: z.array(answeredRequestSchema).default([]),
+  /**
+   * Request fingerprint, and the target that crashed while processing the request: the
+   * same crashes for instances of earlier versions.
+   */
   crashes: z.array(z.tuple([z.string(), z.string()])),
 });
 
@@ -93,6 +104,8 @@
   'read',
   'pace',
   'crashes',
+  'requestCrashes',
+  'answeredRequests',
   'begun',
   'targetCrashes',
   'answeredParts',
@@ -105,6 +118,8 @@
   read: [],
   pace: [],
   crashes: [],
+  requestCrashes: [],
+  answeredRequests: [],
   begun: [],
   targetCrashes: [],
   answeredParts: [],
@@ -139,6 +154,18 @@
     requestsPerSecond,
     ageMs + waitedMs,
   ]),
+  requestCrashes: report.requestCrashes.map(
+    ([fingerprint, target, startedAtMs, ageMs]) => [
+      fingerprint,
+      target,
+      startedAtMs,
+      ageMs + waitedMs,
+    ],
+  ),
+  answeredRequests: report.answeredRequests.map(([fingerprint, ageMs]) => [
+    fingerprint,
+    ageMs + waitedMs,
+  ]),
   acceptsRemote: false,
   remote: [],
   unchanged: [],
--- /dev/null
+++ b/packages/relay/src/peers/request-reports.ts
@@ -0,0 +1,53 @@
+/** What load reports say of requests that may crash targets. */
+import {
+  decodeAnsweredRequest,
+  decodeRequestCrash,
+  encodeAnsweredRequest,
+  encodeRequestCrash,
+} from '../crashes/request-crash.js';
+import type { RequestCrash } from '../crashes/request-crash.js';
+import type { RequestQuarantine } from '../crashes/request-quarantine.js';
+
+import type { LoadReport } from './load-report.js';
+
+type RequestReports = Pick<
+  LoadReport,
+  'crashes' | 'requestCrashes' | 'answeredRequests'
+>;
+
+/** Stands for the start of a target in the reports of instances of earlier versions. */
+const unknownStartMs = 0;
+
+/** Takes what the other instances have not been told, in the fields of a load report. */
+export const takeRequestReports = (
+  requests: RequestQuarantine,
+): RequestReports => {
+  const crashes = requests.takeCrashes();
+  return {
+    crashes: crashes.map(({ fingerprint, target }) => [fingerprint, target]),
+    requestCrashes: crashes.map(encodeRequestCrash),
+    answeredRequests: requests.takeAnswers().map(encodeAnsweredRequest),
+  };
+};
+
+/** Applies the report of another instance, which may be of an earlier version. */
+export const applyRequestReports = (
+  requests: RequestQuarantine,
+  { crashes, requestCrashes, answeredRequests }: RequestReports,
+): void => {
+  const known = new Set(
+    requestCrashes.map(([fingerprint, target]) => `${fingerprint} ${target}`),
+  );
+  const earlierCrashes = crashes
+    .filter(([fingerprint, target]) => !known.has(`${fingerprint} ${target}`))
+    .map(([fingerprint, target]): RequestCrash => ({
+      fingerprint,
+      target,
+      startedAtMs: unknownStartMs,
+      atMs: performance.now(),
+    }));
+  requests.apply(
+    [...requestCrashes.map(decodeRequestCrash), ...earlierCrashes],
+    answeredRequests.map(decodeAnsweredRequest),
+  );
+};
--- a/packages/relay/src/relay/relay.ts
+++ b/packages/relay/src/relay/relay.ts
@@ -146,7 +146,7 @@
     if (context.hasEnded) return;
     const { crashTracker, serviceStates, routes } = this.dependencies;
     const { request, service } = context;
-    if (crashTracker.isPoisonRequest(request.fingerprint)) {
+    if (crashTracker.requests.isRefused(request.fingerprint)) {
       const reason =
         'the request crashed several targets; do not send it again';
       context.failRequest(new Failure('poison_request', reason));
--- a/packages/relay/src/relay/request-runner.ts
+++ b/packages/relay/src/relay/request-runner.ts
@@ -156,7 +156,7 @@
     options: SendOptions,
     sink: CallerSink,
   ): Promise<SendOutcome> {
-    const { targetClient } = this.dependencies;
+    const { targetClient, crashTracker } = this.dependencies;
     const { request, route } = this.context;
     const sentAtMs = performance.now();
     const isStream = route.kind === 'stream';
@@ -168,6 +168,8 @@
     );
     // What another instance answers is counted there.
     sink.onRunStart = () => undefined;
+    if (outcome.kind === 'whole')
+      crashTracker.requests.recordAnswer(request.fingerprint);
     const mayHaveRun = outcome.kind !== 'whole' && !isNotExecuted(outcome);
     if (mayHaveRun && !isStream) this.#recordRunStart(sentAtMs);
     return outcome;
