Repeat the crashes of refused requests for instances that start

Cause: crashes were reported once, and never to an instance that starts.

Change: those of refused requests are repeated every 0.9 s, with the time since the request last came, so that it is forgotten ten minutes after that and not later.

--- a/packages/relay/src/crashes/crash-tracker.ts
+++ b/packages/relay/src/crashes/crash-tracker.ts
@@ -88,6 +88,7 @@
         target: targetId,
         startedAtMs,
         atMs: suspectedAtMs,
+        lastUseMs: suspectedAtMs,
       });
     }
     this.options.onCrash?.({
--- a/packages/relay/src/crashes/request-crash.ts
+++ b/packages/relay/src/crashes/request-crash.ts
@@ -9,6 +9,8 @@
   readonly startedAtMs: number;
   /** Monotonic milliseconds at which the connection broke. */
   readonly atMs: number;
+  /** Monotonic milliseconds at which the request last crashed a target or was refused. */
+  readonly lastUseMs: number;
 }
 
 /** An answer to a request that was suspected of a crash. */
@@ -18,12 +20,16 @@
   readonly atMs: number;
 }
 
-/** Fingerprint, target, start of its incarnation, and the age of the crash in milliseconds. */
+/**
+ * Fingerprint, target, start of its incarnation, the age of the crash, and the time since
+ * the request last crashed a target or was refused (both in milliseconds).
+ */
 export const reportedRequestCrashSchema = z.tuple([
   z.string(),
   z.string(),
   z.number(),
   z.number(),
+  z.number(),
 ]);
 export type ReportedRequestCrash = z.infer<typeof reportedRequestCrashSchema>;
 
@@ -37,11 +43,13 @@
   target,
   startedAtMs,
   atMs,
+  lastUseMs,
 }: RequestCrash): ReportedRequestCrash => [
   fingerprint,
   target,
   startedAtMs,
   Math.round(performance.now() - atMs),
+  Math.round(performance.now() - lastUseMs),
 ];
 
 /** Reads a report that arrives now. */
@@ -50,11 +58,13 @@
   target,
   startedAtMs,
   ageMs,
+  idleMs,
 ]: ReportedRequestCrash): RequestCrash => ({
   fingerprint,
   target,
   startedAtMs,
   atMs: performance.now() - ageMs,
+  lastUseMs: performance.now() - idleMs,
 });
 
 /** Creates the report of an answer as of now. */
--- a/packages/relay/src/crashes/request-quarantine.test.ts
+++ b/packages/relay/src/crashes/request-quarantine.test.ts
@@ -9,12 +9,14 @@
   target,
   startedAtMs: 0,
   atMs,
+  lastUseMs: atMs,
 });
 
 /** Lets the quarantines of two instances exchange what they have not told each other. */
 const exchange = (one: RequestQuarantine, two: RequestQuarantine): void => {
   const [fromOne, fromTwo] = [one, two].map(
-    quarantine => [quarantine.takeCrashes(), quarantine.takeAnswers()] as const,
+    quarantine =>
+      [quarantine.listCrashes(false), quarantine.takeAnswers()] as const,
   );
   if (fromOne !== undefined) two.apply(...fromOne);
   if (fromTwo !== undefined) one.apply(...fromTwo);
@@ -72,6 +74,51 @@
   },
 );
 
+// Guards against instances that start and send a request that is known to crash targets.
+test.serial(
+  'crashes of a refused request are repeated for instances that start',
+  async t => {
+    const clock = installPausedClock(t);
+    const quarantine = new RequestQuarantine();
+    for (const target of ['a', 'b', 'c', 'd'])
+      quarantine.recordCrash(createCrash(target));
+    t.is(quarantine.listCrashes(true).length, 4);
+    for (let i = 0; i < 3; i += 1) {
+      await clock.tickAsync(1_000);
+      const started = new RequestQuarantine();
+      started.apply(quarantine.listCrashes(true), []);
+      t.true(started.isRefused('f'));
+    }
+    await clock.tickAsync(1_000);
+    t.deepEqual(quarantine.listCrashes(false), []);
+    quarantine.recordAnswer('f');
+    t.deepEqual(quarantine.listCrashes(true), []);
+    t.is(quarantine.refusedCount, 0);
+  },
+);
+
+test.serial(
+  'a refused request is accepted again once it has not come for ten minutes, everywhere',
+  async t => {
+    const clock = installPausedClock(t);
+    const [one, two] = [new RequestQuarantine(), new RequestQuarantine()];
+    for (const target of ['a', 'b', 'c']) one.recordCrash(createCrash(target));
+    const exchangeFor = async (minutes: number) => {
+      for (let i = 0; i < minutes; i += 1) {
+        two.apply(one.listCrashes(true), []);
+        one.apply(two.listCrashes(true), []);
+        await clock.tickAsync(60_000);
+      }
+    };
+    await exchangeFor(9);
+    t.true(two.isRefused('f'));
+    await exchangeFor(9);
+    t.true(one.isRefused('f'));
+    await exchangeFor(11);
+    t.false(one.isRefused('f') || two.isRefused('f'));
+  },
+);
+
 test.serial('an answer from before a crash says nothing of it', async t => {
   const clock = installPausedClock(t);
   const quarantine = new RequestQuarantine();
--- a/packages/relay/src/crashes/request-quarantine.ts
+++ b/packages/relay/src/crashes/request-quarantine.ts
@@ -11,24 +11,37 @@
 const refusalCrashCount = 3;
 const maxTrackedRequests = 5_000;
 
-/** A request is forgotten once it has neither come nor crashed a target for this long. */
+/** A request is accepted again once it has neither come nor crashed a target for this long. */
 const requestTtlMs = 600_000;
 
-/** Crashes that may be due to one request, by target: the time on the monotonic clock. */
-type CrashTimes = Map<string, number>;
+/** Crashes of refused requests are reported at this interval, to instances that start. */
+const repetitionIntervalMs = 900;
+
+/** Number of crashes that are repeated of each request. */
+const repeatedCrashesPerRequest = 6;
+
+/** Requests whose crashes are repeated, the last refused first. */
+const maxRepeatedRequests = 32;
+
+/** A request that was under way at crashes. */
+interface SuspectedRequest {
+  /** Crashes that may be due to the request, by target. */
+  readonly crashes: Map<string, RequestCrash>;
+  /** Monotonic time at which the request last crashed a target or was refused. */
+  lastUseMs: number;
+}
 
 /** Crash counts of requests; requests are identified by their fingerprints. */
 export class RequestQuarantine {
-  readonly #crashTimes = new LRUCache<string, CrashTimes>({
+  readonly #suspects = new LRUCache<string, SuspectedRequest>({
     max: maxTrackedRequests,
-    ttl: requestTtlMs,
-    updateAgeOnGet: true,
   });
   readonly #lastAnswerMs = new LRUCache<string, number>({
     max: maxTrackedRequests,
   });
   #unreportedCrashes: RequestCrash[] = [];
   readonly #unreportedAnswers = new Set<string>();
+  #lastRepetitionMs = -Infinity;
 
   /** Records a crash that this instance has seen while the target ran the request. */
   recordCrash(crash: RequestCrash): void {
@@ -38,14 +51,16 @@
   /** Records that a target ran the request to its end, and lived on. */
   recordAnswer(fingerprint: string): void {
     this.#lastAnswerMs.set(fingerprint, performance.now());
-    if (!this.#crashTimes.delete(fingerprint)) return;
-    this.#unreportedAnswers.add(fingerprint);
+    if (this.#suspects.delete(fingerprint))
+      this.#unreportedAnswers.add(fingerprint);
   }
 
   /** True when the request crashed so many targets that it must be refused. */
   isRefused(fingerprint: string): boolean {
-    const crashCount = this.#crashTimes.get(fingerprint)?.size ?? 0;
-    return crashCount >= refusalCrashCount;
+    const suspect = this.#suspects.get(fingerprint);
+    if (suspect === undefined || !isInForce(suspect)) return false;
+    suspect.lastUseMs = performance.now();
+    return true;
   }
 
   /** True while there is something that the other instances have not been told. */
@@ -55,11 +70,28 @@
     );
   }
 
-  /** Returns and clears the crashes that the other instances are to be told of. */
-  takeCrashes(): RequestCrash[] {
-    const crashes = this.#unreportedCrashes;
+  /** Number of requests that are refused. */
+  get refusedCount(): number {
+    return this.#listRefused().length;
+  }
+
+  /**
+   * Lists the crashes that the other instances are to be told of: each once, and those of
+   * refused requests again for instances that start, if `includesRefused`.
+   */
+  listCrashes(includesRefused: boolean): RequestCrash[] {
+    const unreported = this.#unreportedCrashes;
     this.#unreportedCrashes = [];
-    return crashes;
+    const repeated = includesRefused ? this.#listRepeated() : [];
+    const repeatedRequests = new Set(
+      repeated.map(({ fingerprint }) => fingerprint),
+    );
+    return [
+      ...unreported.filter(
+        ({ fingerprint }) => !repeatedRequests.has(fingerprint),
+      ),
+      ...repeated,
+    ];
   }
 
   /** Returns and clears the answers that the other instances are to be told of. */
@@ -86,23 +118,46 @@
     }
   }
 
+  #listRepeated(): RequestCrash[] {
+    const nowMs = performance.now();
+    if (nowMs - this.#lastRepetitionMs < repetitionIntervalMs) return [];
+    this.#lastRepetitionMs = nowMs;
+    return this.#listRefused()
+      .slice(0, maxRepeatedRequests)
+      .flatMap(({ crashes, lastUseMs }) =>
+        [...crashes.values()]
+          .slice(-repeatedCrashesPerRequest)
+          .map(crash => ({ ...crash, lastUseMs })),
+      );
+  }
+
+  #listRefused(): SuspectedRequest[] {
+    return [...this.#suspects.values()].filter(isInForce);
+  }
+
   #applyAnswer(fingerprint: string, atMs: number): void {
     if (atMs > this.#getLastAnswerMs(fingerprint))
       this.#lastAnswerMs.set(fingerprint, atMs);
-    const crashTimes = this.#crashTimes.get(fingerprint);
-    if (crashTimes === undefined) return;
-    for (const [target, crashedAtMs] of crashTimes)
-      if (crashedAtMs <= atMs) crashTimes.delete(target);
+    const crashes = this.#suspects.peek(fingerprint)?.crashes;
+    if (crashes === undefined) return;
+    for (const [target, crash] of crashes)
+      if (crash.atMs <= atMs) crashes.delete(target);
+    if (crashes.size === 0) this.#suspects.delete(fingerprint);
   }
 
   /** Returns false if the request was answered after the crash. */
-  #addCrash({ fingerprint, target, atMs }: RequestCrash): boolean {
+  #addCrash(crash: RequestCrash): boolean {
+    const { fingerprint, target, atMs, lastUseMs } = crash;
     if (this.#getLastAnswerMs(fingerprint) >= atMs) return false;
-    const crashTimes: CrashTimes =
-      this.#crashTimes.get(fingerprint) ?? new Map<string, number>();
-    const knownAtMs = crashTimes.get(target) ?? Infinity;
-    crashTimes.set(target, Math.min(atMs, knownAtMs));
-    this.#crashTimes.set(fingerprint, crashTimes);
+    const suspect = this.#suspects.get(fingerprint) ?? {
+      crashes: new Map<string, RequestCrash>(),
+      lastUseMs,
+    };
+    const known = suspect.crashes.get(target);
+    if (known === undefined || atMs < known.atMs)
+      suspect.crashes.set(target, crash);
+    suspect.lastUseMs = Math.max(suspect.lastUseMs, lastUseMs);
+    this.#suspects.set(fingerprint, suspect);
     return true;
   }
 
@@ -110,3 +165,7 @@
     return this.#lastAnswerMs.get(fingerprint) ?? -Infinity;
   }
 }
+
+const isInForce = ({ crashes, lastUseMs }: SuspectedRequest): boolean =>
+  crashes.size >= refusalCrashCount &&
+  performance.now() - lastUseMs <= requestTtlMs;
--- a/packages/relay/src/peers/load-exchange.ts
+++ b/packages/relay/src/peers/load-exchange.ts
@@ -231,6 +231,7 @@
       loads.length > 0 ||
       reportsToAggregator ||
       this.#options.promptQuarantine.causeCount > 0 ||
+      this.#options.crashes.requests.refusedCount > 0 ||
       this.#options.targetLink.isCutOff;
     const isOverdue =
       nowMs - this.#lastSentAtMs >= maxReportIntervalMs - repetitionToleranceMs;
@@ -256,8 +257,8 @@
       limits: limits.list(),
       cutOff: this.#options.targetLink.isCutOff ? [self] : [],
       begun: origins.takeUnreported(),
-      ...takeRequestReports(crashes.requests),
-      // Members of an aggregator hear of the causes from it.
+      // Members of an aggregator hear of refused requests and of causes from it.
+      ...takeRequestReports(crashes.requests, !this.#isAggregatorMember),
       targetCrashes: promptQuarantine.listCrashes(!this.#isAggregatorMember),
       answeredParts: promptQuarantine.listAnswers(),
       refutedCrashes: promptQuarantine.listRefuted(),
--- a/packages/relay/src/peers/load-report.ts
+++ b/packages/relay/src/peers/load-report.ts
@@ -155,11 +155,12 @@
     ageMs + waitedMs,
   ]),
   requestCrashes: report.requestCrashes.map(
-    ([fingerprint, target, startedAtMs, ageMs]) => [
+    ([fingerprint, target, startedAtMs, ageMs, idleMs]) => [
       fingerprint,
       target,
       startedAtMs,
       ageMs + waitedMs,
+      idleMs + waitedMs,
     ],
   ),
   answeredRequests: report.answeredRequests.map(([fingerprint, ageMs]) => [
--- a/packages/relay/src/peers/request-reports.ts
+++ b/packages/relay/src/peers/request-reports.ts
@@ -18,11 +18,15 @@
 /** Stands for the start of a target in the reports of instances of earlier versions. */
 const unknownStartMs = 0;
 
-/** Takes what the other instances have not been told, in the fields of a load report. */
+/**
+ * Takes what the other instances are to be told, in the fields of a load report; also of
+ * refused requests that they know of, for instances that start, if `includesRefused`.
+ */
 export const takeRequestReports = (
   requests: RequestQuarantine,
+  includesRefused: boolean,
 ): RequestReports => {
-  const crashes = requests.takeCrashes();
+  const crashes = requests.listCrashes(includesRefused);
   return {
     crashes: crashes.map(({ fingerprint, target }) => [fingerprint, target]),
     requestCrashes: crashes.map(encodeRequestCrash),
@@ -45,6 +49,7 @@
       target,
       startedAtMs: unknownStartMs,
       atMs: performance.now(),
+      lastUseMs: performance.now(),
     }));
   requests.apply(
     [...requestCrashes.map(decodeRequestCrash), ...earlierCrashes],
--- a/packages/relay/src/retries/retry-budget.test.ts
+++ b/packages/relay/src/retries/retry-budget.test.ts
@@ -79,7 +79,7 @@
     t.false(requests.isRefused('f'));
     t.deepEqual(
       requests
-        .takeCrashes()
+        .listCrashes(false)
         .map(({ fingerprint, target }) => [fingerprint, target]),
       [
         ['f', 'a'],
@@ -89,7 +89,8 @@
     await clock.tickAsync(4_000);
     crashTracker.confirmCrash('c');
     t.false(requests.isRefused('f'));
-    const crash = { startedAtMs: 0, atMs: performance.now() };
+    const nowMs = performance.now();
+    const crash = { startedAtMs: 0, atMs: nowMs, lastUseMs: nowMs };
     requests.apply([{ fingerprint: 'f', target: 'd', ...crash }], []);
     t.true(requests.isRefused('f'));
   },
