Count the crashes of each incarnation of a target

Cause: crashes were counted by the id of the target.

Change: they are counted by its incarnation. 'a target that starts again under its id counts each time it crashes' failed before.

--- a/packages/relay/src/crashes/request-quarantine.test.ts
+++ b/packages/relay/src/crashes/request-quarantine.test.ts
@@ -119,6 +119,34 @@
   },
 );
 
+// Guards against a service of one or two targets that a request crashes again and again.
+test.serial(
+  'a target that starts again under its id counts each time it crashes',
+  t => {
+    installPausedClock(t);
+    const quarantine = new RequestQuarantine();
+    for (const startedAtMs of [1, 2, 2, 3]) {
+      t.false(quarantine.isRefused('f'));
+      quarantine.recordCrash({ ...createCrash('a'), startedAtMs });
+    }
+    t.true(quarantine.isRefused('f'));
+  },
+);
+
+test.serial(
+  'the report of an earlier version counts no crash that is known already',
+  t => {
+    installPausedClock(t);
+    const quarantine = new RequestQuarantine();
+    for (const target of ['a', 'b']) {
+      quarantine.recordCrash({ ...createCrash(target), startedAtMs: 7 });
+      quarantine.apply([{ ...createCrash(target), startedAtMs: 0 }], []);
+      quarantine.recordCrash({ ...createCrash(target), startedAtMs: 7 });
+    }
+    t.false(quarantine.isRefused('f'));
+  },
+);
+
 test.serial('an answer from before a crash says nothing of it', async t => {
   const clock = installPausedClock(t);
   const quarantine = new RequestQuarantine();
--- a/packages/relay/src/crashes/request-quarantine.ts
+++ b/packages/relay/src/crashes/request-quarantine.ts
@@ -5,9 +5,12 @@
  */
 import { LRUCache } from 'lru-cache';
 
+import { unknownStartMs } from '../targets/target-record.js';
+
 import type { AnsweredRequest, RequestCrash } from './request-crash.js';
+import { getIncarnationKey } from './target-crash.js';
 
-/** Number of crashed targets at which a request is refused. */
+/** Number of crashes at which a request is refused, each of another incarnation. */
 const refusalCrashCount = 3;
 const maxTrackedRequests = 5_000;
 
@@ -25,7 +28,7 @@
 
 /** A request that was under way at crashes. */
 interface SuspectedRequest {
-  /** Crashes that may be due to the request, by target. */
+  /** Crashes that may be due to the request, by incarnation of the target. */
   readonly crashes: Map<string, RequestCrash>;
   /** Monotonic time at which the request last crashed a target or was refused. */
   lastUseMs: number;
@@ -140,22 +143,20 @@
       this.#lastAnswerMs.set(fingerprint, atMs);
     const crashes = this.#suspects.peek(fingerprint)?.crashes;
     if (crashes === undefined) return;
-    for (const [target, crash] of crashes)
-      if (crash.atMs <= atMs) crashes.delete(target);
+    for (const [key, crash] of crashes)
+      if (crash.atMs <= atMs) crashes.delete(key);
     if (crashes.size === 0) this.#suspects.delete(fingerprint);
   }
 
   /** Returns false if the request was answered after the crash. */
   #addCrash(crash: RequestCrash): boolean {
-    const { fingerprint, target, atMs, lastUseMs } = crash;
+    const { fingerprint, atMs, lastUseMs } = crash;
     if (this.#getLastAnswerMs(fingerprint) >= atMs) return false;
     const suspect = this.#suspects.get(fingerprint) ?? {
       crashes: new Map<string, RequestCrash>(),
       lastUseMs,
     };
-    const known = suspect.crashes.get(target);
-    if (known === undefined || atMs < known.atMs)
-      suspect.crashes.set(target, crash);
+    countCrash(suspect.crashes, crash);
     suspect.lastUseMs = Math.max(suspect.lastUseMs, lastUseMs);
     this.#suspects.set(fingerprint, suspect);
     return true;
@@ -166,6 +167,25 @@
   }
 }
 
+/**
+ * Adds the crash unless it is known. Instances of earlier versions do not say which
+ * incarnation crashed, so theirs count only if no crash of the target is known.
+ */
+const countCrash = (
+  crashes: Map<string, RequestCrash>,
+  crash: RequestCrash,
+): void => {
+  const { target, startedAtMs, atMs } = crash;
+  const isTargetKnown = [...crashes.values()].some(
+    known => known.target === target,
+  );
+  if (startedAtMs === unknownStartMs && isTargetKnown) return;
+  crashes.delete(getIncarnationKey({ target, startedAtMs: unknownStartMs }));
+  const key = getIncarnationKey(crash);
+  const knownAtMs = crashes.get(key)?.atMs ?? Infinity;
+  if (atMs < knownAtMs) crashes.set(key, crash);
+};
+
 const isInForce = ({ crashes, lastUseMs }: SuspectedRequest): boolean =>
   crashes.size >= refusalCrashCount &&
   performance.now() - lastUseMs <= requestTtlMs;
--- a/packages/relay/src/peers/request-reports.ts
+++ b/packages/relay/src/peers/request-reports.ts
@@ -7,6 +7,7 @@
 } from '../crashes/request-crash.js';
 import type { RequestCrash } from '../crashes/request-crash.js';
 import type { RequestQuarantine } from '../crashes/request-quarantine.js';
+import { unknownStartMs } from '../targets/target-record.js';
 
 import type { LoadReport } from './load-report.js';
 
@@ -15,9 +16,6 @@
   'crashes' | 'requestCrashes' | 'answeredRequests'
 >;
 
-/** Stands for the start of a target in the reports of instances of earlier versions. */
-const unknownStartMs = 0;
-
 /**
  * Takes what the other instances are to be told, in the fields of a load report; also of
  * refused requests that they know of, for instances that start, if `includesRefused`.
--- a/packages/relay/src/targets/target-record.ts
+++ b/packages/relay/src/targets/target-record.ts
@@ -35,7 +35,7 @@
 export type TargetRecord = z.infer<typeof targetRecordSchema>;
 
 /** Stands for the start of targets that do not state theirs. */
-const unknownStartMs = 0;
+export const unknownStartMs = 0;
 
 /** Returns the start of the target's process, which tells its incarnations apart. */
 export const getStartMs = ({
