--- a/packages/relay/src/change-streams/table-watcher.test.ts
+++ b/packages/relay/src/change-streams/table-watcher.test.ts
@@ -198,6 +198,22 @@
   },
 );
 
+// Guards against a removed row that stays because another one changed while it was listed.
+test.serial(
+  'a row that is missing from a list is removed though a listed row is newer than the list',
+  async t => {
+    const { clock, changeStream, snapshots } = setUp(t);
+    changeStream.rows = [createRow('a', 1), createRow('b', 2)];
+    await clock.tickAsync(50);
+    const rows = [createRow('a', 5)];
+    changeStream.listRows = () =>
+      Promise.resolve(Right({ rows, position: { era: 0, version: 4 } }));
+    changeStream.state = 'expired';
+    await clock.tickAsync(300);
+    t.deepEqual(snapshots.at(-1)?.keys, ['a']);
+  },
+);
+
 // Guards against rows from before an outage that count as current while it lasts, and while
 // they are written again after it.
 test.serial(
