Keep the pause and the limit of a target whose entry lapsed

Cause: the registry remembered of a removed target only whether it leaves.

Change: it remembers what the incarnation asked for, and gives it back to the same incarnation. 'a target whose entry lapsed and came back keeps its pause and its limit' failed before.

--- a/packages/relay/src/targets/target-registry.test.ts
+++ b/packages/relay/src/targets/target-registry.test.ts
@@ -68,6 +68,26 @@
   t.deepEqual(endedTargetIds, ['t1']);
 });
 
+// Guards against sends during a pause that a target asked for before its entry lapsed.
+test('a target whose entry lapsed and came back keeps its pause and its limit', t => {
+  const { registry } = createRegistry();
+  const record = createTargetRecord('t1', { startedAtMs: 1 });
+  registry.registerTarget(record);
+  const before = registry.findTarget('t1');
+  before?.startQuietPeriod(3_000);
+  before?.limiter.statement.recordLimit(2, performance.now());
+  registry.removeTarget('t1', 'missing');
+  registry.registerTarget(record);
+  const after = registry.findTarget('t1');
+  t.true((after?.remainingQuietMs ?? 0) > 2_000);
+  t.true(after?.isLimited);
+  registry.removeTarget('t1', 'missing');
+  registry.registerTarget({ ...record, startedAtMs: 2 });
+  const restarted = registry.findTarget('t1');
+  t.is(restarted?.remainingQuietMs, 0);
+  t.false(restarted?.isLimited);
+});
+
 test('a segment counts as cached only if all segments before it are', t => {
   const cache = new PrefixCacheEstimate(() => 1_000);
   const segments = ['a', 'b', 'c'].map(id => ({ id, tokens: 100 }));
--- a/packages/relay/src/targets/target-registry.ts
+++ b/packages/relay/src/targets/target-registry.ts
@@ -8,6 +8,7 @@
 import { SoftwareVersions } from './software-versions.js';
 import type { VersionHistory } from './software-versions.js';
 import { TargetState } from './target-state.js';
+import type { TargetDemands } from './target-state.js';
 
 /**
  * Grace period after the platform has become available again. Registrations may
@@ -36,6 +37,8 @@
   readonly startedAtMs: number | undefined;
   /** True if the target had said that it leaves, and not only its row was missing. */
   readonly wasLeaving: boolean;
+  /** What the target had asked for, which holds if its entry only lapsed. */
+  readonly demands: TargetDemands;
 }
 
 /** Log, cache sizes and callbacks of the registry. */
@@ -197,10 +200,10 @@
     this.#options.onIncarnationEnded?.(state.record);
   }
 
-  #rememberDeparture({ record, isLeaving }: TargetState): void {
+  #rememberDeparture({ record, isLeaving, demands }: TargetState): void {
     const { id, startedAtMs } = record;
     this.#departures.delete(id);
-    this.#departures.set(id, { startedAtMs, wasLeaving: isLeaving });
+    this.#departures.set(id, { startedAtMs, wasLeaving: isLeaving, demands });
     if (this.#departures.size <= maxRememberedDepartures) return;
     const [oldestId = ''] = this.#departures.keys();
     this.#departures.delete(oldestId);
@@ -225,14 +228,23 @@
     const isSameIncarnation =
       record.startedAtMs !== undefined &&
       departure?.startedAtMs === record.startedAtMs;
-    if (departure?.wasLeaving === true && isSameIncarnation) {
-      state.hasAnnouncedLeaving = true;
-      this.#markLeaving(state, 'left before');
-    }
+    if (departure !== undefined && isSameIncarnation)
+      this.#restoreIncarnation(state, departure);
     this.#options.onTargetAdded?.(record);
     return state;
   }
 
+  /** An entry may lapse and come back; what the target said holds on. */
+  #restoreIncarnation(
+    state: TargetState,
+    { wasLeaving, demands }: Departure,
+  ): void {
+    state.restoreDemands(demands);
+    if (!wasLeaving) return;
+    state.hasAnnouncedLeaving = true;
+    this.#markLeaving(state, 'left before');
+  }
+
   #cancelLeaving(state: TargetState): void {
     state.leavingSinceMs = undefined;
     state.endsAtMs = undefined;
--- a/packages/relay/src/targets/target-state.ts
+++ b/packages/relay/src/targets/target-state.ts
@@ -27,6 +27,14 @@
   readonly sampleCount: number;
 }
 
+/** What a target has asked for in its answers. */
+export interface TargetDemands {
+  /** Knows the limit that the target named, and what was sent against it. */
+  readonly limiter: RequestLimiter;
+  /** Monotonic milliseconds until which the target wants no requests. */
+  readonly quietUntilMs: number;
+}
+
 const noSlownessSamples: SlownessSamples = { meanRatio: 0, sampleCount: 0 };
 
 /** Load of an idle target. */
@@ -68,7 +76,7 @@
   hasAnnouncedLeaving = false;
   readonly prefixCache: PrefixCacheEstimate;
   /** Counts the requests to the target against the limit that it names. */
-  readonly limiter: RequestLimiter;
+  limiter: RequestLimiter;
   /** Memory that the requests of this instance take at an engine. */
   readonly heldTokens = new HeldTokens();
   /** Memory that the requests of the other instances take at an engine. */
@@ -137,6 +145,11 @@
     this.#roleChangeUntilMs = performance.now() + durationMs;
   }
 
+  /** What the target has asked for. */
+  get demands(): TargetDemands {
+    return { limiter: this.limiter, quietUntilMs: this.#quietUntilMs };
+  }
+
   /**
    * Milliseconds for which the target wants no further requests from this instance;
    * 0 if it accepts them.
@@ -309,6 +322,12 @@
   }
 
   /** Resets cache and health for a target that restarted under the same id. */
+  /** Takes over what the incarnation asked for before its entry lapsed. */
+  restoreDemands({ limiter, quietUntilMs }: TargetDemands): void {
+    this.limiter = limiter;
+    this.#quietUntilMs = quietUntilMs;
+  }
+
   resetAfterRestart(record: TargetRecord): void {
     this.record = record;
     this.leavingSinceMs = undefined;
