Give lapsed entries their time also in reads beside the watch

What callers would see: no target, for a moment after an outage of the store, since targets whose entries had lapsed were removed at once ('Seen in the source' of the review).

Cause: only the first list of the watch after an outage counted as one; a read beside the watch and a second list did not.

Change: reads count as after an outage until the rows have settled. 'a read beside the watch counts as one after an outage until the rows have settled' failed before.

--- a/packages/relay/src/change-streams/table-watcher.test.ts
+++ b/packages/relay/src/change-streams/table-watcher.test.ts
@@ -214,6 +214,32 @@
   },
 );
 
+// Guards against targets that are removed at once because their entries lapsed in an outage.
+test.serial(
+  'a read beside the watch counts as one after an outage until the rows have settled',
+  async t => {
+    const { clock, changeStream, snapshots, watcher } = setUp(t, 2_000);
+    const readNow = async () => {
+      await watcher.readNow();
+      return snapshots.at(-1)?.afterOutage;
+    };
+    await clock.tickAsync(2_100);
+    t.false(await readNow());
+    changeStream.state = 'down';
+    await clock.tickAsync(400);
+    changeStream.state = 'up';
+    t.true(await readNow());
+    await clock.tickAsync(1_200);
+    t.true(watcher.isConnected);
+    t.true(await readNow());
+    changeStream.state = 'expired';
+    await clock.tickAsync(300);
+    t.true(snapshots.at(-1)?.afterOutage);
+    await clock.tickAsync(2_000);
+    t.false(await readNow());
+  },
+);
+
 // Guards against rows from before an outage that count as current while it lasts, and while
 // they are written again after it.
 test.serial(
--- a/packages/relay/src/change-streams/table-watcher.ts
+++ b/packages/relay/src/change-streams/table-watcher.ts
@@ -20,7 +20,7 @@
 
 /** How a snapshot of a table came about. */
 export interface SnapshotOrigin {
-  /** True if the previous read failed. */
+  /** True if reads fail, or the rows have not settled since they did. */
   readonly afterOutage: boolean;
   /**
    * True for the first snapshot after a restore of the store. Its rows may be
@@ -136,7 +136,7 @@
     snapshot.ifRight(page => {
       if (this.#lastPosition?.era !== page.position.era)
         this.#lastPosition = undefined;
-      this.#applySnapshot(page, false);
+      this.#applySnapshot(page, this.#isUnsettled);
     });
     return snapshot.isRight();
   }
@@ -154,12 +154,16 @@
     }
   }
 
+  get #isUnsettled(): boolean {
+    return this.#hasConnected && this.knownUntilMs !== Infinity;
+  }
+
   async #listRows(): Promise<Failure | undefined> {
     const snapshot = await this.#options.changeStream.listRows();
     return snapshot.caseOf({
       Left: failure => failure,
       Right: page => {
-        const afterOutage = this.#consecutiveFailures > 0;
+        const afterOutage = this.#isUnsettled || this.#consecutiveFailures > 0;
         this.#recordSuccess();
         this.#applySnapshot(page, afterOutage);
         return undefined;
