--- a/packages/relay/src/relay/generation-runner.test.ts
+++ b/packages/relay/src/relay/generation-runner.test.ts
@@ -336,7 +336,7 @@
 });
 
 test('a stream that began at an engine that may have restarted does not go on', async t => {
-  const { serve, client, origins } = createTestRelay({
+  const { serve, client, origins, log } = createTestRelay({
     route: { ...streamRoute, resumable: true, maxAttempts: 3 },
     targets: ['d1', 'd2'].map(createVersionRecord),
   });
@@ -349,6 +349,8 @@
   t.is(client.sends.length, 1);
   t.true(caller.isAborted);
   t.is(origins.find('a1'), undefined);
+  const [end] = log.entries.filter(({ name }) => name === 'request_ended');
+  t.is(end?.fields.began_at, 'unknown');
 });
 
 test('a stream that broke before its first event may begin at another version', async t => {
--- a/packages/relay/src/relay/generation-runner.ts
+++ b/packages/relay/src/relay/generation-runner.ts
@@ -509,8 +509,12 @@
   /** The first event fixes the software version at which the stream may go on. */
   #recordFirstEvent(record: TargetRecord, isOriginKnown: boolean): void {
     const { service, softwareVersion } = record;
-    if (isOriginKnown) this.context.origin ??= { service, softwareVersion };
-    else this.#isOriginUnknown = true;
+    if (isOriginKnown) {
+      this.context.origin ??= { service, softwareVersion };
+      return;
+    }
+    this.#isOriginUnknown = true;
+    this.context.addLogFields({ began_at: 'unknown' });
   }
 
   #recordEventGap(target: TargetState, { meanGapMs }: EventGapMeter): void {
