Decide the test of forwarded bodies by events, not by a pause

The test waited 500 ms before it let the targets answer. It now waits until each request has been sent to a target or refused; what it asks for is the same.

--- a/packages/relay/src/forwarding/request-forwarding.test.ts
+++ b/packages/relay/src/forwarding/request-forwarding.test.ts
@@ -169,14 +169,18 @@
     await waitForAbort(release.signal);
     return sendCompleteResponse(sink, 'ok');
   };
+  const callers: FakeCaller[] = [];
   const served = Promise.all(
-    Array.from({ length: requestCount }, (_, i) =>
-      cut.serve({ id: `a${i}`, body: Buffer.alloc(bodyBytes, 'b') }),
-    ),
+    Array.from({ length: requestCount }, async (_, i) => {
+      const body = Buffer.alloc(bodyBytes, 'b');
+      callers.push(await cut.serve({ id: `a${i}`, body }));
+    }),
   );
-  await pause(500);
+  // Until it is decided of each request whether it is run.
+  while (callers.length + other.client.sends.length < requestCount)
+    await pause(1);
   release.abort();
-  const callers = await served;
+  await served;
   const runCount = other.client.sends.length;
   // A tenth of the memory holds four of the messages, whose bodies are in base64.
   t.true(runCount >= 1 && runCount <= 4, `${runCount} requests`);
