Say in the log why a send was aborted, and how late the instance was

It now holds aborted_by, silent_ms and behind_ms, and medlarlever_relay_aborted_sends_total counts by reason. No decision is changed.

--- a/packages/relay/src/metrics/relay-metrics.ts
+++ b/packages/relay/src/metrics/relay-metrics.ts
@@ -23,6 +23,7 @@
   readonly #eventGapHistogram: Histogram<'service'>;
   readonly #sendCounter: Counter<'service' | 'outcome'>;
   readonly #limitedSendCounter: Counter<'service'>;
+  readonly #sendAbortCounter: Counter<'service' | 'reason'>;
   readonly #forwardedCounter: Counter<'outcome'>;
   readonly #refusedPromptCounter: Counter<'service'>;
   readonly #roomRefusalCounter: Counter<'service'>;
@@ -87,6 +88,12 @@
       labelNames: ['service', 'outcome'],
       registers,
     });
+    this.#sendAbortCounter = new Counter({
+      name: 'medlarlever_relay_aborted_sends_total',
+      help: 'Sends that this instance aborted, by service and reason',
+      labelNames: ['service', 'reason'],
+      registers,
+    });
     this.#roomRefusalCounter = new Counter({
       name: 'medlarlever_relay_room_refusals_total',
       help: 'Requests refused because no engine would have room in time',
@@ -174,6 +181,11 @@
     this.#sendCounter.inc({ service, outcome });
   }
 
+  /** Records a send that this instance aborted. */
+  recordSendAbort(service: string, reason: string): void {
+    this.#sendAbortCounter.inc({ service, reason });
+  }
+
   /** Records the outcome of a request that was handed to another instance. */
   recordForwarding(outcome: string): void {
     this.#forwardedCounter.inc({ outcome });
--- a/packages/relay/src/relay/generation-runner.ts
+++ b/packages/relay/src/relay/generation-runner.ts
@@ -34,6 +34,7 @@
 import { RequestRunner, minServerErrorStatus } from './request-runner.js';
 import { isConnectFailure } from './send-failures.js';
 import type { FailedSendOutcome } from './send-failures.js';
+import { recordSendAbort } from './send-abort.js';
 import { SendWatchdog } from './send-watchdog.js';
 import { recordTargetFailure, recordTargetSuccess } from './target-outcomes.js';
 import type { FailedSend } from './target-outcomes.js';
@@ -366,7 +367,14 @@
     context.addLogFields({ read_ms: Math.round(elapsedMs) });
     dependencies.metrics.recordSend(context.service, `prefill_${outcome.kind}`);
     if (outcome.kind !== 'read') {
-      return this.#handlePrefillFailure(target, record, outcome, elapsedMs);
+      context.logEvent('attempt_failed', {
+        target: target.record.id,
+        step: 'prefill',
+        took_ms: Math.round(elapsedMs),
+        ...outcome,
+        ...recordSendAbort(dependencies, context, { outcome, watchdog }),
+      });
+      return this.#handlePrefillFailure({ target, record }, outcome);
     }
     this.#recordPrefillSuccess(target, queuedTokens, elapsedMs);
     this.#kvCacheHandle = outcome.handover;
@@ -394,26 +402,17 @@
   }
 
   #handlePrefillFailure(
-    target: TargetState,
-    record: TargetRecord,
+    send: FailedSend,
     outcome: FailedPrefillOutcome,
-    elapsedMs: number,
   ): 'again' | 'ended' {
     const { context } = this;
     this.#endPrefillHold();
-    context.logEvent('attempt_failed', {
-      target: target.record.id,
-      step: 'prefill',
-      took_ms: Math.round(elapsedMs),
-      ...outcome,
-    });
     if (context.signal.aborted) {
       this.failRequest(context.createDeadlineFailure());
       return 'ended';
     }
-    const send = { target, record };
     recordTargetFailure(this.dependencies, context, send, outcome);
-    this.excludedTargets.add(target);
+    this.excludedTargets.add(send.target);
     return this.retryOrFail(outcome) ? 'again' : 'ended';
   }
 
@@ -502,6 +501,15 @@
       context.completeRequest(outcome.status, record);
       return true;
     }
+    context.logEvent('attempt_failed', {
+      target: record.id,
+      version: record.softwareVersion,
+      attempt: context.sendCount,
+      events: this.#responseSink.writeCount,
+      handover: this.#kvCacheHandle?.address,
+      ...outcome,
+      ...recordSendAbort(dependencies, context, { outcome, watchdog }),
+    });
     const suspectParts = answerProgress.isSuspect ? this.#sharedParts : [];
     return this.#handleStreamFailure({ target, record, suspectParts }, outcome);
   }
@@ -551,15 +559,6 @@
 
   #handleStreamFailure(send: FailedSend, outcome: FailedSendOutcome): boolean {
     const { context } = this;
-    const { id, softwareVersion } = send.record;
-    context.logEvent('attempt_failed', {
-      target: id,
-      version: softwareVersion,
-      attempt: context.sendCount,
-      events: this.#responseSink.writeCount,
-      handover: this.#kvCacheHandle?.address,
-      ...outcome,
-    });
     // After a first rejection, the KV cache is kept for one more engine, because
     // the first one may only have been full. After that it is assumed to be lost.
     const keepsKvCache =
--- a/packages/relay/src/relay/plain-request-runner.ts
+++ b/packages/relay/src/relay/plain-request-runner.ts
@@ -19,6 +19,7 @@
   minServerErrorStatus,
   noTargetRetryAfterMs,
 } from './request-runner.js';
+import { recordSendAbort } from './send-abort.js';
 import { SendWatchdog } from './send-watchdog.js';
 import { recordTargetSuccess } from './target-outcomes.js';
 
@@ -143,6 +144,7 @@
       target: target.record.id,
       attempt: context.sendCount,
       ...outcome,
+      ...recordSendAbort(dependencies, context, { outcome, watchdog }),
     });
     if (context.caller.hasStarted) {
       context.mayHaveExecuted = true;
--- a/packages/relay/src/relay/send-watchdog.ts
+++ b/packages/relay/src/relay/send-watchdog.ts
@@ -14,6 +14,18 @@
 /** Silence after which a send is aborted if no target is reached, and others may be. */
 const cutOffSilenceMs = 400;
 
+/**
+ * Why a send was aborted: `silent` without progress for the stall time, `unresponsive` when
+ * the target answered no probe, `cut_off` when this instance reaches no target.
+ */
+export type AbortReason = 'silent' | 'unresponsive' | 'cut_off';
+
+/** An abort by the watchdog; `silentMs` is the time without progress before it. */
+export interface WatchdogAbort {
+  readonly reason: AbortReason;
+  readonly silentMs: number;
+}
+
 /** Resolves to true if the target answers a probe on a separate connection. */
 export type LivenessCheck = (target: TargetState) => Promise<boolean>;
 
@@ -49,6 +61,7 @@
   #lastActivityAtMs = performance.now();
   #hasEvents = false;
   #isCheckingLiveness = false;
+  #abortRecord: WatchdogAbort | undefined;
 
   constructor(options: SendWatchdogOptions) {
     this.#options = options;
@@ -63,6 +76,11 @@
     return this.#link.signal;
   }
 
+  /** The abort by this watchdog; undefined if it has not aborted the send. */
+  get abort(): WatchdogAbort | undefined {
+    return this.#abortRecord;
+  }
+
   /** Records that part of the answer has arrived. */
   recordActivity(): void {
     this.#hasEvents = true;
@@ -79,14 +97,26 @@
     return this.#hasEvents ? (eventStallMs ?? stallTimeoutMs) : stallTimeoutMs;
   }
 
+  get #silentMs(): number {
+    return performance.now() - this.#lastActivityAtMs;
+  }
+
+  #abort(reason: AbortReason): void {
+    this.#abortRecord ??= { reason, silentMs: this.#silentMs };
+    this.#link.abort();
+  }
+
   #checkProgress(): void {
     const { target, expectedResponseMs, isCutOff, isPaused } = this.#options;
     // A target that is not read cannot show progress.
     if (isPaused?.() === true) this.#lastActivityAtMs = performance.now();
-    const silentMs = performance.now() - this.#lastActivityAtMs;
-    const isLinkSilent = silentMs >= cutOffSilenceMs && isCutOff();
-    if (silentMs >= this.#stallTimeoutMs || isLinkSilent) {
-      this.#link.abort();
+    const silentMs = this.#silentMs;
+    if (silentMs >= cutOffSilenceMs && isCutOff()) {
+      this.#abort('cut_off');
+      return;
+    }
+    if (silentMs >= this.#stallTimeoutMs) {
+      this.#abort('silent');
       return;
     }
     const needsLivenessCheck =
@@ -108,7 +138,7 @@
     this.#isCheckingLiveness = true;
     try {
       if (await checkLiveness(target)) target.recordActivity();
-      else this.#link.abort();
+      else this.#abort('unresponsive');
     } catch {
       // A check that failed itself says nothing of the target; it is made again.
     } finally {
