Read what has arrived before silence is judged

Callers of an instance that had stood still for over 1.6 s saw their streams broken off, or moved to another target at the same moment.

Cause: after a standstill, the event loop runs the timers that are due before it reads its sockets. The checks of all sends then found 2.1 s of silence although the events had arrived.

--- a/packages/relay/src/targets/request-activity.ts
+++ b/packages/relay/src/targets/request-activity.ts
@@ -2,9 +2,11 @@
  * Tells whether requests run at targets. Periodic work that only requests make
  * necessary waits here: it is seldom done while none run, and what is due at about the
  * same time shares one timer, because each wake-up of the event loop costs more than
- * the work itself.
+ * the work itself. What is judged at the end of a pause has seen all data that had arrived.
  */
 
+import { startReadFirstTimeout } from '../shared/read-first-timeout.js';
+
 /** Pauses end at multiples of this time of the monotonic clock. */
 const stepMs = 50;
 
@@ -24,7 +26,7 @@
 
 /** Pauses that end at the same step. */
 interface Step {
-  readonly timer: NodeJS.Timeout;
+  readonly cancel: () => void;
   readonly waiters: Set<() => void>;
 }
 
@@ -133,17 +135,17 @@
   #getStep(endMs: number, nowMs: number): Step {
     const existing = this.#stepsByEndMs.get(endMs);
     if (existing !== undefined) return existing;
-    const timer = setTimeout(() => {
+    const cancel = startReadFirstTimeout(() => {
       this.#stepsByEndMs.delete(endMs);
       for (const end of step.waiters) end();
     }, endMs - nowMs);
-    const step: Step = { timer, waiters: new Set() };
+    const step: Step = { cancel, waiters: new Set() };
     this.#stepsByEndMs.set(endMs, step);
     return step;
   }
 
-  #dropStep(endMs: number, { timer }: Step): void {
-    clearTimeout(timer);
+  #dropStep(endMs: number, { cancel }: Step): void {
+    cancel();
     this.#stepsByEndMs.delete(endMs);
   }
 }
