End no stream because its target is silent

Callers of streams that may not go on elsewhere saw them broken off after 1.6 s of silence, although the target went on a moment later.

Cause: createEventWatchdog ended such streams after ten gaps without an event, at least 1.6 s. A sound target may fall silent for a second or so, and on a busy machine that takes longer.

Change: the watchdog of streams that can't be moved is gone. What it was made for, a target that sends bytes but never a whole event, is found by the data: the parts of one event may take ten gaps, and pauses over 0.5 s between them count as silence, not as sending.

Evidence: 'a stream that cannot go on elsewhere outlasts the standstill of its target' failed with 6 of 6 streams ended and passes; 'a stalled stream that sends a byte now and then ends' passes as before.

--- a/packages/relay/src/forwarding/http-request-forwarder.ts
+++ b/packages/relay/src/forwarding/http-request-forwarder.ts
@@ -60,8 +60,9 @@
     if (neighbor === undefined) return undefined;
     const { name, address, forwardedCount } = neighbor;
     this.#countsByInstance.set(name, forwardedCount + 1);
-    const outcome = await runCheckedSend(sink, options.signal, signal =>
-      this.#send(address, request, { ...options, signal }, sink),
+    const outcome = await runCheckedSend(
+      { sink, signal: options.signal },
+      signal => this.#send(address, request, { ...options, signal }, sink),
     );
     const count = this.#countsByInstance.get(name) ?? 1;
     this.#countsByInstance.set(name, count - 1);
--- a/packages/relay/src/relay/event-stall.ts
+++ b/packages/relay/src/relay/event-stall.ts
@@ -11,17 +11,53 @@
 const maxGapsBeforeMove = 4;
 
 /**
- * Gaps without an event after which a stream that cannot be moved is ended. Engines with
- * full batches may take several gaps for one event, and the answer would be lost.
+ * Gaps for which a target may send parts of one event before the stream is ended. Engines
+ * with full batches may take several gaps for one event, and the answer would be lost.
  */
-const maxGapsBeforeEnd = 10;
+const maxGapsPerEvent = 10;
 
-/** Returns the time; undefined if the route states no gap between events. */
-export const computeEventStallMs = (
+/** Pauses between two parts of an event count up to this; a longer one is silence. */
+const maxPartPauseMs = 500;
+
+const computeStallMs = (
   { kind, eventGapMs }: Route,
-  canMove: boolean,
-): number | undefined => {
-  if (kind !== 'stream' || eventGapMs === undefined) return undefined;
-  const maxGaps = canMove ? maxGapsBeforeMove : maxGapsBeforeEnd;
-  return Math.max(minStreamStallTimeoutMs, maxGaps * eventGapMs);
-};
+  maxGaps: number,
+): number | undefined =>
+  kind !== 'stream' || eventGapMs === undefined
+    ? undefined
+    : Math.max(minStreamStallTimeoutMs, maxGaps * eventGapMs);
+
+/**
+ * Returns the time without an event after which a stream is moved; undefined if the route
+ * states no gap between events.
+ */
+export const computeEventStallMs = (route: Route): number | undefined =>
+  computeStallMs(route, maxGapsBeforeMove);
+
+/**
+ * Returns the time that the parts of one event may take; undefined if the route states no
+ * gap between events.
+ */
+export const computeMaxEventMs = (route: Route): number | undefined =>
+  computeStallMs(route, maxGapsPerEvent);
+
+/** Measures for how long a target sends parts of an event without completing it. */
+export class EventPartClock {
+  #sendingMs = 0;
+  #lastPartAtMs: number | undefined;
+
+  /** Records a part that completes no event; returns the time since the first one. */
+  recordPart(): number {
+    const nowMs = performance.now();
+    const pauseMs = nowMs - (this.#lastPartAtMs ?? nowMs);
+    this.#lastPartAtMs = nowMs;
+    this.#sendingMs += Math.min(pauseMs, maxPartPauseMs);
+    return this.#sendingMs;
+  }
+
+  /** Records a whole event. */
+  recordEvent(): void {
+    this.#sendingMs = 0;
+    this.#lastPartAtMs = undefined;
+  }
+}
--- a/packages/relay/src/relay/generation-runner.ts
+++ b/packages/relay/src/relay/generation-runner.ts
@@ -538,7 +538,7 @@
     target: TargetState,
     expectedResponseMs: number,
   ): SendWatchdog | undefined {
-    if (!this.canRetry()) return this.createEventWatchdog(target);
+    if (!this.canRetry()) return undefined;
     const stallTimeoutMs = Math.max(
       minStreamStallTimeoutMs,
       stallTimeoutFactor * expectedResponseMs,
@@ -549,7 +549,7 @@
       target,
       expectedResponseMs,
       stallTimeoutMs,
-      eventStallMs: computeEventStallMs(this.context.route, true),
+      eventStallMs: computeEventStallMs(this.context.route),
       isPaused: () => this.answerBuffer.isPaused,
       signal,
       checkLiveness,
--- a/packages/relay/src/relay/plain-request-runner.ts
+++ b/packages/relay/src/relay/plain-request-runner.ts
@@ -163,7 +163,7 @@
   }
 
   #createSendWatchdog(target: TargetState): SendWatchdog | undefined {
-    if (!this.canRetry()) return this.createEventWatchdog(target);
+    if (!this.canRetry()) return undefined;
     const { remainingMs, signal, caller } = this.context;
     return new SendWatchdog({
       target,
--- a/packages/relay/src/relay/request-runner.ts
+++ b/packages/relay/src/relay/request-runner.ts
@@ -10,7 +10,7 @@
 import type { RequestContext } from './request-context.js';
 import type { RelayDependencies } from './relay-dependencies.js';
 import { runCheckedSend } from './checked-send.js';
-import { computeEventStallMs } from './event-stall.js';
+import { computeMaxEventMs } from './event-stall.js';
 import { RequestForwarding } from './request-forwarding.js';
 import type { ServiceState } from './service-state.js';
 import {
@@ -20,7 +20,6 @@
   isNotExecuted,
 } from './send-failures.js';
 import type { FailedSendOutcome } from './send-failures.js';
-import { SendWatchdog } from './send-watchdog.js';
 import { recordTargetFailure } from './target-outcomes.js';
 import type { FailedSend } from './target-outcomes.js';
 import type { CallerSink } from './response-sinks.js';
@@ -163,8 +162,11 @@
     sink.onRunStart = () => {
       this.#recordRunStart(isStream ? performance.now() : sentAtMs);
     };
-    const outcome = await runCheckedSend(sink, options.signal, signal =>
-      targetClient.send(record, request, { ...options, signal }, sink),
+    const maxEventMs = computeMaxEventMs(route);
+    const outcome = await runCheckedSend(
+      { sink, signal: options.signal, maxEventMs },
+      signal =>
+        targetClient.send(record, request, { ...options, signal }, sink),
     );
     // What another instance answers is counted there.
     sink.onRunStart = () => undefined;
@@ -182,26 +184,6 @@
     this.dependencies.onRunStart?.(this.context.request, startedAtMs);
   }
 
-  /**
-   * Creates the watchdog of a stream that cannot be moved to another target; undefined
-   * if its route states no gap between events.
-   */
-  protected createEventWatchdog(target: TargetState): SendWatchdog | undefined {
-    const eventStallMs = computeEventStallMs(this.context.route, false);
-    if (eventStallMs === undefined) return undefined;
-    return new SendWatchdog({
-      target,
-      expectedResponseMs: Infinity,
-      stallTimeoutMs: Infinity,
-      eventStallMs,
-      isPaused: () => this.answerBuffer.isPaused,
-      signal: this.context.signal,
-      checkLiveness: this.dependencies.checkLiveness,
-      // The answer would be lost by moving it, so it may wait for the link.
-      isCutOff: () => false,
-    });
-  }
-
   /** Counts a request at the target; the returned function removes it. */
   protected startRequest(target: TargetState): () => void {
     if (target.isLimited)
--- a/packages/relay/src/relay/response-sinks.ts
+++ b/packages/relay/src/relay/response-sinks.ts
@@ -22,6 +22,12 @@
    */
   onProgress: () => void = () => undefined;
 
+  /** Called for each part of a stream that ends at least one event. */
+  onEvent: () => void = () => undefined;
+
+  /** Called for each part of a stream that ends no event. */
+  onEventPart: () => void = () => undefined;
+
   /** Called when the current answer has an event that is too long to be one. */
   onOverlongEvent: () => void = () => undefined;
 
@@ -242,10 +248,19 @@
       : this.#boundary;
     const bytes = tracker.appendChunk(chunk);
     if (tracker.isOverlong) this.onOverlongEvent();
-    if (tracker.hasCompletedEvent) this.onProgress();
+    this.#reportEvent(tracker.hasCompletedEvent);
     return bytes;
   }
 
+  #reportEvent(isComplete: boolean): void {
+    if (!isComplete) {
+      this.onEventPart();
+      return;
+    }
+    this.onEvent();
+    this.onProgress();
+  }
+
   #writeBytes(bytes: Buffer): boolean {
     this.#writeHeadOnce();
     this.#writeCount += 1;
