Let a stream go on elsewhere only if its target can't still run it

Callers' streams ran at two targets at once, and streams were broken off for silence although nothing else could take them.

Cause, one class: silence of a target was taken for its end. A process that stands still answers no probe, can't see that a connection was closed, and goes on with its runs when it wakes. The watchdog aborted such a send after 0.8 s without an answer to a probe, or after 1.6 s of silence, and the next target began while the first run was still under way. It asked for a retry and for a target only after the abort, so that an empty budget ended the answer. TargetLink took three targets that stood still for a cut of the own link.

Change: a probe says whether a target answers, is silent though the connection was opened, or is not reached. Work that must not be done twice at once goes on elsewhere if the target is not reached or answers (then it notices the close), or after 3 s of standstill. Prompts and plain idempotent requests may be repeated as before. The retry and another live target are secured before the send is given up. Targets that only stand still say nothing of the link for 3 s. Time in which this instance stood still itself is no silence.

The two tests 'a silent stream is awaited while ...' and 'targets that stand still for two seconds are not the link' fail without the change. Ruled out: waiting 0.4 s between abort and second run, as the standstill may last longer.

--- a/packages/relay/src/forwarding/app.ts
+++ b/packages/relay/src/forwarding/app.ts
@@ -14,7 +14,7 @@
 } from '../kernel/tokens.js';
 import { awaitCloseOrTimeout } from '../kernel/close-timeout.js';
 import { startOrder } from '../kernel/start-order.js';
-import { createLivenessCheck } from '../relay/liveness-check.js';
+import { createTargetProbe } from '../relay/shared-target-probe.js';
 import { TargetLink } from '../targets/target-link.js';
 
 import { CutOffInstances } from './cut-off-instances.js';
@@ -29,7 +29,7 @@
       const targets = resolver.get(targetRegistryToken);
       return new TargetLink({
         targets,
-        probe: createLivenessCheck(client),
+        probe: createTargetProbe(client),
         // Connections that are kept may stay silent for good after the cut.
         onCut: () => {
           for (const { record } of targets.listTargets())
--- a/packages/relay/src/relay/app.ts
+++ b/packages/relay/src/relay/app.ts
@@ -39,7 +39,7 @@
 import { createRunStartListener } from '../usage/usage-parts.js';
 import { DataCenterReachability } from '../targets/data-center-reachability.js';
 
-import { createLivenessCheck } from './liveness-check.js';
+import { createTargetProbe } from './shared-target-probe.js';
 import { OverloadGuard } from './overload.js';
 import { Relay } from './relay.js';
 import { ServiceStates } from './service-state.js';
@@ -111,7 +111,7 @@
         targets: resolver.get(targetRegistryToken),
         serviceStates: resolver.get(serviceStatesToken),
         targetClient: client,
-        checkLiveness: createLivenessCheck(client),
+        probeTarget: createTargetProbe(client),
         crashTracker: resolver.get(crashTrackerToken),
         checkCrash: createCrashCheck(client, resolver.get(crashTrackerToken)),
         promptQuarantine: resolver.get(promptQuarantineToken),
--- a/packages/relay/src/relay/generation-runner.ts
+++ b/packages/relay/src/relay/generation-runner.ts
@@ -35,7 +35,7 @@
 import { isConnectFailure } from './send-failures.js';
 import type { FailedSendOutcome } from './send-failures.js';
 import { recordSendAbort } from './send-abort.js';
-import { SendWatchdog } from './send-watchdog.js';
+import type { SendWatchdog } from './send-watchdog.js';
 import { recordTargetFailure, recordTargetSuccess } from './target-outcomes.js';
 import type { FailedSend } from './target-outcomes.js';
 import type { KvCacheHandle, PrefillOutcome } from './target-client.js';
@@ -337,16 +337,15 @@
     this.serviceState.prefillTokensAverage.addSample(prefillTokens);
     copySource?.limiter.takePermit();
     const startedAtMs = performance.now();
-    const watchdog = new SendWatchdog({
+    const watchdog = this.createWatchdog({
       target,
       expectedResponseMs: expectedFirstEventMs,
       stallTimeoutMs: Math.max(
         minPrefillStallTimeoutMs,
         stallTimeoutFactor * expectedFirstEventMs,
       ),
-      signal: context.signal,
-      checkLiveness: dependencies.checkLiveness,
-      isCutOff: () => dependencies.targetLink.isCutOff,
+      // A prompt may be read twice.
+      isExclusive: false,
     });
     const outcome = await dependencies.targetClient.prefill(
       record,
@@ -543,17 +542,13 @@
       minStreamStallTimeoutMs,
       stallTimeoutFactor * expectedResponseMs,
     );
-    const { signal } = this.context;
-    const { checkLiveness, targetLink } = this.dependencies;
-    return new SendWatchdog({
+    return this.createWatchdog({
       target,
       expectedResponseMs,
       stallTimeoutMs,
       eventStallMs: computeEventStallMs(this.context.route),
+      isExclusive: true,
       isPaused: () => this.answerBuffer.isPaused,
-      signal,
-      checkLiveness,
-      isCutOff: () => targetLink.isCutOff,
     });
   }
 
--- a/packages/relay/src/relay/plain-request-runner.ts
+++ b/packages/relay/src/relay/plain-request-runner.ts
@@ -20,7 +20,7 @@
   noTargetRetryAfterMs,
 } from './request-runner.js';
 import { recordSendAbort } from './send-abort.js';
-import { SendWatchdog } from './send-watchdog.js';
+import type { SendWatchdog } from './send-watchdog.js';
 import { recordTargetSuccess } from './target-outcomes.js';
 
 /** Reference duration against which the slowness of a target is measured. */
@@ -164,17 +164,15 @@
 
   #createSendWatchdog(target: TargetState): SendWatchdog | undefined {
     if (!this.canRetry()) return undefined;
-    const { remainingMs, signal, caller } = this.context;
-    return new SendWatchdog({
+    const { remainingMs, caller } = this.context;
+    return this.createWatchdog({
       target,
-      // No expected response time: targets without engines have no liveness check.
+      // No expected response time: targets without engines are not probed.
       expectedResponseMs: Infinity,
       stallTimeoutMs: stallTimeoutShare * remainingMs,
+      isExclusive: false,
       // A part of an answer can't be taken back, so the rest is awaited.
       isPaused: () => this.answerBuffer.isPaused || caller.hasStarted,
-      signal,
-      checkLiveness: this.dependencies.checkLiveness,
-      isCutOff: () => this.dependencies.targetLink.isCutOff,
     });
   }
 
--- a/packages/relay/src/relay/relay-dependencies.ts
+++ b/packages/relay/src/relay/relay-dependencies.ts
@@ -14,8 +14,8 @@
 import type { RouteTableHolder } from '../routes/route-table-holder.js';
 import type { DataCenterReachability } from '../targets/data-center-reachability.js';
 import type { TargetLink } from '../targets/target-link.js';
+import type { TargetProbe } from '../targets/target-probe.js';
 import type { TargetRegistry } from '../targets/target-registry.js';
-import type { LivenessCheck } from './send-watchdog.js';
 import type { ServiceStates } from './service-state.js';
 import type { TargetClient } from './target-client.js';
 
@@ -25,7 +25,7 @@
   readonly targets: TargetRegistry;
   readonly serviceStates: ServiceStates;
   readonly targetClient: TargetClient;
-  readonly checkLiveness: LivenessCheck;
+  readonly probeTarget: TargetProbe;
   readonly crashTracker: CrashTracker;
   /** Called when a connection to the target broke, which may have ended. */
   readonly checkCrash: CrashCheck;
--- a/packages/relay/src/relay/request-runner.ts
+++ b/packages/relay/src/relay/request-runner.ts
@@ -20,6 +20,8 @@
   isNotExecuted,
 } from './send-failures.js';
 import type { FailedSendOutcome } from './send-failures.js';
+import { SendWatchdog } from './send-watchdog.js';
+import type { SendWatchdogOptions } from './send-watchdog.js';
 import { recordTargetFailure } from './target-outcomes.js';
 import type { FailedSend } from './target-outcomes.js';
 import type { CallerSink } from './response-sinks.js';
@@ -62,6 +64,17 @@
     { executed: mayHaveExecuted ? 'unknown' : 'no' },
   );
 
+/** What the watchdog of one send depends on. */
+export type SendTimeouts = Pick<
+  SendWatchdogOptions,
+  | 'target'
+  | 'expectedResponseMs'
+  | 'stallTimeoutMs'
+  | 'eventStallMs'
+  | 'isExclusive'
+  | 'isPaused'
+>;
+
 /** Lowest response status after which a retryable request is retried. */
 export const minServerErrorStatus = 500;
 
@@ -72,6 +85,8 @@
   /** Number of failed sends that a target may have executed. */
   protected possibleExecutionCount = 0;
   #hasRecordedRunStart = false;
+  /** True if the retry of the next failure was taken from the budget before. */
+  #hasReservedRetry = false;
   protected readonly answerBuffer: AnswerBuffer;
   readonly #forwarding: RequestForwarding;
 
@@ -184,6 +199,48 @@
     this.dependencies.onRunStart?.(this.context.request, startedAtMs);
   }
 
+  /** Creates the watchdog of a send that can go on at another target. */
+  protected createWatchdog(options: SendTimeouts): SendWatchdog {
+    const { probeTarget, targetLink } = this.dependencies;
+    return new SendWatchdog({
+      ...options,
+      reserveMove: () => this.#reserveMove(options.target),
+      signal: this.context.signal,
+      probe: probeTarget,
+      isCutOff: () => targetLink.isCutOff,
+    });
+  }
+
+  /** Returns true if the send can go on elsewhere, and takes the retry for it. */
+  #reserveMove(target: TargetState): boolean {
+    if (this.#hasReservedRetry) return true;
+    const isPrefill = target.record.role === 'prefill';
+    // A prompt may be read again, whatever becomes of the answer.
+    if (!isPrefill && !this.canRetry()) return false;
+    const isOtherKnown = this.#forwarding.isNeeded || this.#hasOther(target);
+    if (!isOtherKnown) return false;
+    this.#hasReservedRetry = this.serviceState.retryBudget.tryConsumeRetry();
+    return this.#hasReservedRetry;
+  }
+
+  /** True if another target may take the request and shows that it is alive. */
+  #hasOther(target: TargetState): boolean {
+    const { targets } = this.dependencies;
+    const isPrefill = target.record.role === 'prefill';
+    const { origin, service } = this.context;
+    return targets
+      .listOpenTargets(service)
+      .some(
+        other =>
+          other !== target &&
+          !this.excludedTargets.has(other) &&
+          (isPrefill || other.record.role !== 'prefill') &&
+          other.acceptsRequests &&
+          !other.isAvoided &&
+          canContinueStream(other.record, origin),
+      );
+  }
+
   /** Counts a request at the target; the returned function removes it. */
   protected startRequest(target: TargetState): () => void {
     if (target.isLimited)
@@ -198,7 +255,8 @@
   ): boolean {
     const { context } = this;
     const wasNotExecuted = isNotExecuted(outcome);
-    const mayRetry = wasNotExecuted || this.canRetry();
+    const mayRetry =
+      wasNotExecuted || this.#hasReservedRetry || this.canRetry();
     if (!wasNotExecuted) {
       this.possibleExecutionCount += 1;
       context.mayHaveExecuted = true;
@@ -223,7 +281,7 @@
   protected retryOrFail(outcome: { kind: string; phase?: string }): boolean {
     const { retryBudget } = this.serviceState;
     // A send that never reached a target does not count as an attempt.
-    if (!isConnectFailure(outcome) && !retryBudget.tryConsumeRetry()) {
+    if (!isConnectFailure(outcome) && !this.#takeRetry()) {
       this.failRequest(this.#createRetryBudgetFailure());
       return false;
     }
@@ -235,6 +293,12 @@
     return true;
   }
 
+  #takeRetry(): boolean {
+    const hasReserved = this.#hasReservedRetry;
+    this.#hasReservedRetry = false;
+    return hasReserved || this.serviceState.retryBudget.tryConsumeRetry();
+  }
+
   #createRetryBudgetFailure(): Failure {
     return new Failure(
       'retry_budget_exhausted',
--- a/packages/relay/src/relay/send-watchdog.ts
+++ b/packages/relay/src/relay/send-watchdog.ts
@@ -1,24 +1,27 @@
 /**
- * Aborts a send that makes no progress. Used only for sends that can be retried;
- * all others wait until their deadline.
+ * Gives up a send that makes no progress, so that it can go on at another target. Used only
+ * for sends that can be repeated; all others wait until their deadline.
  */
 import { LinkedAbort } from '../shared/linked-abort.js';
+import { maxStandstillMs } from '../targets/target-probe.js';
+import type { ProbeResult, TargetProbe } from '../targets/target-probe.js';
 import type { TargetState } from '../targets/target-state.js';
 
 /**
- * The target's liveness is checked only after this many times the expected response
- * time without progress.
+ * The target is probed only after this many times the expected response time without
+ * progress.
  */
-const livenessCheckFactor = 2;
+const probeFactor = 2;
 
-/** Silence after which a send is aborted if no target is reached, and others may be. */
+/** Silence after which a send is given up if no target is reached, and others may be. */
 const cutOffSilenceMs = 400;
 
 /**
- * Why a send was aborted: `silent` without progress for the stall time, `unresponsive` when
- * the target answered no probe, `cut_off` when this instance reaches no target.
+ * Why a send was given up: the target answers probes, but was `silent` for the stall time;
+ * it was `unreached`; it did `stand_still` for longer than sound targets do; or this instance
+ * is `cut_off` from all targets.
  */
-export type AbortReason = 'silent' | 'unresponsive' | 'cut_off';
+export type AbortReason = 'silent' | 'unreached' | 'stand_still' | 'cut_off';
 
 /** An abort by the watchdog; `silentMs` is the time without progress before it. */
 export interface WatchdogAbort {
@@ -26,29 +29,36 @@
   readonly silentMs: number;
 }
 
-/** Resolves to true if the target answers a probe on a separate connection. */
-export type LivenessCheck = (target: TargetState) => Promise<boolean>;
-
 /** Target, time limits and abort signal of the watched send. */
 export interface SendWatchdogOptions {
   readonly target: TargetState;
   /** Expected time from the start of the send to its first response bytes. */
   readonly expectedResponseMs: number;
-  /** Silence after which the send is aborted even if the target is alive. */
+  /** Silence after which the send is given up even if the target is alive. */
   readonly stallTimeoutMs: number;
   /**
    * Longest time between whole events once the first one has arrived; undefined if
    * `stallTimeoutMs` holds for the whole answer.
    */
   readonly eventStallMs?: number;
+  /**
+   * True for work that must not go on elsewhere while its target may still do it. A target
+   * that stands still can't notice that its connection was closed, and goes on when it wakes.
+   */
+  readonly isExclusive: boolean;
   /**
    * Returns true while silence does not end the send: while the answer is not read, because
    * the caller does not read, or once it can't be had from another target.
    */
   readonly isPaused?: () => boolean;
+  /**
+   * Returns true if the request can go on elsewhere, and takes the retry for that. Called
+   * before the send is given up, as silence alone is no reason to end an answer.
+   */
+  readonly reserveMove: () => boolean;
   /** Another signal that aborts the send, such as the request's deadline. */
   readonly signal: AbortSignal;
-  readonly checkLiveness: LivenessCheck;
+  readonly probe: TargetProbe;
   /** Returns true while this instance reaches no target. */
   readonly isCutOff: () => boolean;
 }
@@ -60,14 +70,14 @@
   readonly #endChecks: () => void;
   #lastActivityAtMs = performance.now();
   #hasEvents = false;
-  #isCheckingLiveness = false;
+  #isProbing = false;
   #abortRecord: WatchdogAbort | undefined;
 
   constructor(options: SendWatchdogOptions) {
     this.#options = options;
     this.#link = new LinkedAbort(options.signal);
-    this.#endChecks = options.target.activity.addCheck(() => {
-      this.#checkProgress();
+    this.#endChecks = options.target.activity.addCheck(lateMs => {
+      this.#checkProgress(lateMs);
     });
   }
 
@@ -92,57 +102,77 @@
     this.#link.unlink();
   }
 
-  get #stallTimeoutMs(): number {
+  get #silentMs(): number {
+    return performance.now() - this.#lastActivityAtMs;
+  }
+
+  get #isStalled(): boolean {
     const { stallTimeoutMs, eventStallMs } = this.#options;
-    return this.#hasEvents ? (eventStallMs ?? stallTimeoutMs) : stallTimeoutMs;
+    const timeoutMs = this.#hasEvents
+      ? (eventStallMs ?? stallTimeoutMs)
+      : stallTimeoutMs;
+    return this.#silentMs >= timeoutMs;
   }
 
-  get #silentMs(): number {
-    return performance.now() - this.#lastActivityAtMs;
+  /** True if the target has shown nothing to anyone when this send should have progressed. */
+  get #isDoubtful(): boolean {
+    const { expectedResponseMs, target } = this.#options;
+    return (
+      this.#silentMs >= probeFactor * expectedResponseMs &&
+      target.isUnresponsive
+    );
   }
 
-  #abort(reason: AbortReason): void {
-    this.#abortRecord ??= { reason, silentMs: this.#silentMs };
+  /** Gives the send up if the request can go on elsewhere. */
+  #giveUp(reason: AbortReason): void {
+    if (this.signal.aborted || !this.#options.reserveMove()) return;
+    this.#abortRecord = { reason, silentMs: this.#silentMs };
     this.#link.abort();
   }
 
-  #checkProgress(): void {
-    const { target, expectedResponseMs, isCutOff, isPaused } = this.#options;
+  #checkProgress(lateMs: number): void {
+    const { isCutOff, isExclusive, isPaused } = this.#options;
+    const nowMs = performance.now();
+    this.#lastActivityAtMs = Math.min(nowMs, this.#lastActivityAtMs + lateMs);
     // A target that is not read cannot show progress.
-    if (isPaused?.() === true) this.#lastActivityAtMs = performance.now();
-    const silentMs = this.#silentMs;
-    if (silentMs >= cutOffSilenceMs && isCutOff()) {
-      this.#abort('cut_off');
+    if (isPaused?.() === true) this.#lastActivityAtMs = nowMs;
+    if (this.#silentMs >= cutOffSilenceMs && isCutOff()) {
+      this.#giveUp('cut_off');
       return;
     }
-    if (silentMs >= this.#stallTimeoutMs) {
-      this.#abort('silent');
+    if (this.#isStalled && !isExclusive) {
+      this.#giveUp('silent');
       return;
     }
-    const needsLivenessCheck =
-      silentMs >= livenessCheckFactor * expectedResponseMs;
-    if (
-      needsLivenessCheck &&
-      target.isUnresponsive &&
-      !this.#isCheckingLiveness
-    )
-      void this.#checkLiveness();
+    if ((this.#isStalled || this.#isDoubtful) && !this.#isProbing)
+      void this.#probeTarget();
   }
 
-  /**
-   * Aborts the send if the target does not answer a probe. A busy target answers, so
-   * that the send keeps waiting in its queue.
-   */
-  async #checkLiveness(): Promise<void> {
-    const { target, checkLiveness } = this.#options;
-    this.#isCheckingLiveness = true;
+  async #probeTarget(): Promise<void> {
+    const { target, probe } = this.#options;
+    this.#isProbing = true;
     try {
-      if (await checkLiveness(target)) target.recordActivity();
-      else this.#abort('unresponsive');
+      this.#judgeProbe(await probe(target));
     } catch {
-      // A check that failed itself says nothing of the target; it is made again.
+      // A probe that failed itself says nothing of the target; it is made again.
     } finally {
-      this.#isCheckingLiveness = false;
+      this.#isProbing = false;
+    }
+  }
+
+  #judgeProbe(result: ProbeResult): void {
+    const { isExclusive, target } = this.#options;
+    if (result === 'unreached') {
+      this.#giveUp('unreached');
+      return;
+    }
+    if (result === 'answers') {
+      // A busy target answers, so that the send keeps waiting in its queue.
+      target.recordActivity();
+      if (this.#isStalled) this.#giveUp('silent');
+      return;
     }
+    if (!isExclusive || this.#silentMs >= maxStandstillMs)
+      this.#giveUp('stand_still');
   }
 }
--- a/packages/relay/src/relay/target-client.ts
+++ b/packages/relay/src/relay/target-client.ts
@@ -7,6 +7,7 @@
   PromptSegment,
   RelayRequest,
 } from '../requests/relay-request.js';
+import type { ProbeResult } from '../targets/target-probe.js';
 import type { TargetRecord } from '../targets/target-record.js';
 
 /** Refers to the KV cache of a prompt that a prefill engine holds for others. */
@@ -101,8 +102,8 @@
     sink: ResponseSink,
   ): Promise<SendOutcome>;
 
-  /** Resolves to true if the target soon answers a probe on a new connection. */
-  abstract checkLiveness(target: TargetRecord): Promise<boolean>;
+  /** Probes the target on a new connection; never rejects. */
+  abstract probe(target: TargetRecord): Promise<ProbeResult>;
 
   /**
    * Resolves to true if the target has certainly ended: its address refuses connections,
--- a/packages/relay/src/targets/request-activity.ts
+++ b/packages/relay/src/targets/request-activity.ts
@@ -24,6 +24,12 @@
   readonly restMs: number;
 }
 
+/**
+ * Called at the check interval. `lateMs` is how much later than due, because this process
+ * stood still: time in which nothing could have been seen of others.
+ */
+export type PeriodicCheck = (lateMs: number) => void;
+
 /** Pauses that end at the same step. */
 interface Step {
   readonly cancel: () => void;
@@ -36,7 +42,7 @@
   #lastActiveMs = performance.now();
   readonly #restingWaiters = new Set<(wasWoken: boolean) => void>();
   readonly #stepsByEndMs = new Map<number, Step>();
-  readonly #checks = new Set<() => void>();
+  readonly #checks = new Set<PeriodicCheck>();
   #isChecking = false;
 
   /** True if no request runs and the last one ended a while ago. */
@@ -67,7 +73,7 @@
    * Calls the function at the check interval, with one timer for all, until the
    * returned one is called.
    */
-  addCheck(check: () => void): () => void {
+  addCheck(check: PeriodicCheck): () => void {
     this.#checks.add(check);
     if (!this.#isChecking) this.#scheduleChecks();
     return () => this.#checks.delete(check);
@@ -108,8 +114,9 @@
     if (!this.#isChecking) return;
     const { nowMs, endMs } = getStepAfter(checkIntervalMs);
     this.#getStep(endMs, nowMs).waiters.add(() => {
+      const lateMs = Math.max(0, performance.now() - endMs);
       this.#scheduleChecks();
-      for (const check of this.#checks) runApart(check);
+      for (const check of this.#checks) runApart(check, lateMs);
     });
   }
 
@@ -158,9 +165,9 @@
 };
 
 /** Runs a check whose defect must not keep the others from running. */
-const runApart = (check: () => void): void => {
+const runApart = (check: PeriodicCheck, lateMs: number): void => {
   try {
-    check();
+    check(lateMs);
   } catch (error) {
     queueMicrotask(() => {
       throw error;
--- a/packages/relay/src/targets/target-link.ts
+++ b/packages/relay/src/targets/target-link.ts
@@ -6,6 +6,8 @@
 
 import { runGuarded } from '../shared/guarded-step.js';
 
+import { maxStandstillMs } from './target-probe.js';
+import type { ProbeResult, TargetProbe } from './target-probe.js';
 import type { TargetRecord } from './target-record.js';
 import type { TargetRegistry } from './target-registry.js';
 import type { TargetState } from './target-state.js';
@@ -33,8 +35,7 @@
 /** Dependencies of {@link TargetLink}. */
 export interface TargetLinkOptions {
   readonly targets: TargetRegistry;
-  /** Resolves to true if the target soon answers on a new connection. */
-  readonly probe: (target: TargetState) => Promise<boolean>;
+  readonly probe: TargetProbe;
   /** Called when the link is found to be down. */
   readonly onCut: () => void;
   readonly log: Log;
@@ -120,9 +121,14 @@
         this.#failedAtMsByTarget.delete(id);
     }
     if (this.#failedAtMsByTarget.size >= minFailedTargets) return true;
-    if (this.#busySinceMs === undefined) return false;
-    const silentSinceMs = Math.max(this.#busySinceMs, this.#lastAnswerMs);
-    return nowMs - silentSinceMs > doubtfulSilenceMs;
+    return this.#getSilentMs(nowMs) > doubtfulSilenceMs;
+  }
+
+  /** Time without an answer while requests are under way. */
+  #getSilentMs(nowMs: number): number {
+    return this.#busySinceMs === undefined
+      ? 0
+      : nowMs - Math.max(this.#busySinceMs, this.#lastAnswerMs);
   }
 
   async #probeTargets(): Promise<void> {
@@ -134,9 +140,13 @@
     );
     const [first, ...others] = probed;
     if (first === undefined) return;
-    const isReached =
-      (await probe(first)) ||
-      (await Promise.all(others.map(probe))).includes(true);
+    const firstResult = await probe(first);
+    const results =
+      firstResult === 'answers'
+        ? [firstResult]
+        : [firstResult, ...(await Promise.all(others.map(probe)))];
+    const isReached = this.#judgeProbes(results);
+    if (isReached === undefined) return;
     if (isReached) this.recordAnswer();
     this.#applyVerdict(
       isReached,
@@ -144,6 +154,17 @@
     );
   }
 
+  /**
+   * Returns whether targets are reached; undefined if those that were probed only stand
+   * still, which says nothing of the link for a while.
+   */
+  #judgeProbes(results: readonly ProbeResult[]): boolean | undefined {
+    if (results.includes('answers')) return true;
+    const isOpen = results.includes('silent');
+    const silentMs = this.#getSilentMs(performance.now());
+    return isOpen && silentMs < maxStandstillMs ? undefined : false;
+  }
+
   #applyVerdict(isReached: boolean, probed: readonly string[]): void {
     const { log, onCut, targets } = this.#options;
     this.#failedAtMsByTarget.clear();
