Run nothing on a connection whose last answer has been sent

Callers got status 408, the promise that a request has not run and never will, and the request ran. A request behind an answer that closes the connection ran as well, without an answer.

Cause: after the header timeout the server writes 408 and ends its side of the connection, but Node goes on reading and hands each request to the relay as soon as its head is complete.

A request now waits for the end of the response before it, and is dropped if the connection can't be written to then: nobody could be told of its run. A queued response had no socket, so that its caller's disconnect was not seen; now each request has its socket when it begins.

--- /dev/null
+++ b/packages/relay/src/server/caller-connections.test.ts
@@ -0,0 +1,177 @@
+/** Connections of callers that are refused or closed, on real sockets. */
+import { connect } from 'node:net';
+import {
+  setImmediate as nextTurn,
+  setTimeout as pause,
+} from 'node:timers/promises';
+
+import test from 'ava';
+import type { ExecutionContext } from 'ava';
+import { Right } from 'purify-ts';
+
+import {
+  createConfiguration,
+  createMemoryLog,
+  createRequest,
+} from '../fixtures/relay-fixtures.js';
+import type { Relay } from '../relay/relay.js';
+import type { Caller, RelayRequest } from '../requests/relay-request.js';
+import { RouteTableHolder } from '../routes/route-table-holder.js';
+
+import { CallerServer } from './caller-server.js';
+import { EventLoopDelayMonitor } from './event-loop-delay-monitor.js';
+import { RequestDecoder } from './request-decoder.js';
+import { RequestDrainer } from './request-drainer.js';
+
+const headerTimeoutMs = 300;
+const idleTimeoutMs = 400;
+
+/** Decoder whose requests bear the path as their id. */
+class PathDecoder extends RequestDecoder {
+  override decode(_message: unknown, url: string) {
+    return Right(createRequest({ id: url }));
+  }
+}
+
+const answer = (caller: Caller): void => {
+  caller.writeHead({
+    status: 200,
+    headers: ['Content-Length', '2'],
+    isCloseDelimited: false,
+  });
+  caller.write(Buffer.from('ok'));
+  caller.end();
+};
+
+/** Starts a server; `run` is called for each request that is run, by its path. */
+const openServer = async (
+  t: ExecutionContext,
+  run: (caller: Caller, path: string) => void | Promise<void> = answer,
+) => {
+  const ran: string[] = [];
+  const relay = {
+    serve: async ({ id }: RelayRequest, caller: Caller) => {
+      ran.push(id);
+      await run(caller, id);
+    },
+  };
+  const routes = new RouteTableHolder(createMemoryLog());
+  const server = await CallerServer.open({
+    relay: relay as unknown as Relay,
+    routes,
+    decoder: new PathDecoder(),
+    drainer: new RequestDrainer(),
+    eventLoopDelayMonitor: new EventLoopDelayMonitor(),
+    host: '127.0.0.1',
+    port: 0,
+  });
+  t.teardown(() => server.close());
+  const setLimits = (version: number, limits: { idleTimeoutMs: number }) =>
+    routes.applyIfNewer(
+      createConfiguration({
+        version,
+        limits: {
+          headerBytes: 16_384,
+          bodyBytes: 1_000_000,
+          headerTimeoutMs,
+          ...limits,
+        },
+      }),
+      'test',
+    );
+  setLimits(1, { idleTimeoutMs });
+  return { port: server.port, ran, setLimits };
+};
+
+/** A connection that the server has accepted; it stays open after the server's end. */
+const openConnection = async (t: ExecutionContext, port: number) => {
+  const socket = connect({ port, host: '127.0.0.1', allowHalfOpen: true });
+  t.teardown(() => socket.destroy());
+  const received = { text: '', isClosed: false };
+  socket.on('data', (chunk: Buffer) => {
+    received.text += chunk.toString();
+  });
+  socket.on('error', () => undefined);
+  socket.on('end', () => {
+    received.isClosed = true;
+  });
+  socket.on('close', () => {
+    received.isClosed = true;
+  });
+  await new Promise(resolve => socket.once('connect', resolve));
+  await pause(20);
+  return { socket, received };
+};
+
+const waitFor = async (isTrue: () => boolean, timeoutMs = 4_000) => {
+  const startedAtMs = performance.now();
+  while (!isTrue() && performance.now() - startedAtMs < timeoutMs)
+    await pause(5);
+};
+
+const createHead = (path: string, headers = ''): string =>
+  `POST ${path} HTTP/1.1\r\nhost: desk.example\r\n${headers}\r\n`;
+
+// Guards against running a request that was refused with status 408.
+test.serial(
+  'a request whose head is completed after its refusal is not run',
+  async t => {
+    const { port, ran } = await openServer(t);
+    const { socket, received } = await openConnection(t, port);
+    socket.write('POST /late HTTP/1.1\r\n');
+    await waitFor(() => received.text !== '');
+    t.regex(received.text, /^HTTP\/1.1 408 /);
+    socket.write('host: desk.example\r\ncontent-length: 0\r\n\r\n');
+    await pause(200);
+    t.deepEqual(ran, []);
+  },
+);
+
+// Guards against running a request whose answer can't be sent.
+test.serial(
+  'a request behind an answer that closes the connection is not run',
+  async t => {
+    let firstCaller: Caller | undefined;
+    const { port, ran } = await openServer(t, (caller, path) => {
+      if (path === '/first') firstCaller = caller;
+      else answer(caller);
+    });
+    const { socket, received } = await openConnection(t, port);
+    const head = (path: string) => createHead(path, 'content-length: 0\r\n');
+    socket.write(head('/first') + head('/second'));
+    await waitFor(() => firstCaller !== undefined);
+    await pause(50);
+    firstCaller?.writeHead({
+      status: 200,
+      headers: [],
+      isCloseDelimited: true,
+    });
+    firstCaller?.write(Buffer.from('first'));
+    firstCaller?.end();
+    await waitFor(() => received.isClosed);
+    t.regex(received.text, /first$/);
+    t.deepEqual(ran, ['/first']);
+  },
+);
+
+// Guards against answers to requests of one connection in another order.
+test.serial(
+  'requests that were sent one behind the other run in turn',
+  async t => {
+    let running = 0;
+    const { port, ran } = await openServer(t, async caller => {
+      running += 1;
+      t.is(running, 1);
+      await nextTurn();
+      running -= 1;
+      answer(caller);
+    });
+    const { socket, received } = await openConnection(t, port);
+    const body = 'content-length: 3\r\n';
+    const paths = ['/one', '/two', '/three'];
+    socket.write(paths.map(path => `${createHead(path, body)}abc`).join(''));
+    await waitFor(() => received.text.split('ok').length > paths.length);
+    t.is(received.text.match(/200 OK/g)?.length, paths.length);
+    t.deepEqual(ran, paths);
+  },
+);
--- a/packages/relay/src/server/caller-server.ts
+++ b/packages/relay/src/server/caller-server.ts
@@ -16,12 +16,14 @@
 import type { RouteTableHolder } from '../routes/route-table-holder.js';
 
 import { BodyReader } from './body-reader.js';
+import { CallerConnections } from './caller-connections.js';
 import type { RequestDrainer } from './request-drainer.js';
 import type { EventLoopDelayMonitor } from './event-loop-delay-monitor.js';
 import { RelayController } from './relay-controller.js';
 import type { RequestDecoder } from './request-decoder.js';
 import {
   bodyReaderProvider,
+  callerConnectionsProvider,
   requestDrainerProvider,
   eventLoopDelayMonitorProvider,
   overloadGuardProvider,
@@ -84,6 +86,10 @@
       provide: eventLoopDelayMonitorProvider,
       useValue: options.eventLoopDelayMonitor,
     },
+    {
+      provide: callerConnectionsProvider,
+      useValue: new CallerConnections(),
+    },
     { provide: overloadGuardProvider, useValue: options.overloadGuard ?? null },
   ],
 });
--- a/packages/relay/src/server/nest-providers.ts
+++ b/packages/relay/src/server/nest-providers.ts
@@ -6,3 +6,4 @@
 export const requestDrainerProvider = 'drain';
 export const eventLoopDelayMonitorProvider = 'loop-delay';
 export const overloadGuardProvider = 'overload-guard';
+export const callerConnectionsProvider = 'caller-connections';
--- a/packages/relay/src/server/overload.test.ts
+++ b/packages/relay/src/server/overload.test.ts
@@ -19,6 +19,7 @@
 import { RouteTableHolder } from '../routes/route-table-holder.js';
 
 import { BodyReader } from './body-reader.js';
+import { CallerConnections } from './caller-connections.js';
 import { EventLoopDelayMonitor } from './event-loop-delay-monitor.js';
 import { RelayController } from './relay-controller.js';
 import { RequestDecoder } from './request-decoder.js';
@@ -70,6 +71,7 @@
       log,
       getEventLoopDelayMs: () => load.delayMs,
     }),
+    new CallerConnections(),
   );
   const send = async (id: string, url = `${route.prefix}a`) => {
     const message = new IncomingMessage(new Socket());
--- a/packages/relay/src/server/relay-controller.ts
+++ b/packages/relay/src/server/relay-controller.ts
@@ -1,7 +1,6 @@
 /** Nest controller that handles all caller requests, with any path and method. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import { setImmediate as nextTurn } from 'node:timers/promises';
 
 import { Failure } from '@medlarlever/core';
 import { All, Controller, Inject, Req, Res } from '@nestjs/common';
@@ -11,8 +10,10 @@
 import type { Relay } from '../relay/relay.js';
 import type { RouteTableHolder } from '../routes/route-table-holder.js';
 import type { CallerLimits } from '../routes/route-configuration.js';
+import { waitForPendingReads } from '../shared/pending-reads.js';
 
 import type { BodyReader } from './body-reader.js';
+import type { CallerConnections } from './caller-connections.js';
 import { sendFailureResponse } from './failure-response.js';
 import type { RequestDrainer } from './request-drainer.js';
 import { HttpCaller } from './http-caller.js';
@@ -20,6 +21,7 @@
 import type { RequestDecoder } from './request-decoder.js';
 import {
   bodyReaderProvider,
+  callerConnectionsProvider,
   requestDrainerProvider,
   eventLoopDelayMonitorProvider,
   overloadGuardProvider,
@@ -64,6 +66,7 @@
     readonly eventLoopDelayMonitor: EventLoopDelayMonitor,
     /** Refuses requests while the instance is behind; without it, the relay does. */
     @Inject(overloadGuardProvider) readonly overloadGuard: OverloadGuard | null,
+    @Inject(callerConnectionsProvider) readonly connections: CallerConnections,
   ) {}
 
   @All()
@@ -73,9 +76,13 @@
   ): Promise<void> {
     const message = request.raw;
     reply.hijack();
-    if (this.#refuseIfBehind(message, request.originalUrl, reply.raw)) return;
     const arrivedAtMs =
       performance.now() - this.eventLoopDelayMonitor.currentDelayMs;
+    const admission = this.connections.admitRequest(message, reply.raw);
+    const isAdmitted =
+      admission instanceof Promise ? await admission : admission;
+    if (!isAdmitted) return;
+    if (this.#refuseIfBehind(message, request.originalUrl, reply.raw)) return;
     const caller = new HttpCaller(reply.raw, {
       isClosing: () => this.drainer.isClosing,
     });
@@ -164,7 +171,6 @@
       this.eventLoopDelayMonitor.currentDelayMs < significantLoopDelayMs
     )
       return;
-    await nextTurn();
-    await nextTurn();
+    await waitForPendingReads();
   }
 }
