Refuse no head that came in time because the instance stood still

After a standstill of an instance longer than the header timeout, callers whose connections had been accepted before it got status 408 for requests that had come in time.

Cause: Node checks heads by a timer, and timers run before the sockets are read, so a head that waits in the socket counts as late. Besides, the refusal of a late head was written in the place of the answer to a request before it that still ran.

'a late head behind a running request does not end that request' failed with the 408 as the answer to /first.

When a head is late, the server now waits 250 ms and for the pending reads, and refuses it only if no request has come by then: decided by the data that is there, not by the order of timers and reads. A refusal is written only if no earlier request is unanswered; else the connection closes after that answer. A refused caller that keeps its side open is closed after a second; such connections stayed open.

--- a/packages/relay/src/server/caller-connections.test.ts
+++ b/packages/relay/src/server/caller-connections.test.ts
@@ -1,5 +1,6 @@
 /** Connections of callers that are refused or closed, on real sockets. */
 import { connect } from 'node:net';
+import type { Socket } from 'node:net';
 import {
   setImmediate as nextTurn,
   setTimeout as pause,
@@ -26,6 +27,9 @@
 const headerTimeoutMs = 300;
 const idleTimeoutMs = 400;
 
+/** The server looks for late heads this often, and waits a little for them. */
+const headCheckMs = 2_000;
+
 /** Decoder whose requests bear the path as their id. */
 class PathDecoder extends RequestDecoder {
   override decode(_message: unknown, url: string) {
@@ -103,6 +107,11 @@
   return { socket, received };
 };
 
+/** Blocks the event loop, as if the instance had stood still. */
+const standStill = (ms: number): void => {
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, ms);
+};
+
 const waitFor = async (isTrue: () => boolean, timeoutMs = 4_000) => {
   const startedAtMs = performance.now();
   while (!isTrue() && performance.now() - startedAtMs < timeoutMs)
@@ -112,6 +121,12 @@
 const createHead = (path: string, headers = ''): string =>
   `POST ${path} HTTP/1.1\r\nhost: desk.example\r\n${headers}\r\n`;
 
+/** Writes at once; fails if the system takes only part of it. */
+const writeNow = (t: ExecutionContext, socket: Socket, text: string) => {
+  socket.write(text);
+  t.is(socket.writableLength, 0);
+};
+
 // Guards against running a request that was refused with status 408.
 test.serial(
   'a request whose head is completed after its refusal is not run',
@@ -127,6 +142,58 @@
   },
 );
 
+// Guards against a refusal of requests that came in time, when the instance was late itself.
+test.serial(
+  'a request that waited while the instance stood still is served',
+  async t => {
+    const { port, ran } = await openServer(t);
+    const { socket, received } = await openConnection(t, port);
+    writeNow(t, socket, createHead('/waiting', 'content-length: 0\r\n'));
+    standStill(headCheckMs);
+    await waitFor(() => received.text !== '');
+    await pause(400);
+    t.regex(received.text, /^HTTP\/1.1 200 /);
+    t.notRegex(received.text, / 408 /);
+    t.deepEqual(ran, ['/waiting']);
+  },
+);
+
+// Guards against a refusal that is sent as the answer to a request that runs.
+test.serial(
+  'a late head behind a running request does not end that request',
+  async t => {
+    let finish: () => void = () => undefined;
+    const finished = new Promise<void>(resolve => {
+      finish = resolve;
+    });
+    const { port, ran } = await openServer(t, async caller => {
+      await finished;
+      answer(caller);
+    });
+    const { socket, received } = await openConnection(t, port);
+    const first = createHead('/first', 'content-length: 0\r\n');
+    socket.write(`${first}POST /second HTTP/1.1\r\n`);
+    await pause(headCheckMs);
+    t.is(received.text, '');
+    finish();
+    await waitFor(() => received.isClosed);
+    t.regex(received.text, /^HTTP\/1.1 200 .*ok$/s);
+    t.deepEqual(ran, ['/first']);
+  },
+);
+
+// Guards against waiting for a body that can't be read any more.
+test.serial('a request whose body is not valid is refused at once', async t => {
+  const { port, ran } = await openServer(t);
+  const { socket, received } = await openConnection(t, port);
+  const chunked = createHead('/broken', 'transfer-encoding: chunked\r\n');
+  socket.write(`${chunked}no length\r\n`);
+  await waitFor(() => received.text !== '', idleTimeoutMs / 2);
+  t.regex(received.text, /^HTTP\/1.1 400 /);
+  await pause(50);
+  t.deepEqual(ran, []);
+});
+
 // Guards against running a request whose answer can't be sent.
 test.serial(
   'a request behind an answer that closes the connection is not run',
--- a/packages/relay/src/server/caller-connections.ts
+++ b/packages/relay/src/server/caller-connections.ts
@@ -1,18 +1,48 @@
-/** Decides on connections of callers what is run, and when. */
+/** Decides on connections of callers what is run and what is refused. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 
+import { waitForPendingReads } from '../shared/pending-reads.js';
+
+import { writeInvalidRequestResponse } from './invalid-request-response.js';
+
+/**
+ * Milliseconds for which a late head is still waited for. A head that the network held back
+ * while the whole machine stood still is sent again within that time.
+ */
+const lateHeadGraceMs = 250;
+
+/** Milliseconds that a caller has to read a refusal before its connection is closed. */
+const refusalReadMs = 1_000;
+
+const lateHeadCode = 'ERR_HTTP_REQUEST_TIMEOUT';
+
 interface Connection {
+  requestCount: number;
+  unansweredCount: number;
+  /** Latest request; the server may still be reading its body. */
+  message: IncomingMessage | undefined;
   /** Response to the latest request. */
   response: ServerResponse | undefined;
+  /** True if nothing more may run on the connection. */
+  isRefused: boolean;
 }
 
+/** True if an answer to what is being read can't be taken for that to an earlier request. */
+const canAnswer = ({ message, unansweredCount }: Connection): boolean => {
+  const isReadingBody = message?.complete === false;
+  return unansweredCount <= (isReadingBody ? 1 : 0);
+};
+
 const waitForClose = (response: ServerResponse): Promise<void> =>
   new Promise(resolve => {
     response.once('close', resolve);
   });
 
-/** Lets each connection run one request at a time, as long as it can be answered. */
+/**
+ * Keeps what Node's server does not: a connection runs one request at a time and nothing
+ * more once it was refused, and deadlines count only after what came in time was read.
+ */
 export class CallerConnections {
   readonly #connections = new WeakMap<Socket, Connection>();
 
@@ -21,24 +51,88 @@
    * to false if the request may not run because its answer can't be sent.
    */
   admitRequest(
-    { socket }: IncomingMessage,
+    message: IncomingMessage,
     response: ServerResponse,
   ): Promise<boolean> | boolean {
+    const { socket } = message;
     const connection = this.#getConnection(socket);
-    const isAdmitted = () => socket.writable;
+    const isAdmitted = () => socket.writable && !connection.isRefused;
     if (!isAdmitted()) return false;
     const { response: previous } = connection;
-    connection.response = response;
+    this.#addRequest(connection, message, response);
     return previous === undefined || previous.closed
       ? true
       : waitForClose(previous).then(isAdmitted);
   }
 
+  #addRequest(
+    connection: Connection,
+    message: IncomingMessage,
+    response: ServerResponse,
+  ): void {
+    connection.requestCount += 1;
+    connection.unansweredCount += 1;
+    connection.message = message;
+    connection.response = response;
+    response.once('close', () => {
+      connection.unansweredCount -= 1;
+      if (connection.isRefused) message.socket.destroySoon();
+    });
+  }
+
+  /** Refuses what is no valid request, or whose head has not come in time. */
+  async handleInvalidRequest(
+    error: Error & { readonly code?: string },
+    socket: Socket,
+  ): Promise<void> {
+    const connection = this.#getConnection(socket);
+    if (error.code === lateHeadCode) {
+      const { requestCount } = connection;
+      await waitForLateHead();
+      if (connection.requestCount !== requestCount) return;
+    }
+    this.#refuse(socket, connection, error);
+  }
+
+  /** Answers if that can't be taken for the answer to another request, and closes. */
+  #refuse(
+    socket: Socket,
+    connection: Connection,
+    error: Error & { readonly code?: string },
+  ): void {
+    connection.isRefused = true;
+    if (!canAnswer(connection) || !socket.writable) return;
+    writeInvalidRequestResponse(error, socket);
+    closeLater(socket);
+  }
+
   #getConnection(socket: Socket): Connection {
     const existing = this.#connections.get(socket);
     if (existing !== undefined) return existing;
-    const connection: Connection = { response: undefined };
+    const connection: Connection = {
+      requestCount: 0,
+      unansweredCount: 0,
+      message: undefined,
+      response: undefined,
+      isRefused: false,
+    };
     this.#connections.set(socket, connection);
     return connection;
   }
 }
+
+const waitForLateHead = async (): Promise<void> => {
+  await new Promise(resolve => {
+    setTimeout(resolve, lateHeadGraceMs).unref();
+  });
+  await waitForPendingReads();
+};
+
+/** Closes the connection even if the caller does not close its side. */
+const closeLater = (socket: Socket): void => {
+  const timer = setTimeout(() => socket.destroy(), refusalReadMs);
+  timer.unref();
+  socket.once('close', () => {
+    clearTimeout(timer);
+  });
+};
--- a/packages/relay/src/server/caller-server.ts
+++ b/packages/relay/src/server/caller-server.ts
@@ -1,9 +1,6 @@
 /** HTTP server for callers, built on Nest and Fastify; bodies are not parsed. */
 import 'reflect-metadata';
 
-import type { Socket } from 'node:net';
-
-import { Failure } from '@medlarlever/core';
 import { Module } from '@nestjs/common';
 import type { DynamicModule, NestApplicationOptions } from '@nestjs/common';
 import { NestFactory } from '@nestjs/core';
@@ -19,6 +16,7 @@
 import { CallerConnections } from './caller-connections.js';
 import type { RequestDrainer } from './request-drainer.js';
 import type { EventLoopDelayMonitor } from './event-loop-delay-monitor.js';
+import { maxHeaderBytes } from './invalid-request-response.js';
 import { RelayController } from './relay-controller.js';
 import type { RequestDecoder } from './request-decoder.js';
 import {
@@ -32,12 +30,6 @@
   routesProvider,
 } from './nest-providers.js';
 
-/**
- * Header size at which the connection is closed. It exceeds every configurable
- * limit on header bytes.
- */
-const maxHeaderBytes = 64 * 1024;
-
 const defaultHeaderTimeoutMs = 3_000;
 const defaultIdleTimeoutMs = 15_000;
 const connectionCheckIntervalMs = 1_000;
@@ -70,7 +62,10 @@
   readonly port: number;
 }
 
-const createModule = (options: CallerServerOptions): DynamicModule => ({
+const createModule = (
+  options: CallerServerOptions,
+  connections: CallerConnections,
+): DynamicModule => ({
   module: CallerModule,
   controllers: [RelayController],
   providers: [
@@ -86,56 +81,25 @@
       provide: eventLoopDelayMonitorProvider,
       useValue: options.eventLoopDelayMonitor,
     },
-    {
-      provide: callerConnectionsProvider,
-      useValue: new CallerConnections(),
-    },
+    { provide: callerConnectionsProvider, useValue: connections },
     { provide: overloadGuardProvider, useValue: options.overloadGuard ?? null },
   ],
 });
 
-const statusReasonPhrases: Readonly<Record<number, string>> = {
-  400: 'Bad Request',
-  408: 'Request Timeout',
-  431: 'Request Header Fields Too Large',
-};
-
-/** Sends an error response to an invalid HTTP request and closes the connection. */
-const respondToInvalidRequest = (error: Error, socket: Socket): void => {
-  if (!socket.writable) return;
-  const code = (error as { code?: string }).code;
-  const failure =
-    code === 'ERR_HTTP_REQUEST_TIMEOUT'
-      ? new Failure(
-          'request_timeout',
-          'the request headers did not arrive in time',
-        )
-      : code === 'HPE_HEADER_OVERFLOW'
-        ? new Failure(
-            'headers_too_large',
-            `the request headers are longer than the limit of ${maxHeaderBytes} bytes`,
-          )
-        : new Failure('malformed_body', 'the request is not valid HTTP');
-  const body = JSON.stringify(failure.toBody());
-  socket.end(
-    `HTTP/1.1 ${failure.status} ${statusReasonPhrases[failure.status] ?? 'Refused'}\r\n` +
-      'content-type: application/json\r\nconnection: close\r\n' +
-      `content-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`,
-  );
-};
-
 /** Compiles the schema of a route; the only route has none. */
 const buildNoCompiler = () => () => {
   throw new Error('routes of callers have no schemas');
 };
 
-const createFastifyAdapter = (): FastifyAdapter =>
+const createFastifyAdapter = (connections: CallerConnections): FastifyAdapter =>
   new FastifyAdapter({
     requestTimeout: 0,
     connectionTimeout: 0,
     keepAliveTimeout: defaultIdleTimeoutMs,
     forceCloseConnections: 'idle',
-    clientErrorHandler: respondToInvalidRequest,
+    clientErrorHandler: (error, socket) => {
+      void connections.handleInvalidRequest(error, socket);
+    },
     // All paths are rewritten to a single route, so that Fastify neither decodes
     // nor rejects any path.
     rewriteUrl: () => '/',
@@ -164,9 +128,10 @@
 
   /** Creates the server and starts listening. */
   static async open(options: CallerServerOptions): Promise<CallerServer> {
-    const adapter = createFastifyAdapter();
+    const connections = new CallerConnections();
+    const adapter = createFastifyAdapter(connections);
     const app = await NestFactory.create<NestFastifyApplication>(
-      createModule(options),
+      createModule(options, connections),
       adapter,
       nestOptions,
     );
