Close no kept connection as idle whose next request has come

Callers that reused a connection saw it closed with their request unread: after a standstill of the instance, and at the old idle timeout after the configuration had raised it (callers reuse connections that were idle for four fifths of the newest limit). The record doesn't tell closed unread requests from others; both were found by looking for timers that run before reads.

Cause: Node's timer of an idle connection destroys it without looking for data, and keeps the timeout that was in force when the last answer ended.

Evidence, on real sockets, before the change: 'a kept connection is not closed for the time that the instance stood still' failed: the connection closed, no answer.

When the timer fires, the server now reads what waits first. It closes the connection only if no byte has come and the timeout of the current configuration has passed, with the second that Node adds.

--- a/packages/relay/src/server/caller-connections.test.ts
+++ b/packages/relay/src/server/caller-connections.test.ts
@@ -242,3 +242,37 @@
     t.deepEqual(ran, paths);
   },
 );
+
+// Guards against closing a kept connection whose next request has come already.
+test.serial(
+  'a kept connection is not closed for the time that the instance stood still',
+  async t => {
+    const { port, ran } = await openServer(t);
+    const { socket, received } = await openConnection(t, port);
+    socket.write(createHead('/first', 'content-length: 0\r\n'));
+    await waitFor(() => received.text.endsWith('ok'));
+    received.text = '';
+    writeNow(t, socket, createHead('/second', 'content-length: 0\r\n'));
+    standStill(headCheckMs);
+    await waitFor(() => received.text !== '' || received.isClosed);
+    t.regex(received.text, /^HTTP\/1.1 200 /);
+    t.deepEqual(ran, ['/first', '/second']);
+  },
+);
+
+// Guards against closing connections that callers may keep by a newer configuration.
+test.serial(
+  'a longer idle timeout holds for connections that are idle already',
+  async t => {
+    const { port, setLimits } = await openServer(t);
+    const { socket, received } = await openConnection(t, port);
+    socket.write(createHead('/first', 'content-length: 0\r\n'));
+    await waitFor(() => received.text.endsWith('ok'));
+    setLimits(2, { idleTimeoutMs: 1_200 });
+    // Node adds a second to the timeout.
+    await pause(1_900);
+    t.false(received.isClosed);
+    await waitFor(() => received.isClosed);
+    t.true(received.isClosed, 'idle connections are closed all the same');
+  },
+);
--- a/packages/relay/src/server/caller-connections.ts
+++ b/packages/relay/src/server/caller-connections.ts
@@ -1,5 +1,5 @@
-/** Decides on connections of callers what is run and what is refused. */
-import type { IncomingMessage, ServerResponse } from 'node:http';
+/** Decides on connections of callers what is run, and which are refused or closed. */
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 
 import { waitForPendingReads } from '../shared/pending-reads.js';
@@ -15,6 +15,9 @@
 /** Milliseconds that a caller has to read a refusal before its connection is closed. */
 const refusalReadMs = 1_000;
 
+/** Milliseconds that idle connections are kept longer than callers may use them. */
+const idleReserveMs = 1_000;
+
 const lateHeadCode = 'ERR_HTTP_REQUEST_TIMEOUT';
 
 interface Connection {
@@ -24,6 +27,8 @@
   message: IncomingMessage | undefined;
   /** Response to the latest request. */
   response: ServerResponse | undefined;
+  /** Time of the end of the latest response, on the monotonic clock. */
+  idleSinceMs: number;
   /** True if nothing more may run on the connection. */
   isRefused: boolean;
 }
@@ -46,6 +51,13 @@
 export class CallerConnections {
   readonly #connections = new WeakMap<Socket, Connection>();
 
+  /** Takes over the check of idle connections from the server, which would close them. */
+  watchIdle(server: Pick<Server, 'on' | 'keepAliveTimeout'>): void {
+    server.on('timeout', (socket: Socket) => {
+      void this.#closeIfIdle(socket, server.keepAliveTimeout);
+    });
+  }
+
   /**
    * Resolves to true once the requests before it on the connection have been answered, and
    * to false if the request may not run because its answer can't be sent.
@@ -76,6 +88,7 @@
     connection.response = response;
     response.once('close', () => {
       connection.unansweredCount -= 1;
+      connection.idleSinceMs = performance.now();
       if (connection.isRefused) message.socket.destroySoon();
     });
   }
@@ -106,6 +119,18 @@
     closeLater(socket);
   }
 
+  async #closeIfIdle(socket: Socket, idleTimeoutMs: number): Promise<void> {
+    const { bytesRead } = socket;
+    await waitForPendingReads();
+    if (socket.destroyed || socket.bytesRead !== bytesRead) return;
+    const { idleSinceMs } = this.#getConnection(socket);
+    const closesAtMs = idleSinceMs + idleTimeoutMs + idleReserveMs;
+    const remainingMs = Math.ceil(closesAtMs - performance.now());
+    // A newer configuration may have given idle connections more time.
+    if (remainingMs > 0) socket.setTimeout(remainingMs);
+    else socket.destroy();
+  }
+
   #getConnection(socket: Socket): Connection {
     const existing = this.#connections.get(socket);
     if (existing !== undefined) return existing;
@@ -114,6 +139,7 @@
       unansweredCount: 0,
       message: undefined,
       response: undefined,
+      idleSinceMs: performance.now(),
       isRefused: false,
     };
     this.#connections.set(socket, connection);
--- a/packages/relay/src/server/caller-server.ts
+++ b/packages/relay/src/server/caller-server.ts
@@ -142,6 +142,7 @@
     });
     await app.init();
     const server = app.getHttpServer();
+    connections.watchIdle(server);
     options.routes.onTableChange(({ configuration }) => {
       server.keepAliveTimeout = configuration.limits.idleTimeoutMs;
       server.headersTimeout = configuration.limits.headerTimeoutMs;
