Tell where a stream began with its first event, not before each send

Callers saw a stream of v2 that went on with events of v1. Cause: the origin was recorded and told before each send. If a target of v1 refused the request, or broke before its first event, the stream began at v2, and only a second report said so. An instance that had the first report and missed the second (cut off, report not read or not sent yet) believed v1. So did the serving instance itself, if the second target may have restarted, as nothing is recorded for such a target.

The origin is now recorded and told when the first event is passed on, with the record to which the request was sent. A report can't name a version that made no event, whichever reports are missed.

--- a/packages/relay/src/origins/stream-origins.ts
+++ b/packages/relay/src/origins/stream-origins.ts
@@ -33,7 +33,7 @@
     return this.#unreported.length > 0;
   }
 
-  /** Records the target to which the request that begins a stream is being sent. */
+  /** Records which target made the first event of the stream that the request begins. */
   record(request: string, origin: StreamOrigin): void {
     if (request.length > maxRequestIdLength) return;
     this.#origins.set(request, origin);
--- a/packages/relay/src/relay/generation-runner.ts
+++ b/packages/relay/src/relay/generation-runner.ts
@@ -10,6 +10,7 @@
 import { createPoisonPromptFailure } from '../crashes/poison-prompt-failure.js';
 import { selectSharedParts } from '../crashes/target-crash.js';
 import type { SharedParts } from '../crashes/target-crash.js';
+import type { StreamOrigin } from '../origins/stream-origin.js';
 import { EventGapMeter } from '../placement/event-gaps.js';
 import { kvTransferMs } from '../placement/placement.js';
 import type { Placement } from '../placement/placement.js';
@@ -425,7 +426,7 @@
     const endRequest = this.startRequest(target);
     this.#endDecodeHold = this.#holdTokens(target, 'decode');
     if (isColocated) placement.copySource?.limiter.takePermit();
-    const isOriginKnown = this.recordOrigin(record);
+    const originTeller = this.beginOrigin(record);
     const endPrefill = isColocated
       ? this.#startPrefill(
           target,
@@ -453,7 +454,7 @@
       dependencies.promptQuarantine.recordAnswer(this.#sharedParts);
     });
     this.#onEvent = () => {
-      this.#recordFirstEvent(record, isOriginKnown);
+      this.#recordOrigin(originTeller.recordEvent());
       eventGapMeter.recordEvent();
       answerProgress.recordEvent();
       endPrefill();
@@ -514,10 +515,9 @@
   }
 
   /** The first event fixes the software version at which the stream may go on. */
-  #recordFirstEvent(record: TargetRecord, isOriginKnown: boolean): void {
-    const { service, softwareVersion } = record;
-    if (isOriginKnown) {
-      this.context.origin ??= { service, softwareVersion };
+  #recordOrigin(origin: StreamOrigin | undefined): void {
+    if (origin !== undefined) {
+      this.context.origin ??= origin;
       return;
     }
     this.#isOriginUnknown = true;
--- a/packages/relay/src/relay/plain-request-runner.ts
+++ b/packages/relay/src/relay/plain-request-runner.ts
@@ -38,6 +38,9 @@
 
 /** Runs one request to a service without engines. */
 export class PlainRequestRunner extends RequestRunner {
+  /** Called for each write of a stream to the caller. */
+  #onEvent: () => void = () => undefined;
+
   override async run(): Promise<void> {
     const { context } = this;
     for (;;) {
@@ -111,7 +114,8 @@
     const { context, dependencies } = this;
     const { record } = target;
     const endRequest = this.startRequest(target);
-    this.recordOrigin(record);
+    const originTeller = this.beginOrigin(record);
+    this.#onEvent = () => originTeller.recordEvent();
     const startedAtMs = performance.now();
     const sink = this.#createResponseSink();
     context.recordSend();
@@ -184,6 +188,7 @@
       return new BufferedResponseSink(caller, this.answerBuffer, acceptsStatus);
     const onBytes = () => {
       this.context.recordFirstBytes();
+      this.#onEvent();
     };
     return new StreamingResponseSink({
       caller,
--- a/packages/relay/src/relay/relay-dependencies.ts
+++ b/packages/relay/src/relay/relay-dependencies.ts
@@ -56,7 +56,7 @@
   readonly getRemainingMs: () => number;
   readonly originFinder: StreamOriginFinder;
   readonly keyGate: KeyGate;
-  /** Called before a request that begins a resumable stream is sent to a target. */
+  /** Called before the first event that a target makes of a resumable stream is passed on. */
   readonly onStreamBegin: (request: string, origin: StreamOrigin) => void;
   /** Called when a prefill of prompt segments is sent to an engine. */
   readonly onPrefillStart: (
--- a/packages/relay/src/relay/request-runner.ts
+++ b/packages/relay/src/relay/request-runner.ts
@@ -12,6 +12,7 @@
 import { runCheckedSend } from './checked-send.js';
 import { computeMaxEventMs } from './event-stall.js';
 import { RequestForwarding } from './request-forwarding.js';
+import { StreamOriginTeller } from './stream-origin-teller.js';
 import type { ServiceState } from './service-state.js';
 import {
   createTargetFailure,
@@ -121,20 +122,9 @@
     this.context.failRequest(failure);
   }
 
-  /**
-   * Tells the other instances where the stream begins, before its first event, so that
-   * its caller can take it up again at any of them. Nothing is told if the target may be
-   * of another software version than its registration says; returns false then.
-   */
-  protected recordOrigin(record: TargetRecord): boolean {
-    if (!this.dependencies.targetClient.isIncarnationKnown(record))
-      return false;
-    const { request, route } = this.context;
-    if (route.kind !== 'stream' || !route.resumable) return true;
-    const { service, softwareVersion } = record;
-    const firstRequest = request.resumedRequestId ?? request.id;
-    this.dependencies.onStreamBegin(firstRequest, { service, softwareVersion });
-    return true;
+  /** Begins a send to the target of which it may become known where the stream began. */
+  protected beginOrigin(record: TargetRecord): StreamOriginTeller {
+    return new StreamOriginTeller(this.dependencies, this.context, record);
   }
 
   /**
