--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -97,6 +97,7 @@
 export * from './target/http-target-factory.js';
 // Table client, configuration and leases
 export * from './shared/run-catching.js';
+export * from './shared/socket-address.js';
 export * from './table/random-token.js';
 export * from './table/commit-with-retry.js';
 export * from './table/call-rate-limiter.js';
