Keep the links to other instances beside odd entries of instances

The row of an instance needed a text as its address only. An answer to a heartbeat that can't be read threw as well, and left its link waiting for ever, so that the instance was neither asked again nor suspected.

Addresses are now checked where rows and messages are decoded; a record that can't be read does not hide the others in its message; an answer that can't be read counts as none; and a round of the task that fails is logged and followed by the next one.

--- a/packages/core/src/membership/instance-record.ts
+++ b/packages/core/src/membership/instance-record.ts
@@ -1,6 +1,8 @@
 /** Records of entry instances, which instances exchange in heartbeats. */
 import { z } from 'zod';
 
+import { socketAddressSchema } from '../shared/socket-address.js';
+
 /**
  * `suspected` means that heartbeats are missing; the instance may still be
  * running.
@@ -14,7 +16,7 @@
   dataCenter: z.string().min(1),
   incarnation: z.string().min(1),
   /** Peer address, `host:port`. */
-  address: z.string().min(1),
+  address: socketAddressSchema,
   state: instanceStateSchema,
   /** Configuration revision in force at the instance. */
   revision: z.number().int().nonnegative(),
@@ -28,6 +30,14 @@
 });
 export type InstanceRecord = z.infer<typeof instanceRecordSchema>;
 
+/** Records in a message; one that can't be read does not hide the others. */
+export const instanceRecordsSchema = z.array(z.unknown()).transform(values =>
+  values.flatMap(value => {
+    const { data } = instanceRecordSchema.safeParse(value);
+    return data === undefined ? [] : [data];
+  }),
+);
+
 /** True if `candidate` is newer than `current` and replaces it. */
 export const isNewerRecord = (
   candidate: InstanceRecord,
--- a/packages/core/src/membership/peer-mesh.ts
+++ b/packages/core/src/membership/peer-mesh.ts
@@ -9,7 +9,10 @@
 import type { Log } from '../shared/log.js';
 import { addJitter, sleep } from '../shared/time.js';
 
-import { instanceRecordSchema } from './instance-record.js';
+import {
+  instanceRecordSchema,
+  instanceRecordsSchema,
+} from './instance-record.js';
 import type { InstanceRecord } from './instance-record.js';
 import type { InstanceRegistry } from './instance-registry.js';
 import { selectLinkedInstances } from './link-selection.js';
@@ -30,7 +33,7 @@
 
 const heartbeatSchema = z.object({
   self: instanceRecordSchema,
-  records: z.array(instanceRecordSchema),
+  records: instanceRecordsSchema,
   /** Position of the receiver's registry up to which the sender has records. */
   known: z
     .object({ incarnation: z.string(), position: z.number().int() })
@@ -40,7 +43,7 @@
 
 const heartbeatReplySchema = z.object({
   self: instanceRecordSchema,
-  records: z.array(instanceRecordSchema),
+  records: instanceRecordsSchema,
   position: z.number().int(),
 });
 
@@ -135,11 +138,21 @@
   async maintainUntilStopped(): Promise<void> {
     const { signal } = this.#stopping;
     while (!signal.aborted) {
+      await this.#maintainLinks();
+      await sleep(addJitter(heartbeatIntervalMs, this.#options.random), signal);
+    }
+  }
+
+  /** Runs one round, whose failure must not end those that follow. */
+  async #maintainLinks(): Promise<void> {
+    try {
       this.#reconcileLinks();
       // All in one turn of the event loop, so that one wake-up serves many links.
       for (const link of this.#links.values()) this.#maintainLink(link);
       await this.#contactSeeds();
-      await sleep(addJitter(heartbeatIntervalMs, this.#options.random), signal);
+    } catch (error) {
+      const reason = String(error);
+      this.#options.log.writeEvent('step_failed', { step: 'links', reason });
     }
   }
 
@@ -263,7 +276,7 @@
     });
     const reply = result
       .toMaybe()
-      .map(value => heartbeatReplySchema.parse(value));
+      .chainNullable(value => heartbeatReplySchema.safeParse(value).data);
     link.hasFailed = reply.isNothing();
     reply.ifJust(({ self, records, position: peerPosition }) => {
       link.sentPosition = position;
--- a/packages/relay/src/peers/instance-directory.test.ts
+++ b/packages/relay/src/peers/instance-directory.test.ts
@@ -38,3 +38,55 @@
     t.deepEqual(first.instanceNames, ['one', 'two']);
   },
 );
+
+test.serial(
+  'an odd row of an instance is logged and gives no address to contact',
+  async t => {
+    const clock = FakeTimers.install({ now: 0 });
+    const stop = new AbortController();
+    t.teardown(() => {
+      stop.abort();
+      clock.uninstall();
+    });
+    const table = new MemoryTable();
+    const values = [
+      { address: '10.0.0.1:65536' },
+      { address: '10.0.0.1' },
+      { address: 'a b:1' },
+      { address: 1e308 },
+      'text',
+      null,
+    ];
+    const writeRow = (name: string, value: unknown) =>
+      table.commitTransaction({
+        token: name,
+        writes: [
+          {
+            kind: 'put',
+            key: { partition: 'instances', sort: name },
+            condition: { kind: 'any' },
+            value,
+          },
+        ],
+      });
+    for (const [i, value] of values.entries()) await writeRow(`${i}`, value);
+    await writeRow('two', { address: '10.0.0.1:2' });
+    const log = createMemoryLog();
+    const directory = new InstanceDirectory({
+      table,
+      name: 'one',
+      address: '10.0.0.1:1',
+      random: () => 0,
+      log,
+    });
+    void directory.run(stop.signal);
+    await clock.tickAsync(3_000);
+    t.deepEqual(directory.peerAddresses, ['10.0.0.1:2']);
+    t.deepEqual(
+      log.entries
+        .filter(({ name }) => name === 'row_unreadable')
+        .map(({ fields }) => fields.row),
+      values.map((_, i) => `${i}`),
+    );
+  },
+);
--- a/packages/relay/src/peers/instance-directory.ts
+++ b/packages/relay/src/peers/instance-directory.ts
@@ -8,6 +8,7 @@
   createRandomToken,
   commitWithRetry,
   sleep,
+  socketAddressSchema,
 } from '@medlarlever/core';
 import type { Log, Table } from '@medlarlever/core';
 import { z } from 'zod';
@@ -21,7 +22,7 @@
 const refreshIntervalMs = 20_000;
 const retryIntervalMs = 2_000;
 
-const instanceRowSchema = z.object({ address: z.string().min(1) });
+const instanceRowSchema = z.object({ address: socketAddressSchema });
 
 /** Dependencies and identity for {@link InstanceDirectory}. */
 export interface InstanceDirectoryOptions {
