Read the system's own rows beside those of another writer

Each read of the system's own table covers a range, and one row in it that could not be decoded failed the whole read: the instances were not found (the scan of 'instances' was repeated for ever), usage was not reported, and a transaction failed if the row lay between its keys.

A row that a call asks for still fails that call, as what it held is unknown: an unreadable lease is not taken for a free one.

--- a/packages/relay/src/usage/usage-rows.ts
+++ b/packages/relay/src/usage/usage-rows.ts
@@ -47,7 +47,8 @@
   const stateRow = rows.find(({ sort }) => sort === stateKey.sort);
   const reports = rows
     .filter(({ sort }) => sort.startsWith(reportPrefix))
-    .map(({ value }) => reportSchema.parse(value));
+    // A row of another process must not keep the reports from being sent.
+    .flatMap(({ value }) => reportSchema.safeParse(value).data ?? []);
   return {
     state: stateRow && stateSchema.parse(stateRow.value),
     stateVersion: stateRow?.version,
