Refuse no body that came in time because the instance stood still

After a standstill, callers and instances that hand requests over (3 s at the latter) got status 408 for bodies that had come in time. These refusals were true, but nothing was wrong with the requests.

Cause: as with late heads, the timer of the pause runs before the sockets are read.

Evidence, on a real socket: 'a body that waited while the instance stood still is read' failed before with 'HTTP/1.1 408 Request Timeout' instead of 200. 'a body that is completed after its refusal is not run' passed before as well and guards the promise of the refusal.

When the timer fires, the reader now reads what waits first, and refuses only if nothing has come.

--- a/packages/relay/src/server/body-reader.ts
+++ b/packages/relay/src/server/body-reader.ts
@@ -5,6 +5,8 @@
 import { Left, Right } from 'purify-ts';
 import type { Either } from 'purify-ts';
 
+import { waitForPendingReads } from '../shared/pending-reads.js';
+
 /** Maximum number of body bytes buffered for all requests together. */
 const maxBufferedBytes = 64 * 1024 * 1024;
 
@@ -74,9 +76,12 @@
         else if (this.#bufferedBytes > this.#maxBufferedBytes)
           finish(Left(createOverloadedFailure(this.#maxBufferedBytes)));
       };
-      const timer = setTimeout(() => {
-        finish(Left(createTimeoutFailure()));
-      }, limits.maxPauseMs);
+      const finishIfLate = async () => {
+        const knownSize = size;
+        await waitForPendingReads();
+        if (size === knownSize) finish(Left(createTimeoutFailure()));
+      };
+      const timer = setTimeout(() => void finishIfLate(), limits.maxPauseMs);
       message.on('data', onData);
       message.once('end', () => {
         finish(Right(Buffer.concat(chunks)));
--- a/packages/relay/src/server/caller-connections.test.ts
+++ b/packages/relay/src/server/caller-connections.test.ts
@@ -276,3 +276,36 @@
     t.true(received.isClosed, 'idle connections are closed all the same');
   },
 );
+
+// Guards against refusing a body that came in time, when the instance was late itself.
+test.serial(
+  'a body that waited while the instance stood still is read',
+  async t => {
+    const { port, ran } = await openServer(t);
+    const { socket, received } = await openConnection(t, port);
+    socket.write(createHead('/body', 'content-length: 6\r\n'));
+    await pause(50);
+    writeNow(t, socket, 'abcdef');
+    standStill(idleTimeoutMs + 200);
+    await waitFor(() => received.text !== '' || received.isClosed);
+    t.regex(received.text, /^HTTP\/1.1 200 /);
+    t.deepEqual(ran, ['/body']);
+  },
+);
+
+// Guards against running a request whose body was refused as late.
+test.serial(
+  'a body that is completed after its refusal is not run',
+  async t => {
+    const { port, ran } = await openServer(t);
+    const { socket, received } = await openConnection(t, port);
+    socket.write(createHead('/body', 'content-length: 6\r\n'));
+    await waitFor(() => received.text !== '');
+    t.regex(received.text, /^HTTP\/1.1 408 /);
+    const next = createHead('/next', 'content-length: 0\r\n');
+    socket.write(`abcdef${next}`);
+    await waitFor(() => received.isClosed);
+    await pause(50);
+    t.deepEqual(ran, []);
+  },
+);
