Run no request that its sender gave up before it was read

When the caller leaves or the deadline passes, the handing instance closes the connection. An instance that stood still meanwhile, by less than the 500 ms at which it refuses, ran the request all the same: nobody gets its answer, and a caller that tries again has a second run beside it.

Cause: request and close wait in the socket together, and the request runs as soon as its body is read, before the close is.

Evidence, on a real socket: 'a request that its sender has given up before it was read is not run' failed before: the outcome was 'answered', expected 'caller_gone'.

The handler now waits for pending reads before it runs a request, which takes two turns of the event loop, as the server for callers does.

--- a/packages/relay/src/forwarding/forwarded-request-handler.ts
+++ b/packages/relay/src/forwarding/forwarded-request-handler.ts
@@ -10,6 +10,7 @@
 import { BodyReader } from '../server/body-reader.js';
 import { HttpCaller } from '../server/http-caller.js';
 import type { RequestDrainer } from '../server/request-drainer.js';
+import { waitForPendingReads } from '../shared/pending-reads.js';
 
 import {
   answerResult,
@@ -69,6 +70,8 @@
     const bytes = body.unsafeCoerce();
     try {
       const request = decodeRequest(bytes, from);
+      // The sender may have given up while this instance did not read.
+      await waitForPendingReads();
       if (request.isLeft()) caller.sendFailure(request.extract());
       else await relay.serve(request.unsafeCoerce(), caller);
     } finally {
--- a/packages/relay/src/forwarding/request-forwarding.test.ts
+++ b/packages/relay/src/forwarding/request-forwarding.test.ts
@@ -1,4 +1,5 @@
 /** Requests that one instance hands to another over HTTP. */
+import { execFileSync } from 'node:child_process';
 import { createServer } from 'node:http';
 import type { ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
@@ -20,6 +21,7 @@
 import type { CallerSink } from '../relay/response-sinks.js';
 import type { Route } from '../routes/route-configuration.js';
 
+import { encodeForwardedRequest, forwardPath } from './forwarded-request.js';
 import { HttpRequestForwarder } from './http-request-forwarder.js';
 import { chooseNeighbor } from './neighbor-selection.js';
 
@@ -298,6 +300,42 @@
   t.is(caller.failure, undefined);
 });
 
+/**
+ * Sends a request to the peer interface and disconnects in a child process, and blocks until
+ * that process ends. Both have thus arrived before this process reads anything.
+ */
+const handOverAndDisconnect = (address: string): void => {
+  const [host = '', port = ''] = address.split(':');
+  const message = encodeForwardedRequest(createRequest(), 1_000, undefined);
+  const body = JSON.stringify(message);
+  const head = [
+    `POST ${forwardPath} HTTP/1.1`,
+    `host: ${address}`,
+    `content-length: ${Buffer.byteLength(body)}`,
+  ];
+  const script = `
+    const socket = require('node:net').connect(${port}, '${host}');
+    socket.end(process.argv[1]);
+    socket.on('finish', () => setTimeout(() => process.exit(0), 200));
+  `;
+  const bytes = `${head.join('\r\n')}\r\n\r\n${body}`;
+  execFileSync(process.execPath, ['-e', script, bytes]);
+};
+
+// Guards against running what an instance that stood still was asked for and isn't any more.
+test('a request that its sender has given up before it was read is not run', async t => {
+  const deployment = new FakeDeployment();
+  const [other] = await startInstances(t, ['other'], {}, deployment);
+  const [record] = deployment.instanceRecords;
+  if (other === undefined || record === undefined) return t.fail();
+  const ended = () =>
+    other.log.entries.find(({ name }) => name.startsWith('request_'));
+  handOverAndDisconnect(record.address);
+  while (ended() === undefined) await pause(5);
+  t.is(ended()?.fields.outcome, 'caller_gone');
+  t.is(other.client.sends.length, 0);
+});
+
 test('a refusal of the other instance comes back with its number and time', async t => {
   const [cut, other] = await startInstances(t, ['cut', 'other']);
   if (cut === undefined || other === undefined) return t.fail();
