Let callers get the refusal of a body that they still send

A caller whose body was refused before it was read to its end (429 for want of memory, 408, 413) saw a reset connection. It can't try a request again that way, though the refusal says that it may.

Cause: Node destroys the connection when an answer with 'Connection: close' has been written. A connection that is closed with unread data is reset, and the caller's system drops what it has received and not read.

Evidence, on a real socket: 'a caller that still sends its body gets the refusal of it' failed before: 'write EPIPE', no byte of the answer; expected 413.

The refusal is written at once, and the answer ends when the rest of the body has been read and discarded, or after a second. Nothing of it is kept in memory.

--- a/packages/relay/src/server/caller-connections.test.ts
+++ b/packages/relay/src/server/caller-connections.test.ts
@@ -309,3 +309,27 @@
     t.deepEqual(ran, []);
   },
 );
+
+// Guards against a refusal that is lost because the rest of the body is not read.
+test.serial(
+  'a caller that still sends its body gets the refusal of it',
+  async t => {
+    const { port, ran } = await openServer(t);
+    const { socket, received } = await openConnection(t, port);
+    const bodyBytes = 16 * 1024 * 1024;
+    let error = '';
+    socket.on('error', ({ message }) => {
+      error = message;
+    });
+    socket.write(createHead('/long', `content-length: ${bodyBytes}\r\n`));
+    // The caller reads only once it has sent all.
+    socket.pause();
+    const chunk = Buffer.alloc(64 * 1024, 'b');
+    for (let sent = 0; sent < bodyBytes && error === ''; sent += chunk.length)
+      if (!socket.write(chunk)) await pause(1);
+    socket.resume();
+    await waitFor(() => received.isClosed);
+    t.regex(received.text, /^HTTP\/1.1 413 /);
+    t.deepEqual(ran, []);
+  },
+);
--- a/packages/relay/src/server/http-caller.ts
+++ b/packages/relay/src/server/http-caller.ts
@@ -6,7 +6,7 @@
 import { Caller } from '../requests/relay-request.js';
 import type { ResponseHead } from '../requests/relay-request.js';
 
-import { sendFailureResponse } from './failure-response.js';
+import { discardBody, sendFailureResponse } from './failure-response.js';
 
 /** Options of a {@link HttpCaller}. */
 export interface HttpCallerOptions {
@@ -123,10 +123,10 @@
 
   /**
    * Sends a failure for a request whose body was not read completely, and closes
-   * the connection.
+   * the connection once the caller has sent the rest, or after a second.
    */
   refuseAndClose(failure: Failure): void {
-    this.#sendFailure(failure, true);
+    this.#sendFailure(failure, true, discardBody(this.#response.req));
   }
 
   #createResultHeader(result: 'answer' | 'failure'): string[] {
@@ -136,11 +136,16 @@
       : [resultHeader.name, resultHeader[result]];
   }
 
-  #sendFailure(failure: Failure, closesConnection: boolean): void {
+  #sendFailure(
+    failure: Failure,
+    closesConnection: boolean,
+    endsAfter?: Promise<void>,
+  ): void {
     this.#hasStarted = true;
     sendFailureResponse(this.#response, failure, {
       headers: this.#createResultHeader('failure'),
       closesConnection,
+      endsAfter,
     });
   }
 }
--- a/packages/relay/src/server/relay-controller.ts
+++ b/packages/relay/src/server/relay-controller.ts
@@ -14,7 +14,7 @@
 
 import type { BodyReader } from './body-reader.js';
 import type { CallerConnections } from './caller-connections.js';
-import { sendFailureResponse } from './failure-response.js';
+import { discardBody, sendFailureResponse } from './failure-response.js';
 import type { RequestDrainer } from './request-drainer.js';
 import { HttpCaller } from './http-caller.js';
 import type { EventLoopDelayMonitor } from './event-loop-delay-monitor.js';
@@ -113,8 +113,10 @@
       url,
     }));
     if (failure === undefined) return false;
+    const closesConnection = drainer.isClosing;
     sendFailureResponse(response, failure, {
-      closesConnection: drainer.isClosing,
+      closesConnection,
+      endsAfter: closesConnection ? discardBody(message) : undefined,
     });
     return true;
   }
