Count a version that came and went while the targets were not read

Callers saw a stream that had begun at v2 go on with events of v1 at an instance that had stood still.

Cause: before an only version is assumed, the list of targets was read anew. A list shows the targets that are left; if those of v2 had left or crashed by then, v1 looked like the only version. The changes held the removal of a row that was never seen, which the registry ignored. The same held for what came and went in a history that the store no longer had (410), and between a page of changes and a list that was read beside it.

The changes since the last page are read now and not the list, from the store itself also where an aggregator sends pages. A new removal of a row that was never seen, and each list, begin the history of versions anew; a history that is shorter than streams last gives no only version, so that peers are asked and the stream is refused otherwise.

The tests of the watcher for an unseen row, 410 and failed reads are of new methods and have not failed before.

--- a/packages/relay/src/change-streams/change-stream.ts
+++ b/packages/relay/src/change-streams/change-stream.ts
@@ -52,6 +52,9 @@
  */
 export type ChangesResult = ChangePage | 'expired';
 
+/** Wait of a read for changes that is to be answered at once. */
+const shortestWaitMs = 1;
+
 /** Change stream of one platform table; the platform adapter implements it. */
 export abstract class ChangeStream {
   /** Name of the table, for log events. */
@@ -67,6 +70,11 @@
     waitMs: number,
   ): Promise<Either<Failure, ChangesResult>>;
 
+  /** Returns the changes after position `after` at once, as the platform knows them now. */
+  listChanges(after: StreamPosition): Promise<Either<Failure, ChangesResult>> {
+    return this.waitForChanges(after, shortestWaitMs);
+  }
+
   /** Removes what no instance may keep from a row that another instance has passed on. */
   removeSecrets(row: ChangedRow): ChangedRow {
     return row;
--- a/packages/relay/src/change-streams/shared-change-stream.test.ts
+++ b/packages/relay/src/change-streams/shared-change-stream.test.ts
@@ -107,6 +107,18 @@
   },
 );
 
+// Guards against changes that are believed to be all, though the aggregator's page is old.
+test.serial(
+  'a read of the changes asks the platform, whatever the aggregator has sent',
+  async t => {
+    const { changeStream, sharedStream } = setUp(t);
+    sharedStream.receivePage(createPage(3, 3));
+    changeStream.rows = [createRow('r4', 4)];
+    const changes = (await sharedStream.listChanges(at(3))).unsafeCoerce();
+    t.is(changes === 'expired' ? '' : changes.rows[0]?.key, 'r4');
+  },
+);
+
 test.serial('missed changes are fetched from the platform at once', async t => {
   const { clock, changeStream, sharedStream } = setUp(t);
   sharedStream.receivePage(createPage(3, 3));
--- a/packages/relay/src/change-streams/shared-change-stream.ts
+++ b/packages/relay/src/change-streams/shared-change-stream.ts
@@ -66,6 +66,13 @@
     return this.#options.changeStream.listRows();
   }
 
+  /** Asks the platform itself, as an aggregator's pages may be a second old. */
+  override listChanges(
+    after: StreamPosition,
+  ): Promise<Either<Failure, ChangesResult>> {
+    return this.#options.changeStream.listChanges(after);
+  }
+
   override async waitForChanges(
     after: StreamPosition,
     waitMs: number,
--- a/packages/relay/src/change-streams/table-watcher.test.ts
+++ b/packages/relay/src/change-streams/table-watcher.test.ts
@@ -92,6 +92,16 @@
   return { clock, changeStream, log, appliedChanges, snapshots, watcher };
 };
 
+/** Reads the changes beside the watch. */
+const catchUp = async (
+  clock: { tickAsync: (ms: number) => Promise<number> },
+  watcher: TableWatcher,
+): Promise<boolean> => {
+  const isCaughtUp = watcher.catchUp();
+  await clock.tickAsync(5);
+  return isCaughtUp;
+};
+
 test.serial(
   'a row that cannot be applied stops neither the others nor the watcher',
   async t => {
@@ -262,3 +272,58 @@
     t.is(watcher.knownUntilMs, Infinity);
   },
 );
+
+// Guards against a version that served for a moment and is not counted, as no read showed it.
+test.serial(
+  'a row that came and went between two reads begins the history anew',
+  async t => {
+    const { clock, changeStream, watcher } = setUp(t);
+    changeStream.rows = [createRow('a', 1)];
+    await clock.tickAsync(2_000);
+    t.true(watcher.historyMs > 1_800);
+    // The removal of a row that was seen says nothing new.
+    changeStream.rows = [{ key: 'a', version: 2, value: undefined }];
+    await clock.tickAsync(200);
+    t.true(watcher.historyMs > 2_000);
+    changeStream.rows.push({ key: 'b', version: 4, value: undefined });
+    t.true(await catchUp(clock, watcher));
+    t.true(watcher.historyMs < 200);
+    t.true(watcher.knownForMs > 2_000);
+    await clock.tickAsync(1_000);
+    t.true(watcher.historyMs > 900);
+  },
+);
+
+// Guards against a version that is not counted, as it came and went in a history that the
+// store no longer had.
+test.serial('an expired change history begins the history anew', async t => {
+  const { clock, changeStream, watcher } = setUp(t);
+  changeStream.rows = [createRow('a', 1)];
+  await clock.tickAsync(2_000);
+  changeStream.state = 'expired';
+  t.false(await catchUp(clock, watcher));
+  changeStream.state = 'expired';
+  await clock.tickAsync(400);
+  t.true(watcher.isConnected);
+  t.true(watcher.historyMs < 400);
+  await clock.tickAsync(1_000);
+  t.true(watcher.historyMs > 900);
+});
+
+test.serial(
+  'changes that can not be read, or not on from the last page, are not known',
+  async t => {
+    const { clock, changeStream, appliedChanges, watcher } = setUp(t);
+    t.false(await catchUp(clock, watcher));
+    changeStream.rows = [createRow('a', 1)];
+    await clock.tickAsync(200);
+    changeStream.rows = [createRow('a', 1), createRow('b', 2)];
+    t.true(await catchUp(clock, watcher));
+    t.is(appliedChanges.at(-1), 'b=v');
+    changeStream.state = 'down';
+    t.false(await catchUp(clock, watcher));
+    changeStream.state = 'up';
+    changeStream.era = 1;
+    t.false(await catchUp(clock, watcher));
+  },
+);
--- a/packages/relay/src/change-streams/table-watcher.ts
+++ b/packages/relay/src/change-streams/table-watcher.ts
@@ -73,6 +73,8 @@
   #lastSuccessMs = -Infinity;
   /** Value of `knownUntilMs` since the last outage or restore, until it is settled. */
   #knownBeforeDoubtMs = Infinity;
+  /** Monotonic time since which no row can have come and gone unseen. */
+  #historySinceMs = -Infinity;
   /** Monotonic time since which no query has failed; undefined while they fail. */
   #connectedSinceMs: number | undefined;
 
@@ -107,6 +109,14 @@
     return performance.now() - this.#connectedSinceMs;
   }
 
+  /**
+   * Time for which each row that there was has been seen; 0 while changes are not known. A
+   * list shows only the rows that are left.
+   */
+  get historyMs(): number {
+    return Math.min(this.knownForMs, performance.now() - this.#historySinceMs);
+  }
+
   /** Position up to which the changes are known; undefined before the first read. */
   get lastPosition(): StreamPosition | undefined {
     return this.#lastPosition;
@@ -141,6 +151,22 @@
     return snapshot.isRight();
   }
 
+  /**
+   * Reads the changes since the last page, beside the watch, and applies them. Returns
+   * whether all changes up to the call are known then.
+   */
+  async catchUp(): Promise<boolean> {
+    const after = this.#lastPosition;
+    if (after === undefined) return false;
+    const changes = await this.#options.changeStream.listChanges(after);
+    const page = changes.orDefault('expired');
+    // The watch may have found meanwhile that it has to read the whole table.
+    const isContinued = this.#lastPosition?.era === after.era;
+    if (page === 'expired' || !isContinued) return false;
+    this.#applyPage(page);
+    return true;
+  }
+
   /** Watches the table until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
@@ -198,6 +224,7 @@
    */
   #applySnapshot(page: ChangePage, afterOutage: boolean): void {
     const afterRestore = this.#beginEra(page.position.era);
+    this.#historySinceMs = performance.now();
     const newestVersion = Math.max(0, ...this.#versionsByKey.values());
     this.#applyPage(page, afterRestore);
     if (page.position.version < newestVersion) return;
@@ -241,6 +268,7 @@
   #applyRow(row: ChangedRow, afterRestore: boolean): void {
     const knownVersion = this.#versionsByKey.get(row.key) ?? -1;
     if (row.version <= knownVersion) return;
+    if (row.value === undefined) this.#checkHistory(row);
     this.#versionsByKey.set(row.key, row.version);
     if (row.value === undefined) this.#removedKeys.add(row.key);
     else this.#removedKeys.delete(row.key);
@@ -253,6 +281,13 @@
     });
   }
 
+  /** A removed row that was never seen came and went between two reads. */
+  #checkHistory({ key, version }: ChangedRow): void {
+    const isNew = version > (this.#lastPosition?.version ?? 0);
+    if (isNew && !this.#versionsByKey.has(key))
+      this.#historySinceMs = performance.now();
+  }
+
   #beginDoubt(): void {
     if (this.knownUntilMs === Infinity)
       this.#knownBeforeDoubtMs = this.#lastSuccessMs;
--- a/packages/relay/src/origins/stream-origin-finder.ts
+++ b/packages/relay/src/origins/stream-origin-finder.ts
@@ -40,8 +40,9 @@
    */
   readonly findOnlyVersion: (service: string) => string | undefined;
   /**
-   * Reads the list of targets anew; resolves to false if that fails. What is known
-   * otherwise may be seconds old, and the stream may have begun since at a new version.
+   * Reads the changes of the list of targets; resolves to false if that fails. What is
+   * known otherwise may be seconds old, and the stream may have begun since at a version
+   * that is new, or that is gone again.
    */
   readonly refreshTargets: () => Promise<boolean>;
 }
--- a/packages/relay/src/peers/app.ts
+++ b/packages/relay/src/peers/app.ts
@@ -179,13 +179,13 @@
 
 const createStreamOriginFinder = (kernel: Kernel): StreamOriginFinder => {
   const targetWatcher = kernel.get(targetWatcherToken);
-  const targetRefresh = new CoalescedCall(() => targetWatcher.readNow());
+  const targetRefresh = new CoalescedCall(() => targetWatcher.catchUp());
   return new StreamOriginFinder({
     origins: kernel.get(streamOriginsToken),
     listPeers: () => listOriginKeepers(kernel),
     findOnlyVersion: service =>
       kernel.get(targetRegistryToken).findOnlyVersion(service, {
-        knownForMs: targetWatcher.knownForMs,
+        knownForMs: targetWatcher.historyMs,
         streamLifetimeMs: computeStreamLifetimeMs(
           kernel.get(routesToken).currentTable?.getLongestTimeoutMs(service),
         ),
--- a/packages/relay/src/targets/software-versions.ts
+++ b/packages/relay/src/targets/software-versions.ts
@@ -16,7 +16,7 @@
 
 /** How long the versions of a service must have been known. */
 export interface VersionHistory {
-  /** Time for which the list of targets has been complete. */
+  /** Time for which each target that there was has been known. */
   readonly knownForMs: number;
   /** Time after which a stream of the service has ended. */
   readonly streamLifetimeMs: number;
