Let no target that was tried before tell where a handed-over stream began

A plain stream that was tried at a target and then handed to another instance told the origin of the target that it had tried.

--- a/packages/relay/src/relay/plain-request-runner.ts
+++ b/packages/relay/src/relay/plain-request-runner.ts
@@ -48,6 +48,7 @@
         this.failRequest(context.createDeadlineFailure());
         return;
       }
+      this.#onEvent = () => undefined;
       if (await this.tryForward(this.#createResponseSink())) return;
       const target = this.#chooseTarget();
       if (target === undefined) {
