End a stream before the events of a target that has restarted since the send

Callers saw a stream of v1 go on with events of v2, where an instance that stood still, or whose changes came late, sent the rest of it to a target that had restarted under its id.

Cause: the version is that of the registration at the send. A newer one that arrived before the first event changed nothing: the event was passed on, and a new stream got the old version as its origin.

With the first event of each send, the registration of the target must still be that of the send. Else a new stream has no origin, and a stream that goes on ends before that event: it breaks off, or the request gets target_failed with 'executed: unknown'. An event of the old process can't come after the registration of the new one, except for bytes that were under way, where ending is safe too.

Evidence: four new tests of told-origins.test.ts failed before (within one answer the caller got id 2 of v2; taken up with and without a prompt; the origin of a new stream) and pass.

--- a/packages/relay/src/origins/told-origins.test.ts
+++ b/packages/relay/src/origins/told-origins.test.ts
@@ -5,7 +5,10 @@
 import test from 'ava';
 
 import { createConnectedRelay } from '../fixtures/connected-relay.js';
-import { sendIncompleteResponse } from '../fixtures/fake-target-client.js';
+import {
+  sendCompleteResponse,
+  sendIncompleteResponse,
+} from '../fixtures/fake-target-client.js';
 import { FakeDeployment } from '../fixtures/fake-topology.js';
 import {
   createPrompt,
@@ -155,3 +158,120 @@
   );
   t.true(resumedCount > 100, `${resumedCount} sends of streams taken up`);
 });
+
+/** Registers the target anew, as after a start with another software version. */
+const restartTarget = (
+  { targetRegistry }: ReturnType<typeof createTestRelay>,
+  id: string,
+  softwareVersion: string,
+) => {
+  const [record] = createRecords([id]);
+  if (record === undefined) return;
+  targetRegistry.registerTarget({ ...record, softwareVersion, startedAtMs: 2 });
+};
+
+// Guards against a stream that is told to be of the version that its target had before.
+test('a stream has no origin if its target restarts while its first event is awaited', async t => {
+  const relay = createTestRelay({
+    route,
+    targets: createRecords(['d1', 'd3']),
+  });
+  relay.client.onSend = ({ id }, _options, sink) => {
+    restartTarget(relay, id, 'v2');
+    return Promise.resolve(sendIncompleteResponse(sink, firstEvent));
+  };
+  const caller = await relay.serve({ id: 'a1', prompt });
+  t.is(caller.text, firstEvent);
+  t.true(caller.isAborted);
+  t.is(relay.client.sends.length, 1);
+  t.is(relay.origins.find('a1'), undefined);
+});
+
+// Guards against events of two versions, where an instance hears of a restart in place just
+// after it has sent the rest of a stream to the target.
+test('a stream within one answer ends before the events of a target that has restarted', async t => {
+  const relay = createTestRelay({
+    route,
+    targets: createRecords(['d1', 'd3']),
+  });
+  relay.client.onSend = ({ id }, _options, sink) => {
+    const isFirst = relay.client.sends.length === 1;
+    if (!isFirst) restartTarget(relay, id, 'v2');
+    const text = isFirst ? firstEvent : 'id: 2\ndata: b\n\n';
+    return Promise.resolve(sendIncompleteResponse(sink, text));
+  };
+  const caller = await relay.serve({ id: 'a1', prompt });
+  t.is(relay.client.sends.length, 2);
+  t.is(caller.text, firstEvent);
+  t.true(caller.isAborted);
+  t.is(relay.origins.find('a1')?.softwareVersion, 'v1');
+});
+
+// Guards against the same where a caller takes the stream up, also at a service without engines.
+for (const hasPrompt of [true, false]) {
+  test(`a stream that is taken up gets no events of a target that has restarted, ${hasPrompt ? 'with' : 'without'} a prompt`, async t => {
+    const services = [{ name: hasPrompt ? 'engines' : 'api', weight: 1 }];
+    const service = hasPrompt ? 'engines' : 'api';
+    const targets = createRecords(['d1']).map(record =>
+      hasPrompt ? record : { ...record, service, role: undefined },
+    );
+    const relay = createTestRelay({ route: { ...route, services }, targets });
+    relay.origins.record('a1', { service, softwareVersion: 'v1' });
+    relay.client.onSend = (record, _options, sink) => {
+      relay.targetRegistry.registerTarget({
+        ...record,
+        softwareVersion: 'v2',
+        startedAtMs: 2,
+      });
+      return Promise.resolve(sendCompleteResponse(sink, 'id: 2\n\n'));
+    };
+    const caller = await relay.serve({
+      id: 'a2',
+      ...resumption,
+      prompt: hasPrompt ? prompt : undefined,
+    });
+    t.is(relay.client.sends.length, 1);
+    t.is(caller.text, '');
+    t.is(caller.failure?.code, 'target_failed');
+    t.is(caller.failure?.executed, 'unknown');
+    t.is(relay.origins.find('a1')?.softwareVersion, 'v1');
+  });
+}
+
+// Guards against a sender that tells the target that it tried before it handed the stream over.
+test('a stream that is handed over has the origin of the instance that serves it', async t => {
+  const deployment = new FakeDeployment();
+  const stop = new AbortController();
+  t.teardown(() => {
+    stop.abort();
+  });
+  const startInstance = (self: string, ids: readonly string[]) => {
+    const targets = createRecords(ids).map(record => ({
+      ...record,
+      service: 'api',
+      role: undefined,
+    }));
+    const services = [{ name: 'api', weight: 1 }];
+    const options = { self, route: { ...route, services }, targets };
+    return createConnectedRelay(options, deployment, stop.signal);
+  };
+  const one = await startInstance('one', ['d1', 'd3']);
+  const two = await startInstance('two', ['d2']);
+  one.client.probeResult = 'unreached';
+  one.client.onSend = target => {
+    one.dependencies.targetLink.recordFailure(target);
+    return Promise.resolve({
+      kind: 'broken',
+      phase: 'connecting',
+      reason: 'refused',
+    });
+  };
+  two.client.onSend = (_target, _options, sink) =>
+    Promise.resolve(sendCompleteResponse(sink, firstEvent));
+  const caller = await one.serve({ id: 'a1' });
+  t.is(caller.text, firstEvent);
+  t.true(one.client.sends.length > 0);
+  await pause(reportWaitMs);
+  for (const { origins } of [one, two])
+    t.is(origins.find('a1')?.softwareVersion, 'v2');
+});
--- a/packages/relay/src/relay/generation-runner.ts
+++ b/packages/relay/src/relay/generation-runner.ts
@@ -73,7 +73,7 @@
    * Called for each write of event data; the first call shows that the prefill
    * is complete.
    */
-  #onEvent: () => void = () => undefined;
+  #onEvent: () => boolean = () => true;
 
   constructor(
     dependencies: RelayDependencies,
@@ -98,7 +98,7 @@
     const { route, caller } = context;
     const onBytes = () => {
       context.recordFirstBytes();
-      this.#onEvent();
+      return this.#onEvent();
     };
     const acceptsStatus = (status: number) =>
       caller.hasStarted
@@ -142,7 +142,7 @@
         return;
       }
       if (this.#isRefused()) return;
-      this.#onEvent = () => undefined;
+      this.#onEvent = () => true;
       if (await this.tryForward(this.#responseSink)) {
         this.#releaseKvCache();
         return;
@@ -454,6 +454,7 @@
       dependencies.promptQuarantine.recordAnswer(this.#sharedParts);
     });
     this.#onEvent = () => {
+      if (!this.acceptEvents(originTeller)) return false;
       this.#recordOrigin(originTeller.recordEvent());
       eventGapMeter.recordEvent();
       answerProgress.recordEvent();
@@ -461,6 +462,7 @@
       this.#endPrefillHold();
       target.recordAnswer();
       dependencies.targetLink.recordAnswer();
+      return true;
     };
     this.#responseSink.onProgress = () => {
       watchdog?.recordActivity();
@@ -487,6 +489,7 @@
     endDecodeRequest();
     this.#recordEventGap(target, eventGapMeter);
     dependencies.metrics.recordSend(context.service, outcome.kind);
+    if (this.hasForeignEvents) return true;
     if (outcome.kind === 'whole') {
       this.#endPrefillHold();
       recordTargetSuccess(dependencies, target);
--- a/packages/relay/src/relay/plain-request-runner.ts
+++ b/packages/relay/src/relay/plain-request-runner.ts
@@ -39,7 +39,7 @@
 /** Runs one request to a service without engines. */
 export class PlainRequestRunner extends RequestRunner {
   /** Called for each write of a stream to the caller. */
-  #onEvent: () => void = () => undefined;
+  #onEvent: () => boolean = () => true;
 
   override async run(): Promise<void> {
     const { context } = this;
@@ -48,7 +48,7 @@
         this.failRequest(context.createDeadlineFailure());
         return;
       }
-      this.#onEvent = () => undefined;
+      this.#onEvent = () => true;
       if (await this.tryForward(this.#createResponseSink())) return;
       const target = this.#chooseTarget();
       if (target === undefined) {
@@ -116,7 +116,7 @@
     const { record } = target;
     const endRequest = this.startRequest(target);
     const originTeller = this.beginOrigin(record);
-    this.#onEvent = () => originTeller.recordEvent();
+    this.#onEvent = () => this.acceptEvents(originTeller);
     const startedAtMs = performance.now();
     const sink = this.#createResponseSink();
     context.recordSend();
@@ -135,6 +135,7 @@
     watchdog?.stop();
     endRequest();
     dependencies.metrics.recordSend(context.service, outcome.kind);
+    if (this.hasForeignEvents) return true;
     if (outcome.kind === 'whole') {
       recordTargetSuccess(dependencies, target);
       target.recordDuration(
@@ -189,7 +190,7 @@
       return new BufferedResponseSink(caller, this.answerBuffer, acceptsStatus);
     const onBytes = () => {
       this.context.recordFirstBytes();
-      this.#onEvent();
+      return this.#onEvent();
     };
     return new StreamingResponseSink({
       caller,
--- a/packages/relay/src/relay/request-context.ts
+++ b/packages/relay/src/relay/request-context.ts
@@ -168,6 +168,11 @@
     this.#abortController.abort();
   }
 
+  /** Gives up the current send; to be called once the request has ended. */
+  abortSend(): void {
+    this.#abortController.abort();
+  }
+
   /** Creates the failure to report after `signal` has aborted. */
   createDeadlineFailure(): Failure {
     return new Failure(
--- a/packages/relay/src/relay/request-runner.ts
+++ b/packages/relay/src/relay/request-runner.ts
@@ -88,6 +88,7 @@
   #hasRecordedRunStart = false;
   /** True if the retry of the next failure was taken from the budget before. */
   #hasReservedRetry = false;
+  #hasForeignEvents = false;
   protected readonly answerBuffer: AnswerBuffer;
   readonly #forwarding: RequestForwarding;
 
@@ -127,6 +128,29 @@
     return new StreamOriginTeller(this.dependencies, this.context, record);
   }
 
+  /** True if the request ended because of events that do not fit its stream. */
+  protected get hasForeignEvents(): boolean {
+    return this.#hasForeignEvents;
+  }
+
+  /**
+   * Records where the events were made that are about to be passed on. Ends the request and
+   * returns false if they may be of another software version than those before.
+   */
+  protected acceptEvents(teller: StreamOriginTeller): boolean {
+    if (this.#hasForeignEvents) return false;
+    const origin = teller.recordEvent();
+    if (origin !== undefined || this.context.origin === undefined) return true;
+    this.#hasForeignEvents = true;
+    this.failRequest(
+      createTargetFailure(
+        'the target has restarted, perhaps at another version',
+      ),
+    );
+    this.context.abortSend();
+    return false;
+  }
+
   /**
    * Hands the request to another instance if this one reaches no target; true when the
    * request has ended.
--- a/packages/relay/src/relay/response-sinks.ts
+++ b/packages/relay/src/relay/response-sinks.ts
@@ -119,8 +119,8 @@
   readonly caller: Caller;
   readonly answerBuffer: AnswerBuffer;
   readonly acceptsStatus: StatusPredicate;
-  /** Called for each write of data to the caller. */
-  readonly onBytes: () => void;
+  /** Called before each write of data to the caller; false drops the data. */
+  readonly onBytes: () => boolean;
   /** True if only whole events are forwarded, so that another target can go on. */
   readonly isResumable: boolean;
   /** True if the caller takes up a stream, of which nothing may be left. */
@@ -262,10 +262,10 @@
   }
 
   #writeBytes(bytes: Buffer): boolean {
+    if (this.#currentHead?.status === okStatus) this.onRunStart();
+    if (!this.#options.onBytes()) return true;
     this.#writeHeadOnce();
     this.#writeCount += 1;
-    if (this.#currentHead?.status === okStatus) this.onRunStart();
-    this.#options.onBytes();
     return this.#options.answerBuffer.write(bytes);
   }
 
--- a/packages/relay/src/relay/stream-origin-teller.ts
+++ b/packages/relay/src/relay/stream-origin-teller.ts
@@ -32,7 +32,7 @@
   recordEvent(): StreamOrigin | undefined {
     if (this.#hasBegun) return this.#origin;
     this.#hasBegun = true;
-    if (!this.#wasKnown) return undefined;
+    if (!this.#isSameIncarnation) return undefined;
     const { service, softwareVersion } = this.record;
     this.#origin = { service, softwareVersion };
     const { request, route } = this.context;
@@ -42,4 +42,16 @@
     }
     return this.#origin;
   }
+
+  /** False if the target may have restarted before the request reached it. */
+  get #isSameIncarnation(): boolean {
+    const { id, startedAtMs, softwareVersion } = this.record;
+    const { targets } = this.dependencies;
+    const current = targets.findTarget(id)?.record ?? this.record;
+    return (
+      this.#wasKnown &&
+      current.startedAtMs === startedAtMs &&
+      current.softwareVersion === softwareVersion
+    );
+  }
 }
