Answer the requests that still run when a planned stop ends

At the end of the drain the process closed its servers and ended while requests ran; the end of their connections was all that callers got, also for requests that may not be repeated and for such that had never been sent to a target.

What still runs then and has no answer is now ended with one, 100 ms at most before the servers close: 503 'shutting_down' if nothing of it has reached a target, a prefill included, else 502 with 'executed: unknown', which promises nothing. Answers that have begun go on until the end.

--- a/packages/relay/src/relay/generation-runner.ts
+++ b/packages/relay/src/relay/generation-runner.ts
@@ -348,6 +348,7 @@
       // A prompt may be read twice.
       isExclusive: false,
     });
+    context.recordPrefill();
     const outcome = await dependencies.targetClient.prefill(
       record,
       context.request,
--- a/packages/relay/src/relay/relay.ts
+++ b/packages/relay/src/relay/relay.ts
@@ -53,6 +53,7 @@
 /** Entry point for all requests that this instance relays. */
 export class Relay {
   #activeRequestCount = 0;
+  readonly #runningContexts = new Set<RequestContext>();
 
   constructor(private readonly dependencies: RelayDependencies) {}
 
@@ -61,6 +62,11 @@
     return this.#activeRequestCount;
   }
 
+  /** Ends the requests whose answers have not begun, as the process ends. */
+  endUnanswered(): void {
+    for (const context of this.#runningContexts) context.cutShort();
+  }
+
   /** Serves one request; failures are sent to the caller, not thrown. */
   async serve(request: RelayRequest, caller: Caller): Promise<void> {
     this.#activeRequestCount += 1;
@@ -114,12 +120,15 @@
     const { forwardedBy } = request;
     if (forwardedBy !== undefined)
       context.addLogFields({ forwarded_by: forwardedBy });
+    this.#runningContexts.add(context);
     try {
       if (found !== undefined) this.#recordResumption(context, found);
       await this.#runRequest(context);
     } catch (error) {
       log.writeEvent('defect', { request: request.id, error: String(error) });
       context.failRequest(toFailure(error));
+    } finally {
+      this.#runningContexts.delete(context);
     }
   }
 
--- a/packages/relay/src/relay/request-context.ts
+++ b/packages/relay/src/relay/request-context.ts
@@ -39,6 +39,8 @@
   readonly #onCallerDisconnect: () => void;
   #firstBytesMs: number | undefined;
   #sendCount = 0;
+  #hasReachedTarget = false;
+  #isCutShort = false;
   #logFields: Readonly<Record<string, unknown>> = {};
   #hasEnded = false;
   /** True once a target may have begun to run the request. */
@@ -108,6 +110,12 @@
   /** Counts a send of the request to a target. */
   recordSend(): void {
     this.#sendCount += 1;
+    this.#hasReachedTarget = true;
+  }
+
+  /** Notes that the prompt of the request is sent to a target. */
+  recordPrefill(): void {
+    this.#hasReachedTarget = true;
   }
 
   /** Records the time of the first bytes of the answer; later calls do nothing. */
@@ -173,8 +181,22 @@
     this.#abortController.abort();
   }
 
+  /**
+   * Ends the request because the process ends, unless its answer has begun: a failure is
+   * an answer, and a connection that is cut is none.
+   */
+  cutShort(): void {
+    if (this.#hasEnded || this.caller.hasStarted) return;
+    this.#isCutShort = true;
+    this.#abortController.abort();
+  }
+
   /** Creates the failure to report after `signal` has aborted. */
   createDeadlineFailure(): Failure {
+    if (this.#isCutShort)
+      return createShutdownFailure(
+        this.mayHaveExecuted || this.#hasReachedTarget,
+      );
     return new Failure(
       'deadline_exceeded',
       'the deadline of the request passed before its answer was complete',
@@ -223,6 +245,13 @@
   }
 }
 
+const createShutdownFailure = (mayHaveExecuted: boolean): Failure =>
+  new Failure(
+    'shutting_down',
+    'the instance shut down before the answer was complete',
+    { executed: mayHaveExecuted ? 'unknown' : 'no' },
+  );
+
 const createSlowCallerFailure = (): Failure =>
   new Failure(
     'slow_caller',
--- a/packages/relay/src/relay/room-wait.test.ts
+++ b/packages/relay/src/relay/room-wait.test.ts
@@ -1,3 +1,4 @@
+import { waitForAbort } from '@medlarlever/core';
 import test from 'ava';
 
 import { FakeCaller } from '../fixtures/fake-caller.js';
@@ -95,6 +96,54 @@
   t.is(roomQueue.length, 0);
 });
 
+// Guards against connections that a stop cuts while their requests wait.
+test.serial(
+  'a request that waits when the process ends is refused as not run, one at a target as unknown',
+  async t => {
+    const clock = installPausedClock(t);
+    const { serve, relay, client } = createRelay();
+    client.onSend = async (_target, { signal }) => {
+      await waitForAbort(signal);
+      return { kind: 'aborted' };
+    };
+    const answers = ['a', 'b', 'c'].map(own =>
+      serve({ prompt: largePrompt(own) }),
+    );
+    await clock.tickAsync(200);
+    t.is(client.sends.length, 2);
+    relay.endUnanswered();
+    const callers = await Promise.all(answers);
+    t.deepEqual(
+      callers.map(({ failure }) => [failure?.code, failure?.status]),
+      [
+        ['shutting_down', 502],
+        ['shutting_down', 502],
+        ['shutting_down', 503],
+      ],
+    );
+  },
+);
+
+test.serial(
+  'an answer that has begun goes on when the process ends',
+  async t => {
+    const clock = installPausedClock(t);
+    const { serve, relay, client, ends } = createRelay();
+    const { onSend } = client;
+    client.onSend = async (target, options, sink) => {
+      sink.onHead({ status: 200, headers: [], isCloseDelimited: false });
+      return onSend(target, options, sink);
+    };
+    const answer = serve({ prompt: largePrompt('a') });
+    await clock.tickAsync(200);
+    relay.endUnanswered();
+    ends[0]?.();
+    const { text, failure } = await answer;
+    t.is(failure, undefined);
+    t.is(text, 'ok');
+  },
+);
+
 test('a prompt larger than an engine is refused for good', async t => {
   const { serve, client } = createRelay();
   const prompt = createPrompt('x', { shared: 90_000, own: 20_000 });
--- a/packages/relay/src/server/app.ts
+++ b/packages/relay/src/server/app.ts
@@ -139,7 +139,9 @@
   kernel.get(instanceRegistryToken).updateSelf({ state: 'leaving' });
   kernel.get(shutdownStartControllerToken).abort();
   const { gracePeriodMs } = kernel.get(settingsToken).current;
-  await drainer.drainRequests(gracePeriodMs, stopAccepting);
+  await drainer.drainRequests(gracePeriodMs, stopAccepting, () => {
+    kernel.get(relayToken).endUnanswered();
+  });
 };
 
 /** Provides and starts the servers of the relay and drains them at a stop. */
--- a/packages/relay/src/server/request-drainer.test.ts
+++ b/packages/relay/src/server/request-drainer.test.ts
@@ -12,12 +12,26 @@
     clock.uninstall();
   });
   const drainer = new RequestDrainer();
-  const state = { isAccepting: true, hasEnded: false };
-  const startDrain = () => {
+  const state = {
+    isAccepting: true,
+    hasEnded: false,
+    endedAtMs: [] as number[],
+  };
+  const startDrain = (
+    drainGraceMs = graceMs,
+    finishUnanswered: () => void = () => undefined,
+  ) => {
     void drainer
-      .drainRequests(graceMs, () => {
-        state.isAccepting = false;
-      })
+      .drainRequests(
+        drainGraceMs,
+        () => {
+          state.isAccepting = false;
+        },
+        () => {
+          state.endedAtMs.push(performance.now());
+          finishUnanswered();
+        },
+      )
       .then(() => {
         state.hasEnded = true;
       });
@@ -89,3 +103,21 @@
     t.is(drainer.remainingMs, 4_100);
   },
 );
+
+// Guards against connections that are cut at the end of a stop, without an answer.
+test.serial(
+  'requests without an answer are ended in the last sixth of the grace period',
+  async t => {
+    for (const drainGraceMs of [8_000, 30_000]) {
+      const { clock, drainer, state, startDrain } = setUp(t);
+      const finish = drainer.startRequest();
+      startDrain(drainGraceMs, finish);
+      await clock.tickAsync(drainGraceMs);
+      t.true(state.hasEnded);
+      const [endedAtMs = 0] = state.endedAtMs;
+      t.true(endedAtMs >= (drainGraceMs * 5) / 6, String(endedAtMs));
+      t.true(endedAtMs < drainGraceMs, String(endedAtMs));
+      clock.uninstall();
+    }
+  },
+);
--- a/packages/relay/src/server/request-drainer.ts
+++ b/packages/relay/src/server/request-drainer.ts
@@ -22,6 +22,9 @@
  */
 const shutdownReserveMs = 800;
 
+/** Milliseconds within which failures are sent to the callers that have no answer. */
+const lastAnswersMs = 100;
+
 /** Milliseconds within which a request sent before the close arrives. */
 const inFlightArrivalMs = 50;
 
@@ -73,11 +76,13 @@
    * Resolves when the load balancer has detected the stop and no request runs any
    * more, or `shutdownReserveMs` before `graceMs` milliseconds have passed.
    * `stopAccepting` closes idle connections. A request that arrives during the
-   * close is still completed.
+   * close is still completed. `endUnanswered` ends the requests that still run then and
+   * can be answered.
    */
   async drainRequests(
     graceMs: number,
     stopAccepting: () => void,
+    endUnanswered: () => void,
   ): Promise<void> {
     this.#isDraining = true;
     const deadlineAtMs = performance.now() + graceMs - shutdownReserveMs;
@@ -91,6 +96,8 @@
     stopAccepting();
     await sleep(inFlightArrivalMs);
     await this.#waitUntilIdle(deadlineAtMs - performance.now());
+    endUnanswered();
+    await this.#waitUntilIdle(lastAnswersMs);
   }
 
   async #waitUntilIdle(timeoutMs: number): Promise<void> {
