End no request before the last sixth of a short grace period

The drain ended 0.8 s before the grace period whatever its length: with 2 s, requests sent in the first second were cut 1.3 s after the SIGTERM ('socket hang up'), which rule LOST does not excuse, as the last sixth of the period begins at 1.67 s. All known sites have 8 s.

The reserve is at most 0.15 of the period.

--- a/packages/relay/src/server/request-drainer.test.ts
+++ b/packages/relay/src/server/request-drainer.test.ts
@@ -108,7 +108,7 @@
 test.serial(
   'requests without an answer are ended in the last sixth of the grace period',
   async t => {
-    for (const drainGraceMs of [8_000, 30_000]) {
+    for (const drainGraceMs of [600, 1_000, 2_000, 4_000, 8_000, 30_000]) {
       const { clock, drainer, state, startDrain } = setUp(t);
       const finish = drainer.startRequest();
       startDrain(drainGraceMs, finish);
--- a/packages/relay/src/server/request-drainer.ts
+++ b/packages/relay/src/server/request-drainer.ts
@@ -18,9 +18,11 @@
 const unboundedAcceptanceMs = 2_500;
 
 /**
- * Milliseconds before the process is killed at which the drain stops waiting.
+ * Milliseconds before the process is killed at which the drain stops waiting, and the most
+ * that they may be of the grace period. Requests are not cut before its last sixth.
  */
 const shutdownReserveMs = 800;
+const maxReserveShare = 0.15;
 
 /** Milliseconds within which failures are sent to the callers that have no answer. */
 const lastAnswersMs = 100;
@@ -85,7 +87,8 @@
     endUnanswered: () => void,
   ): Promise<void> {
     this.#isDraining = true;
-    const deadlineAtMs = performance.now() + graceMs - shutdownReserveMs;
+    const reserveMs = Math.min(shutdownReserveMs, graceMs * maxReserveShare);
+    const deadlineAtMs = performance.now() + graceMs - reserveMs;
     const detectionMs = Math.min(balancerDetectionMs, graceMs / 2);
     const unboundedMs = Math.min(unboundedAcceptanceMs, detectionMs);
     await sleep(unboundedMs);
