Follow the operator's table past a configuration that is nested too deeply

Keys of customers are replaced by hashes before a row leaves the operator's table, and the row is written again as JSON. The instance went on with its old configuration, whatever the operator wrote.

--- a/packages/relay/src/change-streams/table-watcher.test.ts
+++ b/packages/relay/src/change-streams/table-watcher.test.ts
@@ -17,7 +17,7 @@
   StreamPosition,
 } from './change-stream.js';
 
-type StreamState = 'up' | 'down' | 'expired';
+type StreamState = 'up' | 'down' | 'expired' | 'defective';
 
 class FakeChangeStream extends ChangeStream {
   readonly name = 'rows';
@@ -39,6 +39,7 @@
     waitMs: number,
   ): Promise<Either<Failure, ChangesResult>> {
     if (this.state === 'down') return Left(createUnavailableFailure());
+    if (this.state === 'defective') throw new RangeError('too deep');
     if (this.state === 'expired') {
       this.state = 'up';
       return Right('expired');
@@ -116,6 +117,19 @@
   },
 );
 
+test.serial('an unexpected error of a read does not end the watch', async t => {
+  const { clock, changeStream, appliedChanges, log } = setUp(t);
+  changeStream.rows = [createRow('a', 1)];
+  await clock.tickAsync(200);
+  changeStream.state = 'defective';
+  await clock.tickAsync(1_000);
+  changeStream.state = 'up';
+  changeStream.rows = [...changeStream.rows, createRow('b', 2)];
+  await clock.tickAsync(1_000);
+  t.deepEqual(appliedChanges, ['a=v', 'b=v']);
+  t.true(log.entries.some(({ name }) => name === 'step_failed'));
+});
+
 test.serial('all rows are read once and then watched for changes', async t => {
   const { clock, changeStream, appliedChanges } = setUp(t);
   changeStream.rows = [createRow('a', 1)];
--- a/packages/relay/src/change-streams/table-watcher.ts
+++ b/packages/relay/src/change-streams/table-watcher.ts
@@ -3,10 +3,10 @@
  * and unresponsive connections.
  */
 import type { Log } from '@medlarlever/core';
-import { addJitter, sleep } from '@medlarlever/core';
+import { addJitter, sleep, toFailure } from '@medlarlever/core';
 import type { Failure } from '@medlarlever/core';
 
-import { runGuarded } from '../shared/guarded-step.js';
+import { logFailedStep, runGuarded } from '../shared/guarded-step.js';
 
 import type {
   ChangePage,
@@ -170,10 +170,7 @@
   /** Watches the table until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      const failure =
-        this.#lastPosition === undefined
-          ? await this.#listRows()
-          : await this.#watchChanges(this.#lastPosition);
+      const failure = await this.#readOnce();
       if (failure === undefined) continue;
       this.#recordFailure(failure);
       await sleep(this.#getRetryDelayMs(), signal);
@@ -184,6 +181,18 @@
     return this.#hasConnected && this.knownUntilMs !== Infinity;
   }
 
+  /** Reads once. An unexpected error must not end the watch. */
+  async #readOnce(): Promise<Failure | undefined> {
+    try {
+      return this.#lastPosition === undefined
+        ? await this.#listRows()
+        : await this.#watchChanges(this.#lastPosition);
+    } catch (error) {
+      logFailedStep(this.#options.log, `watch of ${this.name}`, error);
+      return toFailure(error);
+    }
+  }
+
   async #listRows(): Promise<Failure | undefined> {
     const snapshot = await this.#options.changeStream.listRows();
     return snapshot.caseOf({
--- a/packages/relay/src/shared/guarded-step.ts
+++ b/packages/relay/src/shared/guarded-step.ts
@@ -1,7 +1,8 @@
 /** Steps of background tasks, which go on after an unexpected error. */
 import type { Log } from '@medlarlever/core';
 
-const logFailure = (log: Log, step: string, error: unknown): void => {
+/** Logs the unexpected error of a step. */
+export const logFailedStep = (log: Log, step: string, error: unknown): void => {
   const stack = error instanceof Error ? error.stack : undefined;
   log.writeEvent('step_failed', { step, reason: String(error), stack });
 };
@@ -11,6 +12,6 @@
   try {
     run();
   } catch (error) {
-    logFailure(log, step, error);
+    logFailedStep(log, step, error);
   }
 };
