--- a/packages/soak/src/standstills/main.ts
+++ b/packages/soak/src/standstills/main.ts
@@ -68,8 +68,16 @@
     .join(', ');
 };
 
-const describeEnd = ({ status, isWhole }: CallerAttempt): string =>
-  isWhole || status === 0 ? String(status) : `${status} cut`;
+/** The time that the caller gave has passed. */
+const isOverdue = ({ sentAtMs, endedAtMs, deadlineMs }: CallerAttempt) =>
+  endedAtMs - sentAtMs >= deadlineMs;
+
+const describeEnd = (attempt: CallerAttempt): string => {
+  const { status, isWhole } = attempt;
+  if (isWhole && status !== 0) return String(status);
+  const end = status === 0 ? 'no answer' : `${status} cut`;
+  return isOverdue(attempt) ? `${end} in time` : `${end} early`;
+};
 
 const printCase = (
   { rule, attempt, text, isInstanceHeld }: StandstillCase,
--- a/packages/soak/src/standstills/standstill-judge.ts
+++ b/packages/soak/src/standstills/standstill-judge.ts
@@ -12,7 +12,7 @@
 
 /** Names of the rules. */
 export type StandstillRule =
-  'TWICE' | 'TWICE while at work' | 'REFUSED' | 'LOST';
+  'TWICE' | 'TWICE while at work' | 'TWICE on waking' | 'REFUSED' | 'LOST';
 
 /** A broken rule. */
 export interface StandstillCase {
@@ -62,17 +62,21 @@
   return [{ rule: 'TWICE', text: describeRuns(runs) }];
 };
 
+/**
+ * Finds runs that begin while one before them is still at work for a while. A run without
+ * events may be one that waited in the socket of a silent target, which began it on waking.
+ */
 const findOverlaps = (
   { kind }: CallerAttempt,
   runs: readonly TargetRun[],
 ): Finding[] => {
   if (!streamKinds.has(kind)) return [];
   return runs.slice(1).flatMap((next, i): Finding[] => {
-    const overlapMs = Math.max(
-      ...runs.slice(0, i + 1).map(run => run.endedAtMs - next.startedAtMs),
-    );
-    if (overlapMs <= maxOverlapMs) return [];
-    return [{ rule: 'TWICE while at work', text: describeRuns(runs) }];
+    const endsMs = runs.slice(0, i + 1).map(({ endedAtMs }) => endedAtMs);
+    if (Math.max(...endsMs) - next.startedAtMs <= maxOverlapMs) return [];
+    const rule =
+      next.eventCount > 0 ? 'TWICE while at work' : 'TWICE on waking';
+    return [{ rule, text: describeRuns(runs) }];
   });
 };
 
