--- a/packages/soak/src/standstills/main.ts
+++ b/packages/soak/src/standstills/main.ts
@@ -5,7 +5,7 @@
 
 import { judgeStandstills } from './standstill-judge.js';
 import type { StandstillCase } from './standstill-judge.js';
-import type { CallerAttempt } from './standstill-record.js';
+import type { CallerAttempt, StandstillsByName } from './standstill-record.js';
 import { runStandstills } from './standstill-run.js';
 
 const cli = meow(
@@ -68,6 +68,31 @@
     .join(', ');
 };
 
+/** Events of instances that are counted for each run. */
+const countedEvents: ReadonlySet<string> = new Set([
+  'attempt_failed',
+  'request_resent',
+  'target_link_down',
+  'target_link_up',
+]);
+
+const countEvents = (lines: readonly string[]): string =>
+  countBy(
+    lines
+      .map(line => /"name":"([a-z_]+)"/.exec(line)?.[1] ?? '')
+      .filter(name => countedEvents.has(name)),
+    name => name,
+  );
+
+/** A busy machine makes silences longer than they were planned. */
+const describeSilences = (standstills: StandstillsByName): string => {
+  const lengthsMs = [...standstills.values()]
+    .flat()
+    .map(({ fromMs, toMs }) => toMs - fromMs);
+  const longestMs = Math.round(Math.max(0, ...lengthsMs));
+  return `${lengthsMs.length} of targets, the longest ${longestMs} ms`;
+};
+
 /** The time that the caller gave has passed. */
 const isOverdue = ({ sentAtMs, endedAtMs, deadlineMs }: CallerAttempt) =>
   endedAtMs - sentAtMs >= deadlineMs;
@@ -115,6 +140,9 @@
   );
   console.log(`seed ${seed}: ${total}; ${rules || 'no rule broken'}`);
   console.log(`  ends: ${countBy(record.attempts, describeEnd)}`);
+  console.log(`  silences: ${describeSilences(record.targetStandstills)}`);
+  const logLines = [...logLinesByInstance.values()].flat();
+  console.log(`  events: ${countEvents(logLines)}`);
   for (const each of cases)
     printCase(each, logLinesByInstance.get(each.attempt.instance) ?? []);
 }
--- a/packages/soak/src/standstills/standstill-caller.ts
+++ b/packages/soak/src/standstills/standstill-caller.ts
@@ -1,6 +1,7 @@
 /** Caller of a run with standstills: one request after another at changing instances. */
 import {
   RawCaller,
+  createRawHead,
   readSharedClockMs,
   sendAttempt,
 } from '@medlarlever/platform/stand-ins';
@@ -128,16 +129,9 @@
   async #sendSlowly(): Promise<CallerAttempt> {
     const { instances, random } = this.options;
     const instance = random.pickItem(instances);
-    const { attempt, path, deadlineMs } = this.#createRequest('book');
-    const head = [
-      `POST ${path} HTTP/1.1`,
-      `Host: ${standstillHost}`,
-      `X-Medlarlever-Attempt-Id: ${attempt}`,
-      `X-Medlarlever-Deadline-Ms: ${deadlineMs}`,
-      'Connection: close',
-      'Content-Length: 0',
-      '\r\n',
-    ].join('\r\n');
+    const request = this.#createRequest('book');
+    const { attempt, deadlineMs } = request;
+    const head = createRawHead(request);
     const isInParts = random.nextBoolean(0.5);
     const firstLength = isInParts ? Math.floor(head.length / 2) : 0;
     const caller = new RawCaller(instance.port);
@@ -159,8 +153,7 @@
       endedAtMs: readSharedClockMs(),
       deadlineMs,
       status: answer.status,
-      seal:
-        /\r\nx-medlarlever-server-seal: (.*)\r\n/i.exec(answer.text)?.[1] ?? '',
+      seal: answer.seal,
       isWhole: answer.isWhole,
       reason: '',
     };
