Read what has arrived before calls to the store and to instances time out

Cause and change are those of the sends to targets. Commands to engines and calls to the duty interface keep their plain timers: they must not be written late.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -96,6 +96,7 @@
 export * from './target/http-service.js';
 export * from './target/http-target-factory.js';
 // Table client, configuration and leases
+export * from './shared/read-first-timeout.js';
 export * from './shared/run-catching.js';
 export * from './shared/socket-address.js';
 export * from './table/random-token.js';
--- a/packages/core/src/peers/http-post.ts
+++ b/packages/core/src/peers/http-post.ts
@@ -4,6 +4,8 @@
  */
 import type { Dispatcher, Pool } from 'undici';
 
+import { startReadFirstTimeout } from '../shared/read-first-timeout.js';
+
 /** A message to post. */
 export interface PostRequest {
   readonly path: string;
@@ -30,7 +32,7 @@
     let status = 0;
     let hasTimedOut = false;
     let controller: Dispatcher.DispatchController | undefined;
-    const timer = setTimeout(() => {
+    const cancelTimeout = startReadFirstTimeout(() => {
       hasTimedOut = true;
       const error = new Error(`no answer within ${timeoutMs} ms`);
       reject(error);
@@ -50,13 +52,13 @@
           chunks.push(chunk);
         },
         onResponseEnd() {
-          clearTimeout(timer);
+          cancelTimeout();
           const [first] = chunks;
           const content = chunks.length === 1 ? first : Buffer.concat(chunks);
           resolve({ status, text: content?.toString() ?? '' });
         },
         onResponseError(_controller, error) {
-          clearTimeout(timer);
+          cancelTimeout();
           reject(error);
         },
       },
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -61,5 +61,4 @@
 export * from './usage/usage-totals.js';
 export * from './settings/relay-settings.js';
 export * from './shared/linked-abort.js';
-export * from './shared/read-first-timeout.js';
 export * from './relay-daemon.js';
--- a/packages/relay/src/targets/request-activity.ts
+++ b/packages/relay/src/targets/request-activity.ts
@@ -5,7 +5,7 @@
  * the work itself. What is judged at the end of a pause has seen all data that had arrived.
  */
 
-import { startReadFirstTimeout } from '../shared/read-first-timeout.js';
+import { startReadFirstTimeout } from '@medlarlever/core';
 
 /** Pauses end at multiples of this time of the monotonic clock. */
 const stepMs = 50;
