Give a send up only for a probe that was made and says so, and only once

The watchdog judges nothing once it is stopped, and a retry belongs to one send. - A probe that was not made, as the target had asked for a pause, counted as an answer. It is 'unknown' and handled like a standstill. - The result of a probe did not count what came meanwhile. - Connections to a process that stands still fill its backlog, after which it looked unreached; and a live target that resets a connection too many did as well. 'no_connection' after a recent 'silent' is 'silent', 'resets' is no loss of a target. - That a request can go on elsewhere is decided by the placement itself: engines that change their roles and full targets were counted. - A target was probed every 100 ms while its streams could go nowhere (37 probes in 4.6 s): now only if they can, once a second for a send, and at most twice a second.

--- a/packages/relay/src/forwarding/request-forwarding.test.ts
+++ b/packages/relay/src/forwarding/request-forwarding.test.ts
@@ -51,7 +51,7 @@
 
 /** Lets all connections to targets fail, so that the instance finds its link down. */
 const cutOff = async ({ client, dependencies, targetRegistry }: Instance) => {
-  client.probeResult = 'unreached';
+  client.probeResult = 'no_connection';
   client.onSend = () =>
     Promise.resolve({
       kind: 'broken',
@@ -378,7 +378,7 @@
   cut.client.onSend = async (_target, { signal }, sink) => {
     sink.onHead({ status: 200, headers: [], isCloseDelimited: false });
     sink.onData(Buffer.from('id: 1\ndata: a\n\nid: 2\nda'));
-    cut.client.probeResult = 'unreached';
+    cut.client.probeResult = 'no_connection';
     for (const { record } of cut.targetRegistry.listTargets())
       cut.dependencies.targetLink.recordFailure(record);
     await waitForAbort(signal);
--- a/packages/relay/src/origins/told-origins.test.ts
+++ b/packages/relay/src/origins/told-origins.test.ts
@@ -257,7 +257,7 @@
   };
   const one = await startInstance('one', ['d1', 'd3']);
   const two = await startInstance('two', ['d2']);
-  one.client.probeResult = 'unreached';
+  one.client.probeResult = 'no_connection';
   one.client.onSend = target => {
     one.dependencies.targetLink.recordFailure(target);
     return Promise.resolve({
--- a/packages/relay/src/relay/generation-runner.ts
+++ b/packages/relay/src/relay/generation-runner.ts
@@ -20,7 +20,6 @@
 import type { UrgencyOptions } from '../placement/urgency.js';
 import type { Prompt } from '../requests/relay-request.js';
 import type { EngineSettings } from '../routes/route-configuration.js';
-import type { TargetRecord } from '../targets/target-record.js';
 import type { TargetState } from '../targets/target-state.js';
 
 import { createPhaseDemand } from '../room/room-check.js';
@@ -237,6 +236,10 @@
     );
   }
 
+  protected override canPlace(): boolean {
+    return this.#placer.chooseDecodeTarget().isRight();
+  }
+
   protected override failRequest(failure: Failure): void {
     this.#releaseKvCache();
     super.failRequest(failure);
--- a/packages/relay/src/relay/plain-request-runner.ts
+++ b/packages/relay/src/relay/plain-request-runner.ts
@@ -71,6 +71,10 @@
     );
   }
 
+  protected override canPlace(): boolean {
+    return this.#chooseTarget() !== undefined;
+  }
+
   #chooseTarget(): TargetState | undefined {
     const { targets, dataCenter, dataCenterReachability, targetClient } =
       this.dependencies;
--- a/packages/relay/src/relay/request-runner.ts
+++ b/packages/relay/src/relay/request-runner.ts
@@ -216,43 +216,50 @@
   /** Creates the watchdog of a send that can go on at another target. */
   protected createWatchdog(options: SendTimeouts): SendWatchdog {
     const { probeTarget, targetLink } = this.dependencies;
+    const { target } = options;
+    this.#hasReservedRetry = false;
     return new SendWatchdog({
       ...options,
-      reserveMove: () => this.#reserveMove(options.target),
+      canMove: () => this.#canMove(target),
+      reserveMove: () => this.#reserveMove(target),
       signal: this.context.signal,
       probe: probeTarget,
       isCutOff: () => targetLink.isCutOff,
     });
   }
 
-  /** Returns true if the send can go on elsewhere, and takes the retry for it. */
-  #reserveMove(target: TargetState): boolean {
-    if (this.#hasReservedRetry) return true;
+  /** True if a target that is not excluded can take the request now. */
+  protected abstract canPlace(): boolean;
+
+  /** True if the send to the target can go on elsewhere. */
+  #canMove(target: TargetState): boolean {
     const isPrefill = target.record.role === 'prefill';
     // A prompt may be read again, whatever becomes of the answer.
     if (!isPrefill && !this.canRetry()) return false;
-    const isOtherKnown = this.#forwarding.isNeeded || this.#hasOther(target);
-    if (!isOtherKnown) return false;
-    this.#hasReservedRetry = this.serviceState.retryBudget.tryConsumeRetry();
-    return this.#hasReservedRetry;
+    if (this.serviceState.retryBudget.remainingRetries < 1) return false;
+    return this.#forwarding.isNeeded || this.#canPlaceElsewhere(target);
   }
 
-  /** True if another target may take the request and shows that it is alive. */
-  #hasOther(target: TargetState): boolean {
+  #canPlaceElsewhere(target: TargetState): boolean {
     const { targets } = this.dependencies;
-    const isPrefill = target.record.role === 'prefill';
-    const { origin, service } = this.context;
-    return targets
-      .listOpenTargets(service)
-      .some(
-        other =>
-          other !== target &&
-          !this.excludedTargets.has(other) &&
-          (isPrefill || other.record.role !== 'prefill') &&
-          other.acceptsRequests &&
-          !other.isAvoided &&
-          canContinueStream(other.record, origin),
-      );
+    const isOtherAlive = targets
+      .listOpenTargets(this.context.service)
+      .some(other => other !== target && !other.isAvoided);
+    if (!isOtherAlive) return false;
+    const wasExcluded = this.excludedTargets.has(target);
+    this.excludedTargets.add(target);
+    try {
+      return this.canPlace();
+    } finally {
+      if (!wasExcluded) this.excludedTargets.delete(target);
+    }
+  }
+
+  /** Returns true if the send can go on elsewhere, and takes the retry for it. */
+  #reserveMove(target: TargetState): boolean {
+    if (!this.#canMove(target)) return false;
+    this.#hasReservedRetry = this.serviceState.retryBudget.tryConsumeRetry();
+    return this.#hasReservedRetry;
   }
 
   /** Counts a request at the target; the returned function removes it. */
@@ -269,8 +276,8 @@
   ): boolean {
     const { context } = this;
     const wasNotExecuted = isNotExecuted(outcome);
-    const mayRetry =
-      wasNotExecuted || this.#hasReservedRetry || this.canRetry();
+    const wasGivenUp = outcome.kind === 'aborted' && this.#hasReservedRetry;
+    const mayRetry = wasNotExecuted || wasGivenUp || this.canRetry();
     if (!wasNotExecuted) {
       this.possibleExecutionCount += 1;
       context.mayHaveExecuted = true;
--- a/packages/relay/src/relay/send-watchdog.ts
+++ b/packages/relay/src/relay/send-watchdog.ts
@@ -13,6 +13,9 @@
  */
 const probeFactor = 2;
 
+/** Interval between the probes for one send. */
+const probeIntervalMs = 1_000;
+
 /** Silence after which a send is given up if no target is reached, and others may be. */
 const cutOffSilenceMs = 400;
 
@@ -52,9 +55,11 @@
    */
   readonly isPaused?: () => boolean;
   /**
-   * Returns true if the request can go on elsewhere, and takes the retry for that. Called
-   * before the send is given up, as silence alone is no reason to end an answer.
+   * Returns true if the request can go on elsewhere. Asked before the target is probed and the
+   * send is given up, as silence alone is no reason to end an answer.
    */
+  readonly canMove: () => boolean;
+  /** Returns true if the request can go on elsewhere, and takes the retry for that. */
   readonly reserveMove: () => boolean;
   /** Another signal that aborts the send, such as the request's deadline. */
   readonly signal: AbortSignal;
@@ -70,7 +75,11 @@
   readonly #endChecks: () => void;
   #lastActivityAtMs = performance.now();
   #hasEvents = false;
-  #isProbing = false;
+  #isStopped = false;
+  #progressCount = 0;
+  #nextProbeAtMs = 0;
+  /** True if the send was stalled when its target was last probed. */
+  #wasStalled = false;
   #abortRecord: WatchdogAbort | undefined;
 
   constructor(options: SendWatchdogOptions) {
@@ -94,10 +103,12 @@
   /** Records that part of the answer has arrived. */
   recordActivity(): void {
     this.#hasEvents = true;
+    this.#progressCount += 1;
     this.#lastActivityAtMs = performance.now();
   }
 
   stop(): void {
+    this.#isStopped = true;
     this.#endChecks();
     this.#link.unlink();
   }
@@ -144,35 +155,47 @@
       this.#giveUp('silent');
       return;
     }
-    if ((this.#isStalled || this.#isDoubtful) && !this.#isProbing)
-      void this.#probeTarget();
+    if (this.#isProbeDue) void this.#probeTarget();
+  }
+
+  get #isProbeDue(): boolean {
+    const isStalled = this.#isStalled;
+    // A send that has just stalled is given up without a further wait.
+    if (isStalled && !this.#wasStalled) return true;
+    const isDue = performance.now() >= this.#nextProbeAtMs;
+    return isDue && (isStalled || this.#isDoubtful);
   }
 
   async #probeTarget(): Promise<void> {
-    const { target, probe } = this.#options;
-    this.#isProbing = true;
+    const { canMove, target, probe } = this.#options;
+    this.#nextProbeAtMs = performance.now() + probeIntervalMs;
+    this.#wasStalled = this.#isStalled;
+    if (!canMove()) return;
+    const progressCount = this.#progressCount;
     try {
-      this.#judgeProbe(await probe(target));
+      const result = await probe(target);
+      // What came meanwhile says more than the probe.
+      const isOutdated = progressCount !== this.#progressCount;
+      if (!this.#isStopped && !isOutdated) this.#judgeProbe(result);
     } catch {
       // A probe that failed itself says nothing of the target; it is made again.
-    } finally {
-      this.#isProbing = false;
     }
   }
 
   #judgeProbe(result: ProbeResult): void {
     const { isExclusive, target } = this.#options;
-    if (result === 'unreached') {
-      this.#giveUp('unreached');
+    // A busy target answers, so that the send keeps waiting in its queue.
+    if (result === 'answers') target.recordActivity();
+    if (result === 'answers' || result === 'resets') {
+      if (this.#isStalled) this.#giveUp('silent');
       return;
     }
-    if (result === 'answers') {
-      // A busy target answers, so that the send keeps waiting in its queue.
-      target.recordActivity();
-      if (this.#isStalled) this.#giveUp('silent');
+    if (result === 'gone' || result === 'no_connection') {
+      this.#giveUp('unreached');
       return;
     }
-    if (!isExclusive || this.#silentMs >= maxStandstillMs)
+    const mayStandStill = isExclusive || result === 'unknown';
+    if (!mayStandStill || this.#silentMs >= maxStandstillMs)
       this.#giveUp('stand_still');
   }
 }
--- a/packages/relay/src/targets/target-link.test.ts
+++ b/packages/relay/src/targets/target-link.test.ts
@@ -46,7 +46,7 @@
 
 test.serial('one target that fails is not the link', async t => {
   const { clock, link, state, fail } = createLink(t);
-  state.probeResult = 'unreached';
+  state.probeResult = 'no_connection';
   fail('t1', 't1', 't1');
   await clock.tickAsync(3_000);
   t.false(link.isCutOff);
@@ -67,7 +67,7 @@
     const { clock, link, state, targets, fail } = createLink(t);
     const [target] = targets.listTargets();
     for (let i = 0; i < 6; i += 1) target?.recordFailure(true);
-    state.probeResult = 'unreached';
+    state.probeResult = 'no_connection';
     fail('t1', 't2');
     await clock.tickAsync(200);
     t.true(link.isCutOff);
@@ -89,7 +89,7 @@
   await clock.tickAsync(1_000);
   t.is(state.probeCount, 1);
   t.false(link.isCutOff);
-  state.probeResult = 'unreached';
+  state.probeResult = 'no_connection';
   await clock.tickAsync(2_000);
   t.true(link.isCutOff);
   endRequest?.();
@@ -134,7 +134,7 @@
   'the verdict can be awaited while the link is in doubt',
   async t => {
     const { link, state, fail } = createLink(t);
-    state.probeResult = 'unreached';
+    state.probeResult = 'no_connection';
     fail('t1', 't2');
     await link.settle();
     t.true(link.isCutOff);
--- a/packages/relay/src/targets/target-link.ts
+++ b/packages/relay/src/targets/target-link.ts
@@ -155,14 +155,17 @@
   }
 
   /**
-   * Returns whether targets are reached; undefined if those that were probed only stand
-   * still, which says nothing of the link for a while.
+   * Returns whether targets are reached; undefined if none was probed, or those that were
+   * only stand still, which says nothing of the link for a while.
    */
   #judgeProbes(results: readonly ProbeResult[]): boolean | undefined {
     if (results.includes('answers')) return true;
-    const isOpen = results.includes('silent');
+    const known = results.filter(result => result !== 'unknown');
+    if (known.length === 0) return undefined;
     const silentMs = this.#getSilentMs(performance.now());
-    return isOpen && silentMs < maxStandstillMs ? undefined : false;
+    const mayStandStill =
+      known.includes('silent') && silentMs < maxStandstillMs;
+    return mayStandStill ? undefined : false;
   }
 
   #applyVerdict(isReached: boolean, probed: readonly string[]): void {
--- a/packages/relay/src/targets/target-probe.ts
+++ b/packages/relay/src/targets/target-probe.ts
@@ -2,10 +2,16 @@
 import type { TargetState } from './target-state.js';
 
 /**
- * Result of a probe on a new connection: the target `answers`; it is `silent` though the
- * connection was opened, as a process that stands still is; or it is `unreached`.
+ * Result of a probe on a new connection.
+ * - `answers`: the target answers.
+ * - `resets`: the connection was opened and broke; the target may have too many.
+ * - `silent`: it was opened, but no answer came, as from a process that stands still.
+ * - `no_connection`: it was not opened in time.
+ * - `gone`: nothing, or another target, is at the address.
+ * - `unknown`: no probe was made.
  */
-export type ProbeResult = 'answers' | 'silent' | 'unreached';
+export type ProbeResult =
+  'answers' | 'resets' | 'silent' | 'no_connection' | 'gone' | 'unknown';
 
 /** Probes a target; never rejects. */
 export type TargetProbe = (target: TargetState) => Promise<ProbeResult>;
