Ask a target whether it has restarted, where a stream begins while the list is not current

Callers of an instance that had lost its connections to the store got stream_origin_unknown at each try for streams that had begun then at targets to which no older connection was open: nothing told that such a target had not restarted.

The target is now asked for its report when the stream is sent, once and only if it takes probes. If `born` is the registered start, the open connections to the address lead to that process, as connections that overlap do, and so does the one of the stream. If the answer comes before the first event, the stream has an origin; another start, none, or no answer leaves it without, as before. ORDER holds: a target that restarted names another start.

A target that has restarted gets no stream that is taken up.

--- a/packages/relay/src/relay/generation-runner.test.ts
+++ b/packages/relay/src/relay/generation-runner.test.ts
@@ -404,6 +404,24 @@
   t.is(end?.fields.began_at, 'unknown');
 });
 
+// Guards against streams that go on nowhere while an instance has lost the store.
+test('a stream goes on that began at an engine which says that it has not restarted', async t => {
+  const { serve, client, origins } = createTestRelay({
+    route: { ...streamRoute, resumable: true, maxAttempts: 3 },
+    targets: ['d1', 'd2'].map(createVersionRecord),
+  });
+  for (const id of ['d1', 'd2']) client.unknownTargetIds.add(id);
+  client.onVerify = id => client.unknownTargetIds.delete(id);
+  client.onSend = async (_target, _options, sink) => {
+    // The first event takes longer than the answer of the target.
+    await Promise.resolve();
+    return sendIncompleteResponse(sink, 'id: 1\ndata: a\n\n');
+  };
+  await serve({ id: 'a1', prompt: longPrompt });
+  t.deepEqual(client.verifiedTargetIds, ['d1']);
+  t.is(origins.find('a1')?.softwareVersion, 'v1');
+});
+
 test('a stream that broke before its first event may begin at another version', async t => {
   const { serve, client, origins } = createTestRelay({
     route: resumableRoute,
--- a/packages/relay/src/relay/stream-origin-teller.ts
+++ b/packages/relay/src/relay/stream-origin-teller.ts
@@ -14,6 +14,8 @@
   readonly #wasKnown: boolean;
   #origin: StreamOrigin | undefined;
   #hasBegun = false;
+  /** True once the target has said which incarnation it is, over a connection that lasts. */
+  #isVerified = false;
 
   /** To be created when the request is sent to the target with the record. */
   constructor(
@@ -22,6 +24,7 @@
     private readonly record: TargetRecord,
   ) {
     this.#wasKnown = dependencies.targetClient.isIncarnationKnown(record);
+    if (!this.#wasKnown) this.#askTarget();
   }
 
   /**
@@ -43,13 +46,27 @@
     return this.#origin;
   }
 
+  /** Asks a target that may have restarted; its answer is due before the first event. */
+  #askTarget(): void {
+    const { targets } = this.dependencies;
+    const { route } = this.context;
+    if (route.kind !== 'stream' || !route.resumable) return;
+    const target = targets.findTarget(this.record.id);
+    if (target?.tryTakeProbePermit() === true) void this.#verify();
+  }
+
+  async #verify(): Promise<void> {
+    const { targetClient } = this.dependencies;
+    this.#isVerified = await targetClient.verifyIncarnation(this.record);
+  }
+
   /** False if the target may have restarted before the request reached it. */
   get #isSameIncarnation(): boolean {
     const { id, startedAtMs, softwareVersion } = this.record;
     const { targets } = this.dependencies;
     const current = targets.findTarget(id)?.record ?? this.record;
     return (
-      this.#wasKnown &&
+      (this.#wasKnown || this.#isVerified) &&
       current.startedAtMs === startedAtMs &&
       current.softwareVersion === softwareVersion
     );
--- a/packages/relay/src/relay/target-client.ts
+++ b/packages/relay/src/relay/target-client.ts
@@ -128,6 +128,13 @@
    */
   abstract isIncarnationKnown(target: TargetRecord): boolean;
 
+  /**
+   * Asks the target whether it is still the incarnation of its registration. If so, it is
+   * known from then on for as long as a connection to it lasts. Resolves to false if it is
+   * another one, does not say, or no connection is open.
+   */
+  abstract verifyIncarnation(target: TargetRecord): Promise<boolean>;
+
   /** Closes the connections to a target that is gone. */
   abstract closeConnections(address: string): void;
 }
