Do not take up streams after an event whose id no header can name

An event id with a control character was kept as the place at which a broken stream goes on. The resumption can't be sent with it: the header was refused for each target in turn, and counted as a failed connection of sound targets. Such a stream now can't be resumed, like one without ids.

'a stream can not be taken up after an event whose id no header can name' failed before with the odd id in place of none.

--- a/packages/relay/src/relay/server-sent-event-buffer.test.ts
+++ b/packages/relay/src/relay/server-sent-event-buffer.test.ts
@@ -41,6 +41,17 @@
   t.is(eventBuffer.takeIncompleteEvent().toString(), '');
 });
 
+// Guards against taking a stream up at each target in turn with a header that can't be sent.
+test('a stream can not be taken up after an event whose id no header can name', t => {
+  const eventBuffer = new ServerSentEventBuffer();
+  eventBuffer.appendChunk(Buffer.from('id: 1\n\nid: a\u0001b\n\n'));
+  t.is(eventBuffer.lastEventId, undefined);
+  eventBuffer.appendChunk(Buffer.from('id: a\u007f\n\n'));
+  t.is(eventBuffer.lastEventId, undefined);
+  eventBuffer.appendChunk(Buffer.from('id: é 3\r\n\r\n'));
+  t.is(eventBuffer.lastEventId, Buffer.from('é 3').toString('latin1'));
+});
+
 /** Counts the bytes that are joined, and so searched, while the function runs. */
 const countJoinedBytes = (run: () => void): number => {
   const concat = Buffer.concat.bind(Buffer);
--- a/packages/relay/src/relay/server-sent-event-buffer.ts
+++ b/packages/relay/src/relay/server-sent-event-buffer.ts
@@ -9,6 +9,9 @@
 const carriageReturn = 0x0d;
 const eventIdPattern = /^id:[ ]?(.*)$/gm;
 
+/** Ids that a header can name; a stream can't be taken up after an event with another one. */
+const nameableIdPattern = /^[\t\r -~\u0080-\u00ff]*$/;
+
 /** Longest event; what has no end by then is none. */
 const maxEventBytes = 256 * 1024;
 
@@ -105,7 +108,8 @@
 
   #updateLastEventId(events: Buffer): void {
     const ids = events.toString('latin1').matchAll(eventIdPattern);
-    for (const [, id] of ids) this.#lastEventId = id?.trim();
+    for (const [, id = ''] of ids)
+      this.#lastEventId = nameableIdPattern.test(id) ? id.trim() : undefined;
   }
 }
 
