--- a/packages/relay/src/peers/peer-snapshots.ts
+++ b/packages/relay/src/peers/peer-snapshots.ts
@@ -9,14 +9,14 @@
 import { routeConfigurationSchema } from '../routes/route-configuration.js';
 import type { RouteTableHolder } from '../routes/route-table-holder.js';
 import type { TargetRegistry } from '../targets/target-registry.js';
-import { targetRecordSchema } from '../targets/target-record.js';
+import { targetRecordsSchema } from '../targets/target-record.js';
 
 const snapshotMethod = 'relay.snapshot';
 const snapshotTimeoutMs = 1_000;
 
 const snapshotSchema = z.object({
   configuration: routeConfigurationSchema.optional(),
-  targets: z.array(targetRecordSchema),
+  targets: targetRecordsSchema,
   /** False in the snapshot of an older instance, which knows no customers. */
   includesCustomers: z.boolean().default(false),
 });
--- a/packages/relay/src/targets/target-record.ts
+++ b/packages/relay/src/targets/target-record.ts
@@ -1,4 +1,5 @@
 /** Schema of a target's registration. */
+import { socketAddressSchema } from '@medlarlever/core';
 import { z } from 'zod';
 
 /**
@@ -15,7 +16,7 @@
   /** Name of the service that the target belongs to. */
   service: z.string().min(1),
   /** Address as `ip:port`. */
-  address: z.string().min(1),
+  address: socketAddressSchema,
   dataCenter: z.string(),
   /** Requests that the target runs at the same time. */
   slots: z.number().int().positive(),
@@ -34,6 +35,14 @@
 });
 export type TargetRecord = z.infer<typeof targetRecordSchema>;
 
+/** Registrations in a message; one that can't be read does not hide the others. */
+export const targetRecordsSchema = z.array(z.unknown()).transform(values =>
+  values.flatMap(value => {
+    const { data } = targetRecordSchema.safeParse(value);
+    return data === undefined ? [] : [data];
+  }),
+);
+
 /** Stands for the start of targets that do not state theirs. */
 export const unknownStartMs = 0;
 
