--- a/packages/relay/src/forwarding/app.ts
+++ b/packages/relay/src/forwarding/app.ts
@@ -10,6 +10,7 @@
   servingEndControllerToken,
   targetClientToken,
   targetLinkToken,
+  targetProbeToken,
   targetRegistryToken,
 } from '../kernel/tokens.js';
 import { awaitCloseOrTimeout } from '../kernel/close-timeout.js';
@@ -24,12 +25,15 @@
   name: 'forwarding',
   register: kernel => {
     kernel.provide(cutOffInstancesToken, () => new CutOffInstances());
+    kernel.provide(targetProbeToken, resolver =>
+      createTargetProbe(resolver.get(targetClientToken)),
+    );
     kernel.provide(targetLinkToken, resolver => {
       const client = resolver.get(targetClientToken);
       const targets = resolver.get(targetRegistryToken);
       return new TargetLink({
         targets,
-        probe: createTargetProbe(client),
+        probe: resolver.get(targetProbeToken),
         // Connections that are kept may stay silent for good after the cut.
         onCut: () => {
           for (const { record } of targets.listTargets())
--- a/packages/relay/src/kernel/tokens.ts
+++ b/packages/relay/src/kernel/tokens.ts
@@ -27,6 +27,7 @@
 import type { CutOffInstances } from '../forwarding/cut-off-instances.js';
 import type { HttpRequestForwarder } from '../forwarding/http-request-forwarder.js';
 import type { TargetLink } from '../targets/target-link.js';
+import type { TargetProbe } from '../targets/target-probe.js';
 import type { PromptQuarantine } from '../crashes/prompt-quarantine.js';
 import type { EngineControlClient } from '../roles/engine-control-client.js';
 import type { PrefillDemand } from '../roles/prefill-demand.js';
@@ -101,6 +102,7 @@
 export const serviceStatesToken = new InjectionToken<ServiceStates>('services');
 export const crashTrackerToken = new InjectionToken<CrashTracker>('crashes');
 export const targetLinkToken = new InjectionToken<TargetLink>('target-link');
+export const targetProbeToken = new InjectionToken<TargetProbe>('target-probe');
 export const cutOffInstancesToken = new InjectionToken<CutOffInstances>(
   'cut-off-instances',
 );
--- a/packages/relay/src/relay/app.ts
+++ b/packages/relay/src/relay/app.ts
@@ -17,6 +17,7 @@
   promptQuarantineToken,
   requestForwarderToken,
   targetLinkToken,
+  targetProbeToken,
   randomToken,
   relayToken,
   routesToken,
@@ -39,7 +40,6 @@
 import { createRunStartListener } from '../usage/usage-parts.js';
 import { DataCenterReachability } from '../targets/data-center-reachability.js';
 
-import { createTargetProbe } from './shared-target-probe.js';
 import { OverloadGuard } from './overload.js';
 import { Relay } from './relay.js';
 import { ServiceStates } from './service-state.js';
@@ -111,7 +111,7 @@
         targets: resolver.get(targetRegistryToken),
         serviceStates: resolver.get(serviceStatesToken),
         targetClient: client,
-        probeTarget: createTargetProbe(client),
+        probeTarget: resolver.get(targetProbeToken),
         crashTracker: resolver.get(crashTrackerToken),
         checkCrash: createCrashCheck(client, resolver.get(crashTrackerToken)),
         promptQuarantine: resolver.get(promptQuarantineToken),
--- a/packages/relay/src/targets/target-state.ts
+++ b/packages/relay/src/targets/target-state.ts
@@ -321,13 +321,13 @@
     this.#avoidedUntilMs = 0;
   }
 
-  /** Resets cache and health for a target that restarted under the same id. */
   /** Takes over what the incarnation asked for before its entry lapsed. */
   restoreDemands({ limiter, quietUntilMs }: TargetDemands): void {
     this.limiter = limiter;
     this.#quietUntilMs = quietUntilMs;
   }
 
+  /** Resets cache and health for a target that restarted under the same id. */
   resetAfterRestart(record: TargetRecord): void {
     this.record = record;
     this.leavingSinceMs = undefined;
