Show how far back an instance knows its retries, and which sends repeat others

The hypotheses on the retries beyond the budget can't be told apart by the log: request_resent says how many retries are left, not since when they are counted nor among how many instances the allowance is divided, and nothing counts repeated prefills and runs as they are sent.

request_resent gets history_ms and instances; the counter repeated_sends_total counts by step; the gauge retry_history_seconds tells the time for which an instance has counted.

--- a/packages/relay/src/metrics/relay-metrics.ts
+++ b/packages/relay/src/metrics/relay-metrics.ts
@@ -23,6 +23,7 @@
   readonly #eventGapHistogram: Histogram<'service'>;
   readonly #sendCounter: Counter<'service' | 'outcome'>;
   readonly #limitedSendCounter: Counter<'service'>;
+  readonly #repeatCounter: Counter<'service' | 'step'>;
   readonly #sendAbortCounter: Counter<'service' | 'reason'>;
   readonly #forwardedCounter: Counter<'outcome'>;
   readonly #refusedPromptCounter: Counter<'service'>;
@@ -88,6 +89,12 @@
       labelNames: ['service', 'outcome'],
       registers,
     });
+    this.#repeatCounter = new Counter({
+      name: 'medlarlever_relay_repeated_sends_total',
+      help: 'Sends of a request after its first prefill or its first run, by service',
+      labelNames: ['service', 'step'],
+      registers,
+    });
     this.#sendAbortCounter = new Counter({
       name: 'medlarlever_relay_aborted_sends_total',
       help: 'Sends that this instance aborted, by service and reason',
@@ -181,6 +188,11 @@
     this.#sendCounter.inc({ service, outcome });
   }
 
+  /** Records that a request is prefilled or run once more, as it is sent. */
+  recordRepeat(service: string, step: 'prefill' | 'run'): void {
+    this.#repeatCounter.inc({ service, step });
+  }
+
   /** Records a send that this instance aborted. */
   recordSendAbort(service: string, reason: string): void {
     this.#sendAbortCounter.inc({ service, reason });
--- a/packages/relay/src/metrics/state-gauges.ts
+++ b/packages/relay/src/metrics/state-gauges.ts
@@ -141,6 +141,7 @@
   registerTokenGauge(options, registers);
   registerTargetGauge(options, registers);
   registerRetryGauge(options, registers);
+  registerRetryHistoryGauge(options, registers);
   registerWatcherGauge(options, registers);
 };
 
@@ -228,6 +229,24 @@
   });
 };
 
+const registerRetryHistoryGauge = (
+  { services }: StateGaugesOptions,
+  registers: Registry[],
+): void => {
+  new Gauge({
+    name: 'medlarlever_relay_retry_history_seconds',
+    help: 'Time for which this instance has counted the retries of the service',
+    labelNames: ['service'],
+    registers,
+    collect() {
+      this.reset();
+      for (const [service, { retryBudget }] of services.listStates()) {
+        this.set({ service }, retryBudget.historyMs / msPerSecond);
+      }
+    },
+  });
+};
+
 const registerWatcherGauge = (
   { watchers }: StateGaugesOptions,
   registers: Registry[],
--- a/packages/relay/src/relay/request-context.ts
+++ b/packages/relay/src/relay/request-context.ts
@@ -39,6 +39,7 @@
   readonly #onCallerDisconnect: () => void;
   #firstBytesMs: number | undefined;
   #sendCount = 0;
+  #prefillCount = 0;
   #hasReachedTarget = false;
   #isCutShort = false;
   #logFields: Readonly<Record<string, unknown>> = {};
@@ -109,12 +110,15 @@
 
   /** Counts a send of the request to a target. */
   recordSend(): void {
+    if (this.#sendCount > 0) this.#recordRepeat('run');
     this.#sendCount += 1;
     this.#hasReachedTarget = true;
   }
 
   /** Notes that the prompt of the request is sent to a target. */
   recordPrefill(): void {
+    if (this.#prefillCount > 0) this.#recordRepeat('prefill');
+    this.#prefillCount += 1;
     this.#hasReachedTarget = true;
   }
 
@@ -206,6 +210,10 @@
     );
   }
 
+  #recordRepeat(step: 'prefill' | 'run'): void {
+    this.#options.metrics.recordRepeat(this.service, step);
+  }
+
   #endRequest(
     outcome: string,
     fields: Readonly<Record<string, unknown>>,
--- a/packages/relay/src/relay/request-runner.ts
+++ b/packages/relay/src/relay/request-runner.ts
@@ -310,6 +310,8 @@
     this.context.logEvent('request_resent', {
       after: outcome.kind,
       left: remainingRetries,
+      history_ms: Math.round(retryBudget.historyMs),
+      instances: retryBudget.instanceCount,
     });
     return true;
   }
--- a/packages/relay/src/retries/retry-budget.ts
+++ b/packages/relay/src/retries/retry-budget.ts
@@ -44,10 +44,23 @@
   readonly #options: RetryBudgetOptions;
   readonly #buckets: WindowBucket[] = [];
 
+  /** Monotonic time since which requests and retries are counted. */
+  readonly #startedAtMs = performance.now();
+
   constructor(options: RetryBudgetOptions) {
     this.#options = options;
   }
 
+  /** Milliseconds for which this budget has counted. */
+  get historyMs(): number {
+    return performance.now() - this.#startedAtMs;
+  }
+
+  /** Number of instances among which the allowance is divided. */
+  get instanceCount(): number {
+    return this.#options.getLimits().instanceCount;
+  }
+
   /** Counts a request of the service. */
   recordRequest(): void {
     this.#getCurrentBucket().requestCount += 1;
