--- a/packages/relay/src/limits/limit-group.test.ts
+++ b/packages/relay/src/limits/limit-group.test.ts
@@ -39,6 +39,10 @@
   t.is(listNames(createInstances(names), []).length, 31);
 });
 
+test('an instance that has read only its own row assumes others', t => {
+  t.is(listNames(createInstances(['a']), ['a']).length, 16);
+});
+
 test('an instance that stops is part of its own group', t => {
   const instances = [
     { name: 'a', state: 'leaving' as const },
--- a/packages/relay/src/relay/generation-runner.test.ts
+++ b/packages/relay/src/relay/generation-runner.test.ts
@@ -32,6 +32,13 @@
   latencyTargetMs: 1_000,
 };
 
+const refusal = {
+  kind: 'not_executed',
+  status: 503,
+  misdirected: false,
+  wantsQuiet: false,
+} as const;
+
 const longPrompt = createPrompt('own', { shared: 20_000, own: 5_000 });
 
 test('a long prompt is prefilled at one engine and decoded at another', async t => {
@@ -506,3 +513,40 @@
     ['d1'],
   );
 });
+
+test('a prompt is read once more only if the retry budget has a retry for that and for the run', async t => {
+  const { serve, client } = createTestRelay({
+    route: { ...streamRoute, resumable: true },
+    targets: engineRecords,
+    retryAllowance: 2,
+  });
+  client.onSend = (_target, _options, sink) =>
+    Promise.resolve(sendIncompleteResponse(sink, 'id: 1\ndata: a\n\n'));
+  await serve({ prompt: longPrompt });
+  t.is(client.sends.length, 1);
+  t.is(client.prefills.length, 1);
+});
+
+test.serial(
+  'a retry that waits for its prefill counts when it is sent',
+  async t => {
+    const clock = installPausedClock(t);
+    const { serve, client, dependencies } = createTestRelay({
+      route: { ...streamRoute, timeoutMs: 30_000 },
+      targets: engineRecords,
+      retryAllowance: 2,
+    });
+    client.onPrefill = async ({ address, id }) => {
+      if (client.prefills.length === 1) return refusal;
+      await new Promise(resolve => setTimeout(resolve, 9_000));
+      return { kind: 'read', handover: { address, handle: id } };
+    };
+    const serving = serve({ prompt: longPrompt });
+    await clock.tickAsync(9_000);
+    const caller = await serving;
+    t.is(caller.text, 'ok');
+    await clock.tickAsync(3_000);
+    const { retryBudget } = dependencies.serviceStates.getState('engines');
+    t.true(retryBudget.remainingRetries < 1);
+  },
+);
