Keep the retries of an instance and of its successors within one budget

RetryBudget counts in the memory of the process: after a restart the share of the fixed allowance is free again, and so are retries within the same window for requests before it.

A process now makes few retries (0.4 of the ratio, of its own requests) until it knows a whole window, and leaves room for those of a successor: for each span up to now, its retries and what a successor may make in the rest of the window stay within 0.95 of the budget. The window keeps one bucket more, and buckets are half as long, as the oldest one is only partly over. The first start of a system, which nothing came before, is excepted. Ruled out: a file (instances have no disk), a row for each retry (calls are priced), and no retries at all after a start.

--- a/packages/relay/src/peers/load-exchange.test.ts
+++ b/packages/relay/src/peers/load-exchange.test.ts
@@ -62,6 +62,7 @@
     origins,
     services: new ServiceStates({
       windowMs: 10_000,
+      knownSinceMs: -Infinity,
       getLimits: () => ({
         retriesPerRequest: 0.2,
         deploymentAllowance: 10,
--- a/packages/relay/src/relay/app.ts
+++ b/packages/relay/src/relay/app.ts
@@ -70,6 +70,9 @@
       const settings = resolver.get(settingsToken);
       return new ServiceStates({
         windowMs: settings.current.retryWindowMs,
+        knownSinceMs: settings.current.isFirstStart
+          ? -Infinity
+          : performance.now(),
         getLimits: () => ({
           retriesPerRequest: settings.current.retryRatio,
           deploymentAllowance: settings.current.retryAllowance,
--- a/packages/relay/src/retries/retry-budget.test.ts
+++ b/packages/relay/src/retries/retry-budget.test.ts
@@ -6,10 +6,11 @@
 import { CrashTracker } from '../crashes/crash-tracker.js';
 import { RetryBudget } from './retry-budget.js';
 
-const createRetryBudget = (instances = 4) => {
+const createRetryBudget = (instances = 4, knownSinceMs = -Infinity) => {
   const limits = { instances };
   const retryBudget = new RetryBudget({
     windowMs: 10_000,
+    knownSinceMs,
     getLimits: () => ({
       retriesPerRequest: 0.2,
       deploymentAllowance: 40,
@@ -65,6 +66,33 @@
   },
 );
 
+test.serial(
+  'an instance that starts anew makes few retries until it knows a window',
+  async t => {
+    const clock = installPausedClock(t);
+    const { retryBudget } = createRetryBudget(4, 0);
+    t.is(consumeAllRetries(retryBudget), 0);
+    for (let i = 0; i < 100; i += 1) retryBudget.recordRequest();
+    t.is(consumeAllRetries(retryBudget), 8);
+    await clock.tickAsync(11_000);
+    t.true(consumeAllRetries(retryBudget) > 0);
+  },
+);
+
+test.serial(
+  'a burst of retries leaves room for those of a successor',
+  async t => {
+    const clock = installPausedClock(t);
+    const { retryBudget } = createRetryBudget(4);
+    for (let i = 0; i < 200; i += 1) retryBudget.recordRequest();
+    // 0.95 of 50 retries, less the 16 that a successor may make.
+    t.is(consumeAllRetries(retryBudget), 31);
+    await clock.tickAsync(9_000);
+    // 0.8 of 50 retries.
+    t.is(consumeAllRetries(retryBudget), 9);
+  },
+);
+
 test.serial(
   'a broken connection counts as a crash once the crash is confirmed',
   async t => {
--- a/packages/relay/src/retries/retry-budget.ts
+++ b/packages/relay/src/retries/retry-budget.ts
@@ -2,6 +2,11 @@
  * This instance's share of the retries that the deployment allows for a service:
  * a ratio of its own requests plus an equal share of a fixed allowance, both over
  * a sliding window.
+ *
+ * A process that starts does not know the retries that the process before it made in
+ * the same window. So it makes few until it knows a whole window, and each process
+ * leaves room for those few of a successor: its retries within a part of the window
+ * may not use up the budget of the whole window.
  */
 
 /**
@@ -10,13 +15,24 @@
  */
 const budgetSafetyFactor = 0.8;
 
+/** Share of the budget that a process and its successors in one window may use. */
+const successionSafetyFactor = 0.95;
+
+/** Share of the ratio that a process may use while it does not know a whole window. */
+const unknownHistoryShare = 0.4;
+
 /** Number of buckets that the sliding window consists of. */
-const bucketCount = 10;
+const bucketCount = 20;
 
 /** Window length and limits of a retry budget. */
 export interface RetryBudgetOptions {
   /** Length of the sliding window. */
   readonly windowMs: number;
+  /**
+   * Monotonic time since which all retries of this instance are counted here;
+   * `-Infinity` if no process was there before.
+   */
+  readonly knownSinceMs: number;
   /** Returns the limits in force; called for each decision. */
   readonly getLimits: () => RetryLimits;
 }
@@ -44,16 +60,13 @@
   readonly #options: RetryBudgetOptions;
   readonly #buckets: WindowBucket[] = [];
 
-  /** Monotonic time since which requests and retries are counted. */
-  readonly #startedAtMs = performance.now();
-
   constructor(options: RetryBudgetOptions) {
     this.#options = options;
   }
 
-  /** Milliseconds for which this budget has counted. */
+  /** Milliseconds for which all retries of this instance are known. */
   get historyMs(): number {
-    return performance.now() - this.#startedAtMs;
+    return performance.now() - this.#options.knownSinceMs;
   }
 
   /** Number of instances among which the allowance is divided. */
@@ -83,27 +96,57 @@
 
   /** Retries left in the window; fractional, and negative when exceeded. */
   get remainingRetries(): number {
-    this.#getCurrentBucket();
     const { retriesPerRequest, deploymentAllowance, instanceCount } =
       this.#options.getLimits();
-    const requestCount = this.#sumBuckets(bucket => bucket.requestCount);
-    const retryCount = this.#sumBuckets(bucket => bucket.retryCount);
-    const instanceAllowance = deploymentAllowance / Math.max(1, instanceCount);
-    return (
-      budgetSafetyFactor *
-        (retriesPerRequest * requestCount + instanceAllowance) -
-      retryCount
+    const ratioRetries = retriesPerRequest * this.#countRequests();
+    const successorRetries = unknownHistoryShare * ratioRetries;
+    if (!this.#knowsWindow) return successorRetries - this.#countRetries();
+    const budget =
+      ratioRetries + deploymentAllowance / Math.max(1, instanceCount);
+    return Math.min(
+      budgetSafetyFactor * budget - this.#countRetries(),
+      this.#computeRoom(successionSafetyFactor * budget, successorRetries),
     );
   }
 
-  #sumBuckets(getCount: (bucket: WindowBucket) => number): number {
-    return this.#buckets.reduce((sum, bucket) => sum + getCount(bucket), 0);
+  /** True if no process before this one can have made retries within the window. */
+  get #knowsWindow(): boolean {
+    return this.historyMs > this.#options.windowMs;
+  }
+
+  /**
+   * Retries that may be made now so that, for each span up to now, the retries in it and
+   * those of a successor in the rest of the window stay within the limit.
+   */
+  #computeRoom(limit: number, successorRetries: number): number {
+    const { index: currentIndex } = this.#getCurrentBucket();
+    let room = Infinity;
+    let retryCount = 0;
+    for (const bucket of [...this.#buckets].reverse()) {
+      retryCount += bucket.retryCount;
+      const restShare = 1 - (currentIndex - bucket.index) / bucketCount;
+      room = Math.min(room, limit - restShare * successorRetries - retryCount);
+    }
+    return room;
+  }
+
+  #countRequests(): number {
+    const { index: currentIndex } = this.#getCurrentBucket();
+    return this.#buckets
+      .filter(({ index }) => index > currentIndex - bucketCount)
+      .reduce((sum, { requestCount }) => sum + requestCount, 0);
+  }
+
+  #countRetries(): number {
+    this.#getCurrentBucket();
+    return this.#buckets.reduce((sum, { retryCount }) => sum + retryCount, 0);
   }
 
+  /** Returns the current bucket. One more than a window is kept, as it is partly over. */
   #getCurrentBucket(): WindowBucket {
     const bucketMs = this.#options.windowMs / bucketCount;
     const index = Math.floor(performance.now() / bucketMs);
-    while (this.#buckets[0] && this.#buckets[0].index <= index - bucketCount) {
+    while (this.#buckets[0] && this.#buckets[0].index < index - bucketCount) {
       this.#buckets.shift();
     }
     const lastBucket = this.#buckets.at(-1);
--- a/packages/relay/src/retries/retry-restarts.test.ts
+++ b/packages/relay/src/retries/retry-restarts.test.ts
@@ -23,6 +23,7 @@
 const createBudget = (): RetryBudget =>
   new RetryBudget({
     windowMs,
+    knownSinceMs: performance.now(),
     getLimits: () => ({
       retriesPerRequest: ratio,
       deploymentAllowance: allowance,
--- a/packages/relay/src/roles/role-duty.test.ts
+++ b/packages/relay/src/roles/role-duty.test.ts
@@ -137,6 +137,7 @@
       targets,
       services: new ServiceStates({
         windowMs: 10_000,
+        knownSinceMs: -Infinity,
         getLimits: () => ({
           retriesPerRequest: 0.2,
           deploymentAllowance: 10,
