Ask the retry budget before each repeated arrival, and count it when it is sent

A retry was counted when a send failed; the next send may come seconds later, after a wait for room and a prefill, so that retries of more than one window could arrive within one. The second prefill of a request was counted once it had succeeded, without asking: one retry, two arrivals.

RequestRetries follows what of a request has arrived: the first arrival and the first prefill that succeeds are free, each other one takes a retry, reserved when the send before it fails (and counted from then on) and counted for a window from when it is sent. A prefill after which no run could follow is not made.

--- a/packages/relay/src/relay/generation-runner.ts
+++ b/packages/relay/src/relay/generation-runner.ts
@@ -19,6 +19,7 @@
 import { computeUrgency, goesBehind } from '../placement/urgency.js';
 import type { UrgencyOptions } from '../placement/urgency.js';
 import type { Prompt } from '../requests/relay-request.js';
+import type { SendResult } from '../retries/request-retries.js';
 import type { EngineSettings } from '../routes/route-configuration.js';
 import type { TargetState } from '../targets/target-state.js';
 
@@ -61,7 +62,6 @@
   #kvCacheHandle: KvCacheHandle | undefined;
   /** Engine that holds the KV cache of `#kvCacheHandle`. */
   #kvCacheTarget: TargetState | undefined;
-  #prefillCount = 0;
   /** True if it is not known which software version made the first events. */
   #isOriginUnknown = false;
   /** Frees the memory of the KV cache that a prefill engine holds. */
@@ -115,14 +115,14 @@
 
   override async run(): Promise<void> {
     try {
-      await this.#run();
+      await super.run();
     } finally {
       this.#endPrefillHold();
       this.#endDecodeHold();
     }
   }
 
-  async #run(): Promise<void> {
+  protected override async runAttempts(): Promise<void> {
     const { context } = this;
     if (
       this.dependencies.boundsEngineMemory() &&
@@ -161,6 +161,7 @@
       isFirstPlacement = false;
       const { prefillTarget } = placement;
       if (prefillTarget !== undefined && this.#kvCacheHandle === undefined) {
+        if (!this.reserveOrFail('prefill')) return;
         // No prompt is prefilled for a decode engine that may not be sent to then.
         const returnPermit = placement.decodeTarget.limiter.holdPermit();
         const prefillResult = await this.#runPrefill(prefillTarget, placement);
@@ -178,6 +179,7 @@
         this.failRequest(updatedPlacement);
         return;
       }
+      if (!this.reserveOrFail('run')) return;
       if (await this.#sendToTarget(updatedPlacement)) return;
     }
   }
@@ -352,6 +354,7 @@
       isExclusive: false,
     });
     context.recordPrefill();
+    const endSend = this.retries.startSend();
     const outcome = await dependencies.targetClient.prefill(
       record,
       context.request,
@@ -364,6 +367,7 @@
         signal: watchdog.signal,
       },
     );
+    endSend(getPrefillResult(outcome));
     watchdog.stop();
     endPrefill();
     endRequest();
@@ -391,7 +395,7 @@
     queuedTokens: number,
     elapsedMs: number,
   ): void {
-    const { prefillSpeed, retryBudget } = this.serviceState;
+    const { prefillSpeed } = this.serviceState;
     this.dependencies.metrics.recordPrefill(this.context.service, elapsedMs);
     prefillSpeed.addSample(queuedTokens, elapsedMs);
     recordTargetSuccess(this.dependencies, target);
@@ -400,9 +404,6 @@
       elapsedMs,
       prefillSpeed.estimatePrefillMs(queuedTokens) + prefillOverheadMs,
     );
-    // Each prefill of a request after the first one counts as a retry.
-    if (this.#prefillCount > 0) retryBudget.recordRetry();
-    this.#prefillCount += 1;
   }
 
   #handlePrefillFailure(
@@ -571,6 +572,12 @@
   }
 }
 
+/** A prefill that broke off counts as an arrival: it is not known whether it has begun. */
+const getPrefillResult = (outcome: PrefillOutcome): SendResult => {
+  if (outcome.kind === 'read') return 'prefilled';
+  return isConnectFailure(outcome) ? 'unsent' : 'arrived';
+};
+
 const createPromptTooLargeFailure = ({ kvTokens }: EngineSettings): Failure =>
   new Failure(
     'prompt_too_large',
--- a/packages/relay/src/relay/plain-request-runner.ts
+++ b/packages/relay/src/relay/plain-request-runner.ts
@@ -41,7 +41,7 @@
   /** Called for each write of a stream to the caller. */
   #onEvent: () => boolean = () => true;
 
-  override async run(): Promise<void> {
+  protected override async runAttempts(): Promise<void> {
     const { context } = this;
     for (;;) {
       if (context.signal.aborted) {
@@ -56,6 +56,7 @@
         this.failRequest(this.#createNoTargetFailure());
         return;
       }
+      if (!this.reserveOrFail('run')) return;
       if (await this.#sendToTarget(target)) return;
     }
   }
@@ -65,7 +66,7 @@
     return (
       route.kind === 'idempotent' &&
       this.possibleExecutionCount + 1 < route.maxAttempts &&
-      this.serviceState.retryBudget.remainingRetries >= 1 &&
+      this.retries.hasRetry &&
       this.dependencies.targets.listOpenTargets(service).length >
         this.excludedTargets.size + 1
     );
--- a/packages/relay/src/relay/request-runner.ts
+++ b/packages/relay/src/relay/request-runner.ts
@@ -4,6 +4,8 @@
 import { AnswerBuffer } from '../buffers/answer-buffer.js';
 import { canContinueStream } from '../origins/stream-origin.js';
 import type { StreamOrigin } from '../origins/stream-origin.js';
+import { RequestRetries } from '../retries/request-retries.js';
+import type { SendStep } from '../retries/request-retries.js';
 import type { TargetRecord } from '../targets/target-record.js';
 import type { TargetState } from '../targets/target-state.js';
 
@@ -85,9 +87,11 @@
   protected readonly excludedTargets = new Set<TargetState>();
   /** Number of failed sends that a target may have executed. */
   protected possibleExecutionCount = 0;
+  /** Counts what reaches targets against the retry budget. */
+  protected readonly retries: RequestRetries;
   #hasRecordedRunStart = false;
-  /** True if the retry of the next failure was taken from the budget before. */
-  #hasReservedRetry = false;
+  /** True if the current send was given up and may go on elsewhere. */
+  #wasGivenUp = false;
   #hasForeignEvents = false;
   protected readonly answerBuffer: AnswerBuffer;
   readonly #forwarding: RequestForwarding;
@@ -96,6 +100,7 @@
     protected readonly dependencies: RelayDependencies,
     protected readonly context: RequestContext,
   ) {
+    this.retries = new RequestRetries(this.serviceState.retryBudget);
     this.#forwarding = new RequestForwarding(dependencies, context);
     const { caller, request, route } = context;
     this.answerBuffer = new AnswerBuffer({
@@ -110,7 +115,16 @@
   }
 
   /** Runs the request until it has been answered or has failed. */
-  abstract run(): Promise<void>;
+  async run(): Promise<void> {
+    try {
+      await this.runAttempts();
+    } finally {
+      this.retries.release();
+    }
+  }
+
+  /** Makes attempts until the request has been answered or has failed. */
+  protected abstract runAttempts(): Promise<void>;
 
   /** True if the request may be executed once more after the current attempt. */
   protected abstract canRetry(): boolean;
@@ -192,11 +206,13 @@
       this.#recordRunStart(isStream ? performance.now() : sentAtMs);
     };
     const maxEventMs = computeMaxEventMs(route);
+    const endSend = this.retries.startSend();
     const outcome = await runCheckedSend(
       { sink, signal: options.signal, maxEventMs },
       signal =>
         targetClient.send(record, request, { ...options, signal }, sink),
     );
+    endSend(isConnectFailure(outcome) ? 'unsent' : 'arrived');
     // What another instance answers is counted there.
     sink.onRunStart = () => undefined;
     if (outcome.kind === 'whole')
@@ -217,7 +233,7 @@
   protected createWatchdog(options: SendTimeouts): SendWatchdog {
     const { probeTarget, targetLink } = this.dependencies;
     const { target } = options;
-    this.#hasReservedRetry = false;
+    this.#wasGivenUp = false;
     return new SendWatchdog({
       ...options,
       canMove: () => this.#canMove(target),
@@ -236,7 +252,7 @@
     const isPrefill = target.record.role === 'prefill';
     // A prompt may be read again, whatever becomes of the answer.
     if (!isPrefill && !this.canRetry()) return false;
-    if (this.serviceState.retryBudget.remainingRetries < 1) return false;
+    if (!this.retries.hasRetry) return false;
     return this.#forwarding.isNeeded || this.#canPlaceElsewhere(target);
   }
 
@@ -255,11 +271,10 @@
     }
   }
 
-  /** Returns true if the send can go on elsewhere, and takes the retry for it. */
+  /** Returns true if the send can go on elsewhere, and reserves the retry for it. */
   #reserveMove(target: TargetState): boolean {
-    if (!this.#canMove(target)) return false;
-    this.#hasReservedRetry = this.serviceState.retryBudget.tryConsumeRetry();
-    return this.#hasReservedRetry;
+    this.#wasGivenUp = this.#canMove(target) && this.retries.reserveRetry();
+    return this.#wasGivenUp;
   }
 
   /** Counts a request at the target; the returned function removes it. */
@@ -276,7 +291,7 @@
   ): boolean {
     const { context } = this;
     const wasNotExecuted = isNotExecuted(outcome);
-    const wasGivenUp = outcome.kind === 'aborted' && this.#hasReservedRetry;
+    const wasGivenUp = outcome.kind === 'aborted' && this.#wasGivenUp;
     const mayRetry = wasNotExecuted || wasGivenUp || this.canRetry();
     if (!wasNotExecuted) {
       this.possibleExecutionCount += 1;
@@ -296,30 +311,33 @@
   }
 
   /**
-   * Takes a retry from the budget and returns true, or fails the request and returns
-   * false when the budget is exhausted.
+   * Reserves a retry and returns true, or fails the request and returns false when the
+   * budget is exhausted.
    */
   protected retryOrFail(outcome: { kind: string; phase?: string }): boolean {
-    const { retryBudget } = this.serviceState;
     // A send that never reached a target does not count as an attempt.
-    if (!isConnectFailure(outcome) && !this.#takeRetry()) {
+    if (!isConnectFailure(outcome) && !this.retries.reserveRetry()) {
       this.failRequest(this.#createRetryBudgetFailure());
       return false;
     }
-    const remainingRetries = Math.floor(retryBudget.remainingRetries);
+    const { retryBudget } = this.serviceState;
     this.context.logEvent('request_resent', {
       after: outcome.kind,
-      left: remainingRetries,
+      left: Math.floor(retryBudget.remainingRetries),
       history_ms: Math.round(retryBudget.historyMs),
       instances: retryBudget.instanceCount,
     });
     return true;
   }
 
-  #takeRetry(): boolean {
-    const hasReserved = this.#hasReservedRetry;
-    this.#hasReservedRetry = false;
-    return hasReserved || this.serviceState.retryBudget.tryConsumeRetry();
+  /**
+   * Reserves the retries that the step takes and returns true, or fails the request and
+   * returns false when the budget is exhausted.
+   */
+  protected reserveOrFail(step: SendStep): boolean {
+    if (this.retries.reserveFor(step)) return true;
+    this.failRequest(this.#createRetryBudgetFailure());
+    return false;
   }
 
   #createRetryBudgetFailure(): Failure {
--- a/packages/relay/src/retries/retry-budget.test.ts
+++ b/packages/relay/src/retries/retry-budget.test.ts
@@ -20,9 +20,16 @@
   return { retryBudget, limits };
 };
 
+/** Sends a retry at once, if the budget allows one. */
+const tryRetry = (retryBudget: RetryBudget): boolean => {
+  const permit = retryBudget.tryReserveRetry();
+  permit?.use();
+  return permit !== undefined;
+};
+
 const consumeAllRetries = (retryBudget: RetryBudget): number => {
   let retryCount = 0;
-  while (retryBudget.tryConsumeRetry()) retryCount += 1;
+  while (tryRetry(retryBudget)) retryCount += 1;
   return retryCount;
 };
 
@@ -49,11 +56,11 @@
   const clock = installPausedClock(t);
   const { retryBudget } = createRetryBudget(4);
   t.true(consumeAllRetries(retryBudget) > 0);
-  t.false(retryBudget.tryConsumeRetry());
+  t.false(tryRetry(retryBudget));
   await clock.tickAsync(5_000);
-  t.false(retryBudget.tryConsumeRetry());
+  t.false(tryRetry(retryBudget));
   await clock.tickAsync(6_000);
-  t.true(retryBudget.tryConsumeRetry());
+  t.true(tryRetry(retryBudget));
 });
 
 test.serial(
--- a/packages/relay/src/retries/retry-budget.ts
+++ b/packages/relay/src/retries/retry-budget.ts
@@ -47,18 +47,57 @@
   readonly instanceCount: number;
 }
 
+/** Where retries are counted. */
+interface RetryCount {
+  retryCount: number;
+}
+
 /** Counts of one step of the sliding window. */
-interface WindowBucket {
+interface WindowBucket extends RetryCount {
   /** Monotonic time divided by the bucket length, rounded down. */
   readonly index: number;
   requestCount: number;
-  retryCount: number;
+}
+
+/** A retry that the budget allows. It counts until it is given back. */
+export class RetryPermit {
+  #counter: RetryCount | undefined;
+
+  constructor(
+    private readonly reserved: RetryCount,
+    private readonly getCurrentBucket: () => RetryCount,
+  ) {
+    this.#moveTo(reserved);
+  }
+
+  /** Counts the retry as sent now. */
+  use(): void {
+    this.#moveTo(this.getCurrentBucket());
+  }
+
+  /** Takes the use back, as nothing has reached a target; the retry stays reserved. */
+  undoUse(): void {
+    this.#moveTo(this.reserved);
+  }
+
+  /** Gives the retry back. */
+  release(): void {
+    this.#moveTo(undefined);
+  }
+
+  #moveTo(counter: RetryCount | undefined): void {
+    if (this.#counter !== undefined) this.#counter.retryCount -= 1;
+    if (counter !== undefined) counter.retryCount += 1;
+    this.#counter = counter;
+  }
 }
 
 /** Counts the requests and retries of one service and limits the retries. */
 export class RetryBudget {
   readonly #options: RetryBudgetOptions;
   readonly #buckets: WindowBucket[] = [];
+  /** Retries that are reserved and not sent. */
+  readonly #reserved: RetryCount = { retryCount: 0 };
 
   constructor(options: RetryBudgetOptions) {
     this.#options = options;
@@ -79,19 +118,13 @@
     this.#getCurrentBucket().requestCount += 1;
   }
 
-  /** Counts a retry without checking whether the budget allows it. */
-  recordRetry(): void {
-    this.#getCurrentBucket().retryCount += 1;
-  }
-
   /**
-   * Counts a retry if the budget allows one; returns whether the budget allowed
-   * the retry.
+   * Reserves a retry if the budget allows one. It counts from now on, and from when it is
+   * sent for one window.
    */
-  tryConsumeRetry(): boolean {
-    if (this.remainingRetries < 1) return false;
-    this.recordRetry();
-    return true;
+  tryReserveRetry(): RetryPermit | undefined {
+    if (this.remainingRetries < 1) return undefined;
+    return new RetryPermit(this.#reserved, () => this.#getCurrentBucket());
   }
 
   /** Retries left in the window; fractional, and negative when exceeded. */
@@ -121,7 +154,7 @@
   #computeRoom(limit: number, successorRetries: number): number {
     const { index: currentIndex } = this.#getCurrentBucket();
     let room = Infinity;
-    let retryCount = 0;
+    let { retryCount } = this.#reserved;
     for (const bucket of [...this.#buckets].reverse()) {
       retryCount += bucket.retryCount;
       const restShare = 1 - (currentIndex - bucket.index) / bucketCount;
@@ -139,7 +172,10 @@
 
   #countRetries(): number {
     this.#getCurrentBucket();
-    return this.#buckets.reduce((sum, { retryCount }) => sum + retryCount, 0);
+    return [this.#reserved, ...this.#buckets].reduce(
+      (sum, { retryCount }) => sum + retryCount,
+      0,
+    );
   }
 
   /** Returns the current bucket. One more than a window is kept, as it is partly over. */
--- a/packages/relay/src/retries/retry-restarts.test.ts
+++ b/packages/relay/src/retries/retry-restarts.test.ts
@@ -33,7 +33,12 @@
 
 const countRetries = (budget: RetryBudget): number => {
   let count = 0;
-  while (count < triesPerRequest && budget.tryConsumeRetry()) count += 1;
+  while (count < triesPerRequest) {
+    const permit = budget.tryReserveRetry();
+    if (permit === undefined) break;
+    permit.use();
+    count += 1;
+  }
   return count;
 };
 
