Count what a request that is handed over has sent before

A request that one instance sent to a target and then handed to another, because it reaches no target any more, began there as a new one: its first arrival there, beyond the first of the request, took no retry. So did its next one at a third instance.

The message between instances tells whether the request has arrived at a target and has been prefilled. An instance that could not serve a request that it was handed may have sent it, so the next one takes a retry. Older instances ignore the field.

Evidence: a new test, which counts the retries at the other instance; it got 0 retries before the field was read.

--- a/packages/relay/src/forwarding/forwarded-request.ts
+++ b/packages/relay/src/forwarding/forwarded-request.ts
@@ -2,6 +2,9 @@
 import { z } from 'zod';
 
 import type { RelayRequest } from '../requests/relay-request.js';
+import { earlierArrivalsSchema } from '../retries/request-retries.js';
+
+import type { ForwardOptions } from './request-forwarder.js';
 
 /** Path of forwarded requests at the peer interface. */
 export const forwardPath = '/forwarded-requests';
@@ -47,14 +50,19 @@
   resumeAfterEventId: z.string().optional(),
   /** Name of the customer whose key the sender has checked. */
   customer: z.string().optional(),
+  /** Absent in the messages of instances that do not tell it. */
+  earlierArrivals: earlierArrivalsSchema.optional(),
 });
 export type ForwardedRequest = z.infer<typeof forwardedRequestSchema>;
 
 /** Creates the message; a stream goes on after the event that the caller got last. */
 export const encodeForwardedRequest = (
   request: RelayRequest,
-  remainingMs: number,
-  lastEventId: string | undefined,
+  {
+    remainingMs,
+    lastEventId,
+    earlierArrivals,
+  }: Pick<ForwardOptions, 'remainingMs' | 'lastEventId' | 'earlierArrivals'>,
 ): ForwardedRequest => {
   const { id, method, host, url, headers, fingerprint, prompt } = request;
   const firstRequestId = lastEventId === undefined ? undefined : id;
@@ -71,6 +79,7 @@
     prompt: prompt && { ...prompt, segments: [...prompt.segments] },
     resumeAfterEventId: lastEventId ?? request.resumeAfterEventId,
     customer: request.customer,
+    earlierArrivals,
   };
 };
 
--- a/packages/relay/src/forwarding/http-request-forwarder.ts
+++ b/packages/relay/src/forwarding/http-request-forwarder.ts
@@ -128,13 +128,12 @@
   #send(
     address: string,
     request: RelayRequest,
-    { remainingMs, lastEventId, signal }: ForwardOptions,
+    options: ForwardOptions,
     sink: CallerSink,
   ): Promise<ForwardOutcome> {
+    const { signal } = options;
     if (signal.aborted) return Promise.resolve({ kind: 'aborted' });
-    const body = JSON.stringify(
-      encodeForwardedRequest(request, remainingMs, lastEventId),
-    );
+    const body = JSON.stringify(encodeForwardedRequest(request, options));
     const headers = {
       'content-type': 'application/json',
       'x-instance': this.options.registry.self.name,
--- a/packages/relay/src/forwarding/request-forwarder.ts
+++ b/packages/relay/src/forwarding/request-forwarder.ts
@@ -2,6 +2,7 @@
 import type { Failure } from '@medlarlever/core';
 
 import type { RelayRequest } from '../requests/relay-request.js';
+import type { EarlierArrivals } from '../retries/request-retries.js';
 import type { CallerSink } from '../relay/response-sinks.js';
 import type { SendOutcome } from '../relay/target-client.js';
 
@@ -10,6 +11,7 @@
   readonly remainingMs: number;
   /** Id of the event that the caller got last; undefined if it got none. */
   readonly lastEventId: string | undefined;
+  readonly earlierArrivals: EarlierArrivals;
   /** Names of the instances that have failed this request. */
   readonly excluded: ReadonlySet<string>;
   /** Aborts the request and closes its connection. */
--- a/packages/relay/src/forwarding/request-forwarding.test.ts
+++ b/packages/relay/src/forwarding/request-forwarding.test.ts
@@ -21,6 +21,8 @@
 import type { CallerSink } from '../relay/response-sinks.js';
 import type { Route } from '../routes/route-configuration.js';
 
+import { noArrivals } from '../retries/request-retries.js';
+
 import { encodeForwardedRequest, forwardPath } from './forwarded-request.js';
 import { HttpRequestForwarder } from './http-request-forwarder.js';
 import { chooseNeighbor } from './neighbor-selection.js';
@@ -84,6 +86,31 @@
   },
 );
 
+test.serial(
+  'a request that has reached a target takes a retry where it is handed over',
+  async t => {
+    const [cut, other] = await startInstances(t, ['cut', 'other'], {
+      kind: 'idempotent',
+    });
+    if (cut === undefined || other === undefined) return t.fail();
+    const countRetries = () => {
+      const [state] = other.dependencies.serviceStates.listStates();
+      return 40 - (state?.[1].retryBudget.remainingRetries ?? 40);
+    };
+    cut.client.onSend = async () => {
+      await cutOff(cut);
+      return { kind: 'broken', phase: 'sent', reason: 'reset' };
+    };
+    const caller = await cut.serve();
+    t.is(caller.text, 'ok');
+    t.is(other.client.sends.length, 1);
+    t.is(countRetries(), 1);
+    await cut.serve();
+    t.is(other.client.sends.length, 2);
+    t.is(countRetries(), 1);
+  },
+);
+
 const customers = [{ name: 'first', keyHashes: ['h1'] }];
 
 test.serial(
@@ -152,6 +179,7 @@
         {
           remainingMs: 1_000,
           lastEventId: undefined,
+          earlierArrivals: noArrivals,
           excluded: new Set(),
           signal: new AbortController().signal,
         },
@@ -335,7 +363,11 @@
  */
 const handOverAndDisconnect = (address: string): void => {
   const [host = '', port = ''] = address.split(':');
-  const message = encodeForwardedRequest(createRequest(), 1_000, undefined);
+  const message = encodeForwardedRequest(createRequest(), {
+    remainingMs: 1_000,
+    lastEventId: undefined,
+    earlierArrivals: noArrivals,
+  });
   const body = JSON.stringify(message);
   const head = [
     `POST ${forwardPath} HTTP/1.1`,
--- a/packages/relay/src/relay/request-forwarding.ts
+++ b/packages/relay/src/relay/request-forwarding.ts
@@ -3,6 +3,8 @@
 
 import type { Forwarding } from '../forwarding/request-forwarder.js';
 
+import type { RequestRetries } from '../retries/request-retries.js';
+
 import type { RequestContext } from './request-context.js';
 import type { RelayDependencies } from './relay-dependencies.js';
 import type { CallerSink } from './response-sinks.js';
@@ -42,6 +44,7 @@
   constructor(
     private readonly dependencies: RelayDependencies,
     private readonly context: RequestContext,
+    private readonly retries: RequestRetries,
   ) {}
 
   /** False for a request that was forwarded already, here or by another instance. */
@@ -67,6 +70,8 @@
       const end = this.#judge(forwarding);
       if (end !== undefined) return end;
       this.#failedInstances.add(forwarding.instance);
+      if (!isConnectFailure(forwarding.outcome))
+        this.retries.recordPossibleArrival();
     }
     return this.#overload && this.#endUnrun(this.#overload);
   }
@@ -78,6 +83,7 @@
       {
         remainingMs: context.remainingMs,
         lastEventId: sink.lastEventId,
+        earlierArrivals: this.retries.arrivals,
         excluded: this.#failedInstances,
         signal: context.signal,
       },
--- a/packages/relay/src/relay/request-runner.ts
+++ b/packages/relay/src/relay/request-runner.ts
@@ -100,8 +100,15 @@
     protected readonly dependencies: RelayDependencies,
     protected readonly context: RequestContext,
   ) {
-    this.retries = new RequestRetries(this.serviceState.retryBudget);
-    this.#forwarding = new RequestForwarding(dependencies, context);
+    this.retries = new RequestRetries(
+      this.serviceState.retryBudget,
+      context.request.earlierArrivals,
+    );
+    this.#forwarding = new RequestForwarding(
+      dependencies,
+      context,
+      this.retries,
+    );
     const { caller, request, route } = context;
     this.answerBuffer = new AnswerBuffer({
       buffers: dependencies.callerBuffers,
--- a/packages/relay/src/requests/relay-request.ts
+++ b/packages/relay/src/requests/relay-request.ts
@@ -1,6 +1,8 @@
 /** A caller's request that is forwarded unchanged to a target. */
 import type { Failure } from '@medlarlever/core';
 
+import type { EarlierArrivals } from '../retries/request-retries.js';
+
 /** A segment of a prompt. Prompts with a common prefix have common segment ids. */
 export interface PromptSegment {
   readonly id: string;
@@ -57,6 +59,8 @@
   readonly resumeAfterEventId: string | undefined;
   /** Name of the instance that handed the request over; undefined if the caller sent it. */
   readonly forwardedBy?: string;
+  /** What of the request has arrived at targets by way of `forwardedBy`. */
+  readonly earlierArrivals?: EarlierArrivals;
   /** SHA-256 hash of the caller's key in base64url; undefined if it sent none. */
   readonly keyHash?: string;
   /** Name of the customer whose key was checked; undefined before the check and without one. */
