Assume other instances until the directory was read twice without one

An instance that has read only its own row, as the others have not yet written theirs, divided the retry allowance and the limits of targets by one: it took the share of all.

One function lists the known instances for both: until another one is known from the directory, or it was read again after an interval in which all could be written, at least 16 are assumed.

--- a/packages/relay/src/limits/limit-group.test.ts
+++ b/packages/relay/src/limits/limit-group.test.ts
@@ -1,6 +1,8 @@
 import type { InstanceRecord } from '@medlarlever/core';
 import test from 'ava';
 
+import { listKnownInstances } from '../peers/known-instances.js';
+
 import { selectLimitGroup } from './limit-group.js';
 
 const createInstances = (
@@ -18,8 +20,12 @@
   selectLimitGroup({
     self: 'a',
     instances,
-    directoryNames,
-    minAssumedInstances: 16,
+    knownInstances: listKnownInstances({
+      self: 'a',
+      heardNames: instances.map(({ name }) => name),
+      directoryNames,
+      isDirectorySettled: false,
+    }),
   }).names;
 
 test('instances that are gone leave their part to the others', t => {
--- a/packages/relay/src/limits/limit-group.ts
+++ b/packages/relay/src/limits/limit-group.ts
@@ -1,6 +1,8 @@
 /** Selects the instances among which the limits of targets are divided. */
 import type { InstanceRecord } from '@medlarlever/core';
 
+import type { KnownInstances } from '../peers/known-instances.js';
+
 import type { LimitGroup } from './limit-share.js';
 
 /** What this instance knows of the others. */
@@ -9,15 +11,9 @@
   readonly self: string;
   /** Instances that this one has heard of, with their state. */
   readonly instances: readonly Pick<InstanceRecord, 'name' | 'state'>[];
-  /** Names of all instances that have ever started, if they could be read. */
-  readonly directoryNames: readonly string[];
-  /** Number of instances assumed while the directory has not been read. */
-  readonly minAssumedInstances: number;
+  readonly knownInstances: KnownInstances;
 }
 
-const listAssumedNames = (count: number): string[] =>
-  Array.from({ length: Math.max(0, count) }, (_, i) => `assumed ${i}`);
-
 /**
  * Returns the group. Instances that are not heard of are left out only while most of
  * all instances are: an instance that hears of less may itself be cut off, and then
@@ -26,21 +22,12 @@
 export const selectLimitGroup = ({
   self,
   instances,
-  directoryNames,
-  minAssumedInstances,
+  knownInstances: { names, isComplete },
 }: LimitGroupOptions): LimitGroup => {
-  const knownNames = new Set([
-    self,
-    ...directoryNames,
-    ...instances.map(({ name }) => name),
-  ]);
-  if (directoryNames.length === 0) {
-    const missingCount = minAssumedInstances - knownNames.size;
-    return { self, names: [...knownNames, ...listAssumedNames(missingCount)] };
-  }
+  if (!isComplete) return { self, names };
   const liveNames = instances
     .filter(({ name, state }) => name === self || state === 'live')
     .map(({ name }) => name);
-  const areMostLive = liveNames.length * 2 > knownNames.size;
-  return { self, names: areMostLive ? liveNames : [...knownNames] };
+  const areMostLive = liveNames.length * 2 > names.length;
+  return { self, names: areMostLive ? liveNames : names };
 };
--- a/packages/relay/src/peers/app.ts
+++ b/packages/relay/src/peers/app.ts
@@ -51,17 +51,12 @@
 
 import { LimitReports } from './limit-reports.js';
 import { InstanceDirectory } from './instance-directory.js';
+import { listKnownInstances } from './known-instances.js';
+import type { KnownInstances } from './known-instances.js';
 import { LoadExchange } from './load-exchange.js';
 import { PeerMeshTopology } from './peer-topology.js';
 import { PeerSnapshots } from './peer-snapshots.js';
 
-/**
- * Minimum instance count assumed until the directory rows have been read. The
- * retry budget is divided by this count, and too small a share does less harm
- * than too large a share.
- */
-const minAssumedInstances = 16;
-
 const formatPeerAddress = (kernel: Kernel): string => {
   const { host, port } = kernel.get(settingsToken).current.peers;
   return `${host}:${port}`;
@@ -140,21 +135,15 @@
     log: kernel.get(logToken),
   });
 
-/**
- * Counts every instance ever seen. A partitioned instance must not claim the
- * other instances' share of the retry budget, and neither must an instance that
- * does not know its peers yet.
- */
-const countInstances = (kernel: Kernel): number => {
-  const { instanceNames } = kernel.get(instanceDirectoryToken);
-  const registered = kernel.get(instanceRegistryToken).listInstances();
-  const knownCount = new Set([
-    ...registered.map(({ name }) => name),
-    ...instanceNames,
-  ]).size;
-  return instanceNames.length > 0
-    ? knownCount
-    : Math.max(knownCount, minAssumedInstances);
+const getKnownInstances = (kernel: Kernel): KnownInstances => {
+  const directory = kernel.get(instanceDirectoryToken);
+  const registry = kernel.get(instanceRegistryToken);
+  return listKnownInstances({
+    self: registry.self.name,
+    heardNames: registry.listInstances().map(({ name }) => name),
+    directoryNames: directory.instanceNames,
+    isDirectorySettled: directory.isSettled,
+  });
 };
 
 /**
@@ -199,8 +188,7 @@
   selectLimitGroup({
     self: kernel.get(settingsToken).current.instance,
     instances: kernel.get(instanceRegistryToken).listInstances(),
-    directoryNames: kernel.get(instanceDirectoryToken).instanceNames,
-    minAssumedInstances,
+    knownInstances: getKnownInstances(kernel),
   });
 
 /**
@@ -293,7 +281,7 @@
     kernel.provide(loadExchangeToken, createLoadExchange);
     kernel.provide(
       instanceCountToken,
-      resolver => () => countInstances(resolver),
+      resolver => () => getKnownInstances(resolver).names.length,
     );
     kernel.provide(streamOriginsToken, () => new StreamOrigins());
     kernel.provide(streamOriginFinderToken, createStreamOriginFinder);
--- a/packages/relay/src/peers/instance-directory.test.ts
+++ b/packages/relay/src/peers/instance-directory.test.ts
@@ -30,12 +30,14 @@
     const first = startDirectory('one', 1);
     await clock.tickAsync(3_000);
     t.deepEqual(first.peerAddresses, []);
+    t.false(first.isSettled);
     const second = startDirectory('two', 2);
     await clock.tickAsync(3_000);
     t.deepEqual(second.peerAddresses, ['10.0.0.1:1']);
     await clock.tickAsync(25_000);
     t.deepEqual(first.peerAddresses, ['10.0.0.1:2']);
     t.deepEqual(first.instanceNames, ['one', 'two']);
+    t.true(first.isSettled);
   },
 );
 
--- a/packages/relay/src/peers/instance-directory.ts
+++ b/packages/relay/src/peers/instance-directory.ts
@@ -38,6 +38,7 @@
 export class InstanceDirectory {
   readonly #options: InstanceDirectoryOptions;
   #addressesByName = new Map<string, string>();
+  #readCount = 0;
 
   constructor(options: InstanceDirectoryOptions) {
     this.#options = options;
@@ -56,6 +57,11 @@
     return [...this.#addressesByName.keys()];
   }
 
+  /** True once the rows were read again, after an interval in which all could be written. */
+  get isSettled(): boolean {
+    return this.#readCount >= 2;
+  }
+
   /**
    * Writes this instance's row, then reads all rows at intervals until the signal
    * aborts. Failed writes and reads are retried after `retryIntervalMs`. After a
@@ -113,6 +119,7 @@
     return scan
       .map(rows => {
         for (const { sort, value } of rows) this.#applyRow(sort, value);
+        this.#readCount += 1;
         return true;
       })
       .orDefault(false);
