Play restarts of all instances in refusals in the soak, and judge prefills as the rule does

The soak never killed all instances at once, and told each restarted process that the system starts for the first time; its check of retries took each refused first prefill as free. So it could not find the retries beyond the budget.

Without the flag the plans of seeds stay as they were.

--- a/packages/soak/src/checks/run-checks.test.ts
+++ b/packages/soak/src/checks/run-checks.test.ts
@@ -47,6 +47,7 @@
   customer: '',
   key: '',
   resumedAfter: 0,
+  refused: false,
   ran: true,
   failed: false,
   endedAtMs: 100_090,
@@ -260,6 +261,22 @@
   ]);
 });
 
+test('the first prefill of a request is no arrival, unless it is refused', t => {
+  const ids = Array.from({ length: 35 }, (_, i) => `a${i}`);
+  const listBroken = (refused: boolean) => {
+    const arrivals = ids.flatMap((id, i) => [
+      createArrival(id, { reading: true, refused, ran: false }),
+      createArrival(id, { atMs: 100_011 + i }),
+    ]);
+    const attempts = ids.slice(0, 1).map(id => createAttempt(id));
+    return listBrokenPromises({ attempts, arrivals }).filter(
+      promise => promise === 'retries stay within the retry budget',
+    );
+  };
+  t.deepEqual(listBroken(false), []);
+  t.deepEqual(listBroken(true), ['retries stay within the retry budget']);
+});
+
 test('orders of two lease holders at the same time are a violation', t => {
   const order = (holder: string, fencing: number, atMs: number) => ({
     target: 't1',
--- a/packages/soak/src/checks/target-checks.ts
+++ b/packages/soak/src/checks/target-checks.ts
@@ -121,18 +121,28 @@
 const retryWindowMs = 10_000;
 const retryRatio = 0.2;
 
+/** Returns the items but for the first one of each request. */
+const omitFirst = (arrivals: readonly Arrival[]): Arrival[] => {
+  const seenRequests = new Set<string>();
+  return arrivals.filter(({ attempt }) => {
+    const isRepeated = seenRequests.has(attempt);
+    seenRequests.add(attempt);
+    return isRepeated;
+  });
+};
+
 /**
- * Returns the arrivals after the first of each request. A separate prefill of a
- * request (`reading`) is counted apart, so that it is no repetition of the request.
+ * Returns the arrivals after the first of each request. The first separate prefill of a
+ * request (`reading`) that its target accepts is no arrival.
  */
 const listRepeatedArrivals = (arrivals: readonly Arrival[]): Arrival[] => {
-  const seenKeys = new Set<string>();
-  return arrivals.filter(({ attempt, reading }) => {
-    const requestKey = `${attempt} ${reading}`;
-    if (seenKeys.has(requestKey)) return true;
-    seenKeys.add(requestKey);
-    return false;
-  });
+  const isPrefill = ({ reading, refused }: Arrival) => reading && !refused;
+  const repeatedPrefills = new Set(omitFirst(arrivals.filter(isPrefill)));
+  return omitFirst(
+    arrivals.filter(
+      arrival => !isPrefill(arrival) || repeatedPrefills.has(arrival),
+    ),
+  );
 };
 
 /**
--- a/packages/soak/src/faults/fault-plan.ts
+++ b/packages/soak/src/faults/fault-plan.ts
@@ -16,6 +16,7 @@
   SequentialStops,
 } from './instance-faults.js';
 import { LinkReset, LinkSilence, LinkDelay } from './network-faults.js';
+import { RestartsInRefusals } from './restarts-in-refusals.js';
 import {
   StoreHistoryLoss,
   StoreDelay,
@@ -101,6 +102,22 @@
   new KeyChange(),
 ];
 
+/**
+ * Returns the plan of the seed with restarts of all instances while targets refuse. They
+ * come in addition to its other faults.
+ */
+export const planFaultsWithRestarts = (
+  seed: number,
+  faultPeriodMs: number,
+): PlannedFault[] => [
+  ...planFaults(seed, faultPeriodMs),
+  {
+    atMs: firstFaultAtMs,
+    fault: new RestartsInRefusals(),
+    random: new SeededRandom(seed),
+  },
+];
+
 /** Returns the faults of a period of `faultPeriodMs` milliseconds. */
 export const planFaults = (
   seed: number,
--- a/packages/soak/src/faults/instance-faults.ts
+++ b/packages/soak/src/faults/instance-faults.ts
@@ -15,7 +15,7 @@
  * Ends the instance with the signal, starts it again and waits until it is
  * ready.
  */
-const restartInstance = async (
+export const restartInstance = async (
   run: FaultScene,
   random: SeededRandom,
   instance: InstanceProcess,
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -12,13 +12,14 @@
 const cli = meow(
   `
   Usage: npm run soak -- [--seed N] [--seeds COUNT] [--seconds S] [--jobs J]
-                        [--instances I] [--callers C] | --regressions
+                        [--instances I] [--callers C] [--restarts] | --regressions
 
   --seed     first seed (1); 0 uses the current time as the seed
   --seeds    number of consecutive seeds to run (1)
   --seconds  length of the period in which faults start (15); recovery follows
   --jobs     number of seeds to run at the same time (1)
   --instances, --callers  numbers of instances and callers of a run (3 and 12)
+  --restarts  restarts all instances at once as well, while targets refuse
   --regressions  runs the seeds in regressions.json, which failed before
   Exits 1 when a check fails; its findings are written to target/soak.
 `,
@@ -31,6 +32,7 @@
       jobs: { type: 'number', default: 1 },
       instances: { type: 'number', default: 3 },
       callers: { type: 'number', default: 12 },
+      restarts: { type: 'boolean', default: false },
       regressions: { type: 'boolean', default: false },
     },
   },
@@ -69,6 +71,7 @@
       faultPeriodMs,
       instanceCount: instances,
       callerCount: callers,
+      restartsAll: flags.restarts,
     });
     printOutcome(outcome);
     if (outcome.violations.length === 0) continue;
--- a/packages/soak/src/processes/instance-process.ts
+++ b/packages/soak/src/processes/instance-process.ts
@@ -234,8 +234,9 @@
   async #writeSettings(): Promise<string> {
     const { name, folder } = this.options;
     const seedAddress = `127.0.0.1:${this.#reloadCount + 1}`;
+    const isFirstStart = this.startCount === 0;
     const settings = createInstanceSettingsFile(
-      { ...this.options, seedAddress },
+      { ...this.options, seedAddress, isFirstStart },
       this.ports,
     );
     const file = join(folder, `${name}.json`);
--- a/packages/soak/src/run-seed.ts
+++ b/packages/soak/src/run-seed.ts
@@ -5,7 +5,7 @@
 
 import { runChecks } from './checks/run-checks.js';
 import type { Violation } from './checks/check.js';
-import { planFaults } from './faults/fault-plan.js';
+import { planFaults, planFaultsWithRestarts } from './faults/fault-plan.js';
 import type { RunRecord } from './run/run-record.js';
 import { SoakRun } from './run/soak-run.js';
 
@@ -16,6 +16,8 @@
   readonly faultPeriodMs: number;
   readonly instanceCount: number;
   readonly callerCount: number;
+  /** True if all instances are also restarted at once, several times. */
+  readonly restartsAll: boolean;
 }
 
 /** Result of a run with its violations. */
@@ -34,12 +36,13 @@
  * Runs the seed with processes of its own and settings in a temporary folder.
  */
 export const runSeed = async (options: SeedOptions): Promise<SeedOutcome> => {
-  const { seed, faultPeriodMs } = options;
+  const { seed, faultPeriodMs, restartsAll } = options;
+  const createPlan = restartsAll ? planFaultsWithRestarts : planFaults;
   const folder = await mkdtemp(join(tmpdir(), 'soak-'));
   const run = await SoakRun.start({ ...options, folder });
   try {
     const startMs = performance.now();
-    const record = await run.executePlan(planFaults(seed, faultPeriodMs));
+    const record = await run.executePlan(createPlan(seed, faultPeriodMs));
     const { attempts, faultLog } = record;
     const servedAttempts = attempts.filter(
       ({ end }) => end?.status === 200 && end.whole,
