Play random restarts and refusals against the retry budget

Four restarts of all, two of each instance and four spans of refusals at random times, 25 seeds: no window of 10 s has more retries than its requests allow. The fixed schedules stay as they were.

--- a/packages/relay/src/retries/retry-restarts.test.ts
+++ b/packages/relay/src/retries/retry-restarts.test.ts
@@ -2,6 +2,7 @@
 import type { ExecutionContext } from 'ava';
 
 import { installPausedClock } from '../fixtures/paused-clock.js';
+import { createSeededRandom } from '../fixtures/seeded-random.js';
 
 import { RetryBudget } from './retry-budget.js';
 
@@ -11,6 +12,7 @@
 const ratio = 0.2;
 const allowance = 58;
 const stepMs = 50;
+const msPerSecond = 1_000;
 /** Requests go on at other targets this often before one takes them. */
 const triesPerRequest = 5;
 
@@ -42,40 +44,43 @@
   return count;
 };
 
-/**
- * Plays a deployment whose targets refuse from second 12 on and whose instances all start
- * anew at the times; returns its steps.
- */
-const playRestarts = async (
+/** When targets refuse, and when the process of an instance starts anew. */
+interface Schedule {
+  readonly refusesAt: (nowMs: number) => boolean;
+  readonly startsAt: (instance: number, nowMs: number) => boolean;
+}
+
+const playMs = 40_000;
+
+/** Plays a deployment and returns its steps. */
+const playSchedule = async (
   t: ExecutionContext,
-  restartSeconds: readonly number[],
+  { refusesAt, startsAt }: Schedule,
 ): Promise<Step[]> => {
   const clock = installPausedClock(t);
-  let budgets: RetryBudget[] = [];
-  const startAll = () => {
-    budgets = Array.from({ length: instanceCount }, createBudget);
-  };
-  startAll();
+  const budgets = Array.from({ length: instanceCount }, createBudget);
   const steps: Step[] = [];
   let dueRequests = 0;
-  for (let nowMs = 0; nowMs < 40_000; nowMs += stepMs) {
+  for (let nowMs = 0; nowMs < playMs; nowMs += stepMs) {
     await clock.tickAsync(stepMs);
-    if (restartSeconds.some(second => second * 1_000 === nowMs)) startAll();
+    for (const instance of budgets.keys())
+      if (startsAt(instance, nowMs)) budgets[instance] = createBudget();
     let requestCount = 0;
     let retryCount = 0;
     for (
-      dueRequests += requestsPerSecond * (stepMs / 1_000);
+      dueRequests += requestsPerSecond * (stepMs / msPerSecond);
       dueRequests >= 1;
       dueRequests -= 1
     ) {
-      const budget = budgets[requestCount % instanceCount];
+      const budget = budgets[(steps.length + requestCount) % instanceCount];
       if (budget === undefined) break;
       budget.recordRequest();
       requestCount += 1;
-      if (nowMs >= 12_000) retryCount += countRetries(budget);
+      if (refusesAt(nowMs)) retryCount += countRetries(budget);
     }
     steps.push({ requestCount, retryCount });
   }
+  clock.uninstall();
   return steps;
 };
 
@@ -104,8 +109,38 @@
   test.serial(
     `instances that all start anew at seconds ${restartSeconds.join(', ') || '(none)'} keep to the retry budget`,
     async t => {
-      const steps = await playRestarts(t, restartSeconds);
+      const steps = await playSchedule(t, {
+        refusesAt: nowMs => nowMs >= 12_000,
+        startsAt: (_instance, nowMs) =>
+          restartSeconds.includes(nowMs / msPerSecond),
+      });
       const excess = findLargestExcess(steps);
       t.true(excess <= 0, `${excess} retries too many`);
     },
   );
+
+test.serial(
+  'instances that start anew at random, at random refusals, keep to the retry budget',
+  async t => {
+    for (let seed = 1; seed <= 25; seed += 1) {
+      const random = createSeededRandom(seed);
+      const drawTime = () => Math.round((random() * playMs) / stepMs) * stepMs;
+      const refusals = Array.from({ length: 4 }, () => {
+        const fromMs = drawTime();
+        return { fromMs, toMs: fromMs + 12_000 * random() };
+      });
+      const restartsOfAll = Array.from({ length: 4 }, drawTime);
+      const restarts = Array.from({ length: 2 * instanceCount }, drawTime);
+      const steps = await playSchedule(t, {
+        refusesAt: nowMs =>
+          refusals.some(({ fromMs, toMs }) => nowMs >= fromMs && nowMs < toMs),
+        startsAt: (instance, nowMs) =>
+          restartsOfAll.includes(nowMs) ||
+          restarts[instance] === nowMs ||
+          restarts[instance + instanceCount] === nowMs,
+      });
+      const excess = findLargestExcess(steps);
+      t.true(excess <= 0, `seed ${seed}: ${excess} retries too many`);
+    }
+  },
+);
