Keep in the table what is refused because it crashes targets

The class of the fault of the retry budget: what a promise counts on is kept by processes alone, and gone when all start anew. Crashes of a request or of a part of prompts are repeated to instances that start, but if all start at once, nobody repeats them, and each life of the deployment lets the request crash targets anew.

A refusal of parts that were answered before lasts seconds and is not kept.

--- a/packages/relay/src/crashes/prompt-quarantine.ts
+++ b/packages/relay/src/crashes/prompt-quarantine.ts
@@ -3,11 +3,14 @@
  * begins to answer them. Instances tell each other of crashes and of answers, so that
  * all come to the same result.
  */
+import { createHash } from 'node:crypto';
+
 import type { Log } from '@medlarlever/core';
 import { LRUCache } from 'lru-cache';
 
 import { findCrashCauses } from './crash-cause.js';
 import type { CrashCause } from './crash-cause.js';
+import type { Refusal } from './refusal.js';
 import { RecordedCrashes, createCrashReport } from './recorded-crashes.js';
 import type { RecordedCrash } from './recorded-crashes.js';
 import { getIncarnationKey } from './target-crash.js';
@@ -146,6 +149,28 @@
     return [...recent, ...this.#listCauses(nowMs)];
   }
 
+  /**
+   * Lists the parts that are refused for good. One that was answered before is refused only
+   * for a while.
+   */
+  listRefusals(): Refusal[] {
+    this.#update();
+    const nowMs = performance.now();
+    return this.#causes
+      .filter(({ wasAnswered }) => !wasAnswered)
+      .map(cause => {
+        const records = this.#listRecords(cause);
+        return {
+          key: `parts ${hashParts(cause.parts)}`,
+          isOwn: records.some(({ isOwn }) => isOwn),
+          requestCrashes: [],
+          targetCrashes: records.map(record =>
+            createCrashReport(record, [cause.parts], nowMs),
+          ),
+        };
+      });
+  }
+
   /** Lists the answers to prompts that are suspected, which are reported once. */
   listAnswers(): AnsweredPart[] {
     const nowMs = performance.now();
@@ -260,15 +285,25 @@
   }
 
   #listCauses(nowMs: number): ReportedCrash[] {
-    return this.#causes.flatMap(({ parts, crashes }) =>
-      crashes
-        .slice(-reportedCrashesPerCause)
-        .flatMap(crash => this.#crashes.find(crash) ?? [])
-        .map(entry => createCrashReport(entry, [parts], nowMs)),
+    return this.#causes.flatMap(cause =>
+      this.#listRecords(cause).map(record =>
+        createCrashReport(record, [cause.parts], nowMs),
+      ),
     );
   }
+
+  /** The newest crashes of a cause. */
+  #listRecords({ crashes }: CrashCause): RecordedCrash[] {
+    return crashes
+      .slice(-reportedCrashesPerCause)
+      .flatMap(crash => this.#crashes.find(crash) ?? []);
+  }
 }
 
+/** Parts may be longer than a row's key. */
+const hashParts = (parts: SharedParts): string =>
+  createHash('sha1').update(parts.join(' ')).digest('hex');
+
 const getCauseKey = ({ parts }: CrashCause): string => parts.join(' ');
 
 const isInForce = (
--- a/packages/relay/src/crashes/request-quarantine.ts
+++ b/packages/relay/src/crashes/request-quarantine.ts
@@ -7,6 +7,8 @@
 
 import { unknownStartMs } from '../targets/target-record.js';
 
+import type { Refusal } from './refusal.js';
+import { encodeRequestCrash } from './request-crash.js';
 import type { AnsweredRequest, RequestCrash } from './request-crash.js';
 import { getIncarnationKey } from './target-crash.js';
 
@@ -32,6 +34,8 @@
   readonly crashes: Map<string, RequestCrash>;
   /** Monotonic time at which the request last crashed a target or was refused. */
   lastUseMs: number;
+  /** True if this instance has seen one of the crashes itself. */
+  isOwn: boolean;
 }
 
 /** Crash counts of requests; requests are identified by their fingerprints. */
@@ -48,7 +52,10 @@
 
   /** Records a crash that this instance has seen while the target ran the request. */
   recordCrash(crash: RequestCrash): void {
-    if (this.#addCrash(crash)) this.#unreportedCrashes.push(crash);
+    if (!this.#addCrash(crash)) return;
+    this.#unreportedCrashes.push(crash);
+    const suspect = this.#suspects.peek(crash.fingerprint);
+    if (suspect !== undefined) suspect.isOwn = true;
   }
 
   /** Records that a target ran the request to its end, and lived on. */
@@ -97,6 +104,21 @@
     ];
   }
 
+  /** Lists the refused requests, the last refused first. */
+  listRefusals(): Refusal[] {
+    return this.#listRefused()
+      .slice(0, maxRepeatedRequests)
+      .map(suspect => {
+        const crashes = listRepeatedCrashes(suspect);
+        return {
+          key: `request ${crashes[0]?.fingerprint ?? ''}`,
+          isOwn: suspect.isOwn,
+          requestCrashes: crashes.map(encodeRequestCrash),
+          targetCrashes: [],
+        };
+      });
+  }
+
   /** Returns and clears the answers that the other instances are to be told of. */
   takeAnswers(): AnsweredRequest[] {
     const answers = [...this.#unreportedAnswers].flatMap(fingerprint => {
@@ -127,11 +149,7 @@
     this.#lastRepetitionMs = nowMs;
     return this.#listRefused()
       .slice(0, maxRepeatedRequests)
-      .flatMap(({ crashes, lastUseMs }) =>
-        [...crashes.values()]
-          .slice(-repeatedCrashesPerRequest)
-          .map(crash => ({ ...crash, lastUseMs })),
-      );
+      .flatMap(listRepeatedCrashes);
   }
 
   #listRefused(): SuspectedRequest[] {
@@ -155,6 +173,7 @@
     const suspect = this.#suspects.get(fingerprint) ?? {
       crashes: new Map<string, RequestCrash>(),
       lastUseMs,
+      isOwn: false,
     };
     countCrash(suspect.crashes, crash);
     suspect.lastUseMs = Math.max(suspect.lastUseMs, lastUseMs);
@@ -186,6 +205,14 @@
   if (atMs < knownAtMs) crashes.set(key, crash);
 };
 
+const listRepeatedCrashes = ({
+  crashes,
+  lastUseMs,
+}: SuspectedRequest): RequestCrash[] =>
+  [...crashes.values()]
+    .slice(-repeatedCrashesPerRequest)
+    .map(crash => ({ ...crash, lastUseMs }));
+
 const isInForce = ({ crashes, lastUseMs }: SuspectedRequest): boolean =>
   crashes.size >= refusalCrashCount &&
   performance.now() - lastUseMs <= requestTtlMs;
--- a/packages/relay/src/relay-daemon.ts
+++ b/packages/relay/src/relay-daemon.ts
@@ -4,6 +4,7 @@
 import { Kernel } from '@medlarlever/core';
 
 import { changeStreamsPlugin } from './change-streams/app.js';
+import { crashesPlugin } from './crashes/app.js';
 import { customersPlugin } from './customers/app.js';
 import { dutiesPlugin } from './duties/app.js';
 import { forwardingPlugin } from './forwarding/app.js';
@@ -25,6 +26,7 @@
 
 const plugins = [
   changeStreamsPlugin,
+  crashesPlugin,
   customersPlugin,
   forwardingPlugin,
   peersPlugin,
