--- a/packages/relay/src/crashes/refusal-archive.test.ts
+++ b/packages/relay/src/crashes/refusal-archive.test.ts
@@ -48,16 +48,22 @@
   }
 };
 
+/** Runs a process that refuses what crashes targets, long enough for it to be saved. */
+const runFirstProcess = async (t: ExecutionContext) => {
+  const clock = installPausedClock(t);
+  const table = new MemoryTable();
+  const first = startProcess(t, table);
+  await crashTargets(first, clock);
+  await clock.tickAsync(3_000);
+  return { clock, table, first };
+};
+
 // Guards against requests that crash targets anew after each restart of all instances.
 test.serial(
   'instances that all start anew refuse what has crashed targets',
   async t => {
-    const clock = installPausedClock(t);
-    const table = new MemoryTable();
-    const first = startProcess(t, table);
-    await crashTargets(first, clock);
+    const { clock, table, first } = await runFirstProcess(t);
     t.true(first.requests.isRefused('f'));
-    await clock.tickAsync(3_000);
     first.stop.abort();
     const second = startProcess(t, table);
     await clock.tickAsync(100);
@@ -71,11 +77,7 @@
 test.serial(
   'a request that was answered after all is not refused after a restart',
   async t => {
-    const clock = installPausedClock(t);
-    const table = new MemoryTable();
-    const first = startProcess(t, table);
-    await crashTargets(first, clock);
-    await clock.tickAsync(3_000);
+    const { clock, table, first } = await runFirstProcess(t);
     first.requests.recordAnswer('f');
     await clock.tickAsync(3_000);
     first.stop.abort();
@@ -86,11 +88,7 @@
 );
 
 test.serial('a refusal that is too old is forgotten, and its row', async t => {
-  const clock = installPausedClock(t);
-  const table = new MemoryTable();
-  const first = startProcess(t, table);
-  await crashTargets(first, clock);
-  await clock.tickAsync(3_000);
+  const { clock, table, first } = await runFirstProcess(t);
   first.stop.abort();
   await clock.tickAsync(601_000);
   const second = startProcess(t, table);
@@ -104,11 +102,7 @@
 test.serial(
   'an odd row is passed over, and the table is asked until it answers',
   async t => {
-    const clock = installPausedClock(t);
-    const table = new MemoryTable();
-    const first = startProcess(t, table);
-    await crashTargets(first, clock);
-    await clock.tickAsync(3_000);
+    const { clock, table, first } = await runFirstProcess(t);
     first.stop.abort();
     await table.commitTransaction({
       token: 'odd',
--- a/packages/relay/src/relay/generation-runner.test.ts
+++ b/packages/relay/src/relay/generation-runner.test.ts
@@ -9,28 +9,21 @@
   FakeTargetClient,
   SendScript,
 } from '../fixtures/fake-target-client.js';
+import {
+  createEngineRecords,
+  createLongPrompt,
+  createStreamRoute,
+} from '../fixtures/generation-fixtures.js';
 import { installPausedClock } from '../fixtures/paused-clock.js';
 import {
   createPrompt,
   createTargetRecord,
 } from '../fixtures/relay-fixtures.js';
 import { createTestRelay } from '../fixtures/test-relay.js';
-import type { Route } from '../routes/route-configuration.js';
 import type { TargetRegistry } from '../targets/target-registry.js';
 
-const engineRecords = [
-  createTargetRecord('p1', { service: 'engines', role: 'prefill', slots: 8 }),
-  createTargetRecord('p2', { service: 'engines', role: 'prefill', slots: 8 }),
-  createTargetRecord('d1', { service: 'engines', role: 'decode', slots: 8 }),
-  createTargetRecord('d2', { service: 'engines', role: 'decode', slots: 8 }),
-];
-
-const streamRoute: Partial<Route> = {
-  kind: 'stream',
-  services: [{ name: 'engines', weight: 1 }],
-  timeoutMs: 5_000,
-  latencyTargetMs: 1_000,
-};
+const engineRecords = createEngineRecords();
+const streamRoute = createStreamRoute(5_000);
 
 const refusal = {
   kind: 'not_executed',
@@ -39,7 +32,7 @@
   wantsQuiet: false,
 } as const;
 
-const longPrompt = createPrompt('own', { shared: 20_000, own: 5_000 });
+const longPrompt = createLongPrompt();
 
 test('a long prompt is prefilled at one engine and decoded at another', async t => {
   const { serve, client } = createTestRelay({
