Read notifications that arrive together with the request for their stream

The HTTP server gives bytes that it has read behind the head of an upgrade to the listener, which dropped them. The test of malformed lines failed once on a machine with a load of 20 (its line came with the head, was lost, and the stream ended for idleness). Instances wait for the answer before they send, so that none was lost between them.

Evidence: a new test, which sends both in one write, failed before.

--- a/packages/core/src/peers/notification-server.ts
+++ b/packages/core/src/peers/notification-server.ts
@@ -34,9 +34,14 @@
   readonly #sockets = new Set<Duplex>();
 
   constructor(private readonly options: NotificationServerOptions) {
-    options.server.on('upgrade', (request: IncomingMessage, socket: Duplex) => {
-      this.#accept(request, socket);
-    });
+    options.server.on(
+      'upgrade',
+      (request: IncomingMessage, socket: Duplex, head: Buffer) => {
+        // Lines that were read together with the request.
+        socket.unshift(head);
+        this.#accept(request, socket);
+      },
+    );
   }
 
   /** Closes all streams; the HTTP server does not know them any more. */
--- a/packages/core/src/peers/notification-stream.test.ts
+++ b/packages/core/src/peers/notification-stream.test.ts
@@ -158,16 +158,28 @@
   t.true(countStreamed() > before);
 });
 
+const upgradeRequest =
+  `GET ${notificationPath} HTTP/1.1\r\nhost: x\r\nconnection: upgrade\r\n` +
+  `upgrade: ${notificationProtocol}\r\nauthorization: Bearer secret\r\nx-instance: two\r\n\r\n`;
+
+// Guards against lines that are lost because they are read together with the request.
+test('a line that arrives with the request for the stream is read', async t => {
+  const { malformedFrom, port } = await startReceiver(t);
+  const socket = connect(port, '127.0.0.1');
+  const ended = new Promise(resolve => socket.once('close', resolve));
+  socket.on('error', () => undefined).resume();
+  socket.write(`${upgradeRequest}null\n`);
+  await ended;
+  t.deepEqual(malformedFrom, ['two']);
+});
+
 test('a malformed line ends its own stream only', async t => {
   for (const line of ['{"jsonrpc":', 'null', '[1]', '{"id":1}', '\u0000']) {
     const { received, malformedFrom, port } = await startReceiver(t);
     const socket = connect(port, '127.0.0.1');
     const ended = new Promise(resolve => socket.once('close', resolve));
     socket.on('error', () => undefined).resume();
-    socket.write(
-      `GET ${notificationPath} HTTP/1.1\r\nhost: x\r\nconnection: upgrade\r\n` +
-        `upgrade: ${notificationProtocol}\r\nauthorization: Bearer secret\r\nx-instance: two\r\n\r\n`,
-    );
+    socket.write(upgradeRequest);
     await pause(50);
     socket.write(`${line}\n`);
     await ended;
