--- a/packages/core/src/shared/events.ts
+++ b/packages/core/src/shared/events.ts
@@ -277,6 +277,11 @@
     'error',
     'A part of prompts crashed several targets; prompts with it are refused.',
   ),
+  refusals_read: defineEvent(
+    524,
+    'info',
+    'What is refused because it crashes targets was read from the table at the start.',
+  ),
   prompt_part_accepted: defineEvent(
     519,
     'info',
--- a/packages/relay/src/crashes/refusal-archive.ts
+++ b/packages/relay/src/crashes/refusal-archive.ts
@@ -63,6 +63,7 @@
     return scan
       .map(rows => {
         for (const { sort, value } of rows) this.#applyRow(sort, value);
+        this.options.log.writeEvent('refusals_read', { rows: rows.length });
         return true;
       })
       .orDefault(false);
