Give up a silent send only if its repeat can be made whole

Found in the read-through of the retries: a send of a request that has been prefilled needs two retries to go on elsewhere, a prefill and a run, but the watchdog gave it up for one. The request then failed for want of the second one, although its target might have answered.

Evidence: a new test failed with one retry (canRepeat true where false is asked for).

--- a/packages/relay/src/relay/plain-request-runner.ts
+++ b/packages/relay/src/relay/plain-request-runner.ts
@@ -66,7 +66,7 @@
     return (
       route.kind === 'idempotent' &&
       this.possibleExecutionCount + 1 < route.maxAttempts &&
-      this.retries.hasRetry &&
+      this.retries.canRepeat &&
       this.dependencies.targets.listOpenTargets(service).length >
         this.excludedTargets.size + 1
     );
--- a/packages/relay/src/relay/request-runner.ts
+++ b/packages/relay/src/relay/request-runner.ts
@@ -259,7 +259,7 @@
     const isPrefill = target.record.role === 'prefill';
     // A prompt may be read again, whatever becomes of the answer.
     if (!isPrefill && !this.canRetry()) return false;
-    if (!this.retries.hasRetry) return false;
+    if (!this.retries.canRepeat) return false;
     return this.#forwarding.isNeeded || this.#canPlaceElsewhere(target);
   }
 
@@ -280,7 +280,7 @@
 
   /** Returns true if the send can go on elsewhere, and reserves the retry for it. */
   #reserveMove(target: TargetState): boolean {
-    this.#wasGivenUp = this.#canMove(target) && this.retries.reserveRetry();
+    this.#wasGivenUp = this.#canMove(target) && this.retries.reserveRepeat();
     return this.#wasGivenUp;
   }
 
--- a/packages/relay/src/retries/request-retries.test.ts
+++ b/packages/relay/src/retries/request-retries.test.ts
@@ -90,3 +90,20 @@
   retries.release();
   t.is(budget.remainingRetries, 8);
 });
+
+// Guards against a silent send that is given up although its repeat can't be made.
+test('a send of a prefilled request can be given up only for two retries', t => {
+  for (const [allowance, expected] of [
+    [2, false],
+    [3, true],
+  ] as const) {
+    const budget = createBudget(allowance);
+    const retries = new RequestRetries(budget);
+    retries.startSend()('prefilled');
+    retries.startSend();
+    t.is(retries.canRepeat, expected);
+    t.is(retries.reserveRepeat(), expected);
+    retries.release();
+    t.is(budget.remainingRetries, 0.8 * allowance);
+  }
+});
--- a/packages/relay/src/retries/request-retries.ts
+++ b/packages/relay/src/retries/request-retries.ts
@@ -46,9 +46,15 @@
     return { hasArrived: this.#hasArrived, hasPrefilled: this.#hasPrefilled };
   }
 
-  /** True if a retry is reserved or can be. */
-  get hasRetry(): boolean {
-    return this.#reserved.length > 0 || this.budget.remainingRetries >= 1;
+  /** True if the request can be sent once more after the current send has failed. */
+  get canRepeat(): boolean {
+    const missingCount = this.#repeatCost - this.#reserved.length;
+    return missingCount <= 0 || this.budget.remainingRetries >= missingCount;
+  }
+
+  /** Reserves what `canRepeat` asks for; false if the budget is exhausted. */
+  reserveRepeat(): boolean {
+    return this.canRepeat && this.#reserve(this.#repeatCost);
   }
 
   /** Reserves one retry, if none is, and returns true; false if the budget is exhausted. */
@@ -90,6 +96,11 @@
     for (const permit of this.#reserved.splice(0)) permit.release();
   }
 
+  /** Retries that a repeat takes at most: a run, and a prefill before it if there was one. */
+  get #repeatCost(): number {
+    return 1 + Number(this.#hasPrefilled);
+  }
+
   #reserve(count: number): boolean {
     while (this.#reserved.length < count) {
       const permit = this.budget.tryReserveRetry();
