Trace the runtime's warning of too many listeners to a test

Tests of the load exchange run up to 40 instances on one signal; a process runs one. The signal of these tests now allows that, so that the warning is shown only where it means something.

--- a/packages/relay/src/peers/load-exchange.test.ts
+++ b/packages/relay/src/peers/load-exchange.test.ts
@@ -1,3 +1,5 @@
+import { setMaxListeners } from 'node:events';
+
 import FakeTimers from '@sinonjs/fake-timers';
 import { Kernel } from '@medlarlever/core';
 import test from 'ava';
@@ -97,6 +99,8 @@
 const setUp = (t: ExecutionContext) => {
   const clock = FakeTimers.install({ now: 0 });
   const stop = new AbortController();
+  // All instances of a test end with it.
+  setMaxListeners(0, stop.signal);
   t.teardown(() => {
     stop.abort();
     clock.uninstall();
