--- a/packages/relay/src/crashes/refusal-archive.test.ts
+++ b/packages/relay/src/crashes/refusal-archive.test.ts
@@ -99,24 +99,46 @@
   t.deepEqual(rows.extract(), []);
 });
 
-test.serial(
-  'an odd row is passed over, and the table is asked until it answers',
-  async t => {
-    const { clock, table, first } = await runFirstProcess(t);
-    first.stop.abort();
-    await table.commitTransaction({
-      token: 'odd',
-      writes: [
-        {
-          kind: 'put',
-          key: { partition: 'refusals', sort: 'a' },
-          condition: { kind: 'any' },
-          value: { savedAtMs: 'soon' },
-        },
-      ],
-    });
-    const second = startProcess(t, table);
-    await clock.tickAsync(100);
-    t.true(second.requests.isRefused('f'));
-  },
-);
+test.serial('an odd row is passed over', async t => {
+  const { clock, table, first } = await runFirstProcess(t);
+  first.stop.abort();
+  await table.commitTransaction({
+    token: 'odd',
+    writes: [
+      {
+        kind: 'put',
+        key: { partition: 'refusals', sort: 'a' },
+        condition: { kind: 'any' },
+        value: { savedAtMs: 'soon' },
+      },
+    ],
+  });
+  const second = startProcess(t, table);
+  await clock.tickAsync(100);
+  t.true(second.requests.isRefused('f'));
+});
+
+test.serial('the table is asked until it answers', async t => {
+  const { clock, table, first } = await runFirstProcess(t);
+  first.stop.abort();
+  table.faults.down = true;
+  const second = startProcess(t, table);
+  await clock.tickAsync(5_000);
+  t.false(second.requests.isRefused('f'));
+  table.faults.down = false;
+  await clock.tickAsync(5_000);
+  t.true(second.requests.isRefused('f'));
+});
+
+test.serial('what a restored table lacks is written again', async t => {
+  const clock = installPausedClock(t);
+  const table = new MemoryTable();
+  const first = startProcess(t, table);
+  const backup = table.createBackup();
+  await crashTargets(first, clock);
+  await clock.tickAsync(3_000);
+  table.restoreBackup(backup);
+  t.is(table.listRows('refusals').length, 0);
+  await clock.tickAsync(5_000);
+  t.is(table.listRows('refusals').length, 2);
+});
--- a/packages/relay/src/crashes/refusal-archive.ts
+++ b/packages/relay/src/crashes/refusal-archive.ts
@@ -24,7 +24,7 @@
 const saveIntervalMs = 1_000;
 const retryIntervalMs = 2_000;
 
-/** Rows that are written or removed at a time. */
+/** Rows that are written or removed at a time, the most that a transaction takes. */
 const maxWrites = 25;
 
 /** Dependencies of {@link RefusalArchive}. */
@@ -88,29 +88,40 @@
   }
 
   async #saveChanges(): Promise<void> {
-    const { table, requests, promptQuarantine } = this.options;
+    const { requests, promptQuarantine } = this.options;
     const refusals = [
       ...requests.listRefusals(),
       ...promptQuarantine.listRefusals(),
     ];
-    // A restored store may lack the rows.
-    if (this.#era !== table.eras.currentEra) {
-      this.#era = table.eras.currentEra;
-      for (const { key, isOwn } of refusals)
-        if (isOwn) this.#savedKeys.delete(key);
-    }
-    const added = refusals.filter(
-      ({ key, isOwn }) => isOwn && !this.#savedKeys.has(key),
-    );
-    const knownKeys = new Set(refusals.map(({ key }) => key));
-    const removedKeys = [...this.#savedKeys].filter(key => !knownKeys.has(key));
+    this.#forgetRowsAfterRestore(refusals);
     const writes = [
-      ...added.map(createPut),
-      ...removedKeys.map(createDelete),
+      ...this.#listUnsaved(refusals).map(createPut),
+      ...this.#listEndedKeys(refusals).map(createDelete),
     ].slice(0, maxWrites);
     if (writes.length > 0) await this.#commit(writes);
   }
 
+  /** A restored store may lack the rows, so those of this instance are written again. */
+  #forgetRowsAfterRestore(refusals: readonly Refusal[]): void {
+    const { currentEra } = this.options.table.eras;
+    if (currentEra === this.#era) return;
+    this.#era = currentEra;
+    for (const { key, isOwn } of refusals)
+      if (isOwn) this.#savedKeys.delete(key);
+  }
+
+  #listUnsaved(refusals: readonly Refusal[]): Refusal[] {
+    return refusals.filter(
+      ({ key, isOwn }) => isOwn && !this.#savedKeys.has(key),
+    );
+  }
+
+  /** Keys of rows whose refusals have ended. */
+  #listEndedKeys(refusals: readonly Refusal[]): string[] {
+    const knownKeys = new Set(refusals.map(({ key }) => key));
+    return [...this.#savedKeys].filter(key => !knownKeys.has(key));
+  }
+
   async #commit(writes: Write[]): Promise<void> {
     const { table, random, log } = this.options;
     const result = await commitWithRetry({
