--- a/packages/relay/src/peers/load-exchange.test.ts
+++ b/packages/relay/src/peers/load-exchange.test.ts
@@ -9,10 +9,10 @@
 import { FakeTopology, FakeDeployment } from '../fixtures/fake-topology.js';
 import {
   createMemoryLog,
+  createServiceStates,
   createTargetRecord,
 } from '../fixtures/relay-fixtures.js';
 import { StreamOrigins } from '../origins/stream-origins.js';
-import { ServiceStates } from '../relay/service-state.js';
 import { PromptQuarantine } from '../crashes/prompt-quarantine.js';
 import { CrashTracker } from '../crashes/crash-tracker.js';
 import { CutOffInstances } from '../forwarding/cut-off-instances.js';
@@ -62,15 +62,7 @@
     cutOffInstances: new CutOffInstances(),
     limits: new LimitReports({ targets, log: createMemoryLog() }),
     origins,
-    services: new ServiceStates({
-      windowMs: 10_000,
-      knownSinceMs: -Infinity,
-      getLimits: () => ({
-        retriesPerRequest: 0.2,
-        deploymentAllowance: 10,
-        instanceCount: 1,
-      }),
-    }),
+    services: createServiceStates(),
     demand,
     getRevision: () => {
       if (config.isBroken) throw new Error('defect');
--- a/packages/relay/src/roles/role-duty.test.ts
+++ b/packages/relay/src/roles/role-duty.test.ts
@@ -12,9 +12,9 @@
 import {
   createConfiguration,
   createMemoryLog,
+  createServiceStates,
   createTargetRecord,
 } from '../fixtures/relay-fixtures.js';
-import { ServiceStates } from '../relay/service-state.js';
 import { RouteTableHolder } from '../routes/route-table-holder.js';
 import { TargetRegistry } from '../targets/target-registry.js';
 import type { TargetRecord, TargetRole } from '../targets/target-record.js';
@@ -135,15 +135,7 @@
       registry,
       routes,
       targets,
-      services: new ServiceStates({
-        windowMs: 10_000,
-        knownSinceMs: -Infinity,
-        getLimits: () => ({
-          retriesPerRequest: 0.2,
-          deploymentAllowance: 10,
-          instanceCount: 1,
-        }),
-      }),
+      services: createServiceStates(),
       demand: new PrefillDemand(),
       engineControl,
       closures: new TargetClosureBroadcaster(
