Divide connections to targets by the instances that were seen, not by assumed ones

A lone instance had 100 of 2,000 until it had read the directory twice, refused the rest with no_target (all 100 connections to the target are in use), and three runs of the test failed alike. An instance that has heard of others, and has read the directory, knows them without their rows.

--- a/packages/relay/src/kernel/tokens.ts
+++ b/packages/relay/src/kernel/tokens.ts
@@ -124,6 +124,10 @@
 export const instanceCountToken = new InjectionToken<() => number>(
   'instance-count',
 );
+/** Returns the number of instances among which the connections to a target are divided. */
+export const seenInstanceCountToken = new InjectionToken<() => number>(
+  'seen-instance-count',
+);
 /** Returns the instances among which the limits of targets are divided. */
 export const limitGroupToken = new InjectionToken<() => LimitGroup>(
   'limit-group',
--- a/packages/relay/src/peers/app.ts
+++ b/packages/relay/src/peers/app.ts
@@ -21,6 +21,7 @@
   loadExchangeToken,
   randomToken,
   instanceRegistryToken,
+  seenInstanceCountToken,
   limitGroupToken,
   targetClosureBroadcasterToken,
   routesToken,
@@ -283,6 +284,10 @@
       instanceCountToken,
       resolver => () => getKnownInstances(resolver).names.length,
     );
+    kernel.provide(
+      seenInstanceCountToken,
+      resolver => () => getKnownInstances(resolver).seenCount,
+    );
     kernel.provide(streamOriginsToken, () => new StreamOrigins());
     kernel.provide(streamOriginFinderToken, createStreamOriginFinder);
     kernel.provide(limitGroupToken, resolver => () => getLimitGroup(resolver));
--- a/packages/relay/src/peers/known-instances.ts
+++ b/packages/relay/src/peers/known-instances.ts
@@ -27,6 +27,11 @@
   readonly names: readonly string[];
   /** True if none of the names is assumed. */
   readonly isComplete: boolean;
+  /**
+   * Number of instances seen, or the assumed minimum until the directory has been read. For
+   * shares that may be too large for a while, such as that of the connections to a target.
+   */
+  readonly seenCount: number;
 }
 
 /**
@@ -41,12 +46,17 @@
   isDirectorySettled,
 }: KnownInstancesOptions): KnownInstances => {
   const names = [...new Set([self, ...heardNames, ...directoryNames])];
-  const knowsOthers = directoryNames.some(name => name !== self);
-  if (knowsOthers || isDirectorySettled) return { names, isComplete: true };
+  const isDirectoryRead = directoryNames.length > 0;
+  const seenCount = isDirectoryRead
+    ? names.length
+    : Math.max(names.length, minAssumedInstances);
+  const knowsOthers = isDirectoryRead && names.length > 1;
+  if (knowsOthers || isDirectorySettled)
+    return { names, isComplete: true, seenCount };
   const missingCount = Math.max(0, minAssumedInstances - names.length);
   const assumedNames = Array.from(
     { length: missingCount },
     (_, i) => `assumed ${i}`,
   );
-  return { names: [...names, ...assumedNames], isComplete: false };
+  return { names: [...names, ...assumedNames], isComplete: false, seenCount };
 };
