Report event loops that are busy all the time, and how long a start takes

A late answer can be the engines' or the instance's doing; neither log nor metrics told which. Event 107 reports each second without rest of the event loop, a gauge counts its busy time, and process_started says when the program was loaded and when it listened. The check runs with the timer that measures the delay, so that it wakes nobody up.

--- a/packages/core/src/shared/events.ts
+++ b/packages/core/src/shared/events.ts
@@ -49,6 +49,11 @@
     'error',
     'An unexpected error occurred; please report it as a bug.',
   ),
+  instance_saturated: defineEvent(
+    107,
+    'warn',
+    'The event loop of the instance was busy all the time.',
+  ),
 
   // 200: configuration and platform
   revision_in_force: defineEvent(
--- a/packages/relay/src/kernel/tokens.ts
+++ b/packages/relay/src/kernel/tokens.ts
@@ -38,6 +38,7 @@
 import type { RelayMetrics } from '../metrics/relay-metrics.js';
 import type { OverloadGuard } from '../relay/overload.js';
 import type { EventLoopDelayMonitor } from '../server/event-loop-delay-monitor.js';
+import type { EventLoopUsage } from '../server/event-loop-usage.js';
 import type { RequestDecoder } from '../server/request-decoder.js';
 import type { SettingsHolder } from '../settings/relay-settings.js';
 import type { TargetAnnouncements } from '../targets/target-announcements.js';
@@ -165,6 +166,9 @@
 );
 export const relayToken = new InjectionToken<Relay>('relay');
 export const requestDrainerToken = new InjectionToken<RequestDrainer>('drain');
+export const eventLoopUsageToken = new InjectionToken<EventLoopUsage>(
+  'event-loop-usage',
+);
 export const eventLoopDelayMonitorToken =
   new InjectionToken<EventLoopDelayMonitor>('loop-delay');
 export const overloadGuardToken = new InjectionToken<OverloadGuard>(
--- a/packages/relay/src/metrics/state-gauges.ts
+++ b/packages/relay/src/metrics/state-gauges.ts
@@ -31,6 +31,8 @@
   readonly callerBuffers: CallerBuffers;
   /** Returns the event loop delay in milliseconds. */
   readonly eventLoopDelayMs: () => number;
+  /** Returns the seconds for which the event loop has been busy. */
+  readonly eventLoopBusySeconds: () => number;
   /** Returns the number of log lines dropped because their reader was slow. */
   readonly droppedLogLines: () => number;
 }
@@ -80,6 +82,11 @@
     'Delay of the event loop',
     () => options.eventLoopDelayMs() / msPerSecond,
   );
+  registerGauge(
+    'event_loop_busy_seconds',
+    'Time for which the event loop has been busy since the start',
+    options.eventLoopBusySeconds,
+  );
   registerGauge(
     'dropped_log_lines',
     'Log lines dropped',
--- a/packages/relay/src/relay-daemon.ts
+++ b/packages/relay/src/relay-daemon.ts
@@ -41,6 +41,8 @@
 /** Wires the relay's plugins and controls their start and stop. */
 export class RelayDaemon {
   readonly #kernel = new Kernel();
+  /** Milliseconds from the start of the process until the program was loaded. */
+  readonly #loadedAtMs = performance.now();
 
   /** `provide` registers the dependencies that the platform adapter creates. */
   constructor(provide: (kernel: Kernel) => void) {
@@ -67,6 +69,8 @@
       instance,
       incarnation: this.#kernel.get(incarnationToken),
       callers: callers.port,
+      loaded_ms: Math.round(this.#loadedAtMs),
+      started_ms: Math.round(performance.now()),
     });
   }
 
--- a/packages/relay/src/server/app.ts
+++ b/packages/relay/src/server/app.ts
@@ -11,6 +11,7 @@
   shutdownStartControllerToken,
   logToken,
   eventLoopDelayMonitorToken,
+  eventLoopUsageToken,
   overloadGuardToken,
   metricsRegistryToken,
   instanceRegistryToken,
@@ -34,6 +35,7 @@
 import { CallerServer } from './caller-server.js';
 import { RequestDrainer } from './request-drainer.js';
 import { EventLoopDelayMonitor } from './event-loop-delay-monitor.js';
+import { EventLoopUsage } from './event-loop-usage.js';
 import { StatusServer } from './status-server.js';
 
 /** A server that listens until it is closed. */
@@ -114,6 +116,7 @@
     watchers: [kernel.get(routeWatcherToken), kernel.get(targetWatcherToken)],
     eventLoopDelayMs: () =>
       kernel.get(eventLoopDelayMonitorToken).currentDelayMs,
+    eventLoopBusySeconds: () => kernel.get(eventLoopUsageToken).busySeconds,
     droppedLogLines: kernel.get(droppedLogLinesToken),
   });
   const answer = async () => ({
@@ -155,8 +158,21 @@
       resolver =>
         new EventLoopDelayMonitor(
           () => resolver.get(targetRegistryToken).activity.isIdle,
+          () => {
+            resolver.get(eventLoopUsageToken).update();
+          },
         ),
     );
+    kernel.provide(
+      eventLoopUsageToken,
+      resolver =>
+        new EventLoopUsage(({ busyShare, windowMs }) => {
+          resolver.get(logToken).writeEvent('instance_saturated', {
+            busy_share: Number(busyShare.toFixed(2)),
+            window_ms: Math.round(windowMs),
+          });
+        }),
+    );
     let callerServer: Listener | undefined;
     kernel.addLifecycleHook({
       name: 'callers',
--- a/packages/relay/src/server/event-loop-delay-monitor.ts
+++ b/packages/relay/src/server/event-loop-delay-monitor.ts
@@ -25,8 +25,14 @@
   #timer: NodeJS.Timeout | undefined;
   #lastReadAtMs = -Infinity;
 
-  /** `isIdle` tells whether the instance has had no requests for a while. */
-  constructor(private readonly isIdle: () => boolean = () => false) {}
+  /**
+   * `isIdle` tells whether the instance has had no requests for a while; `onProbe` is called
+   * whenever the delay was measured.
+   */
+  constructor(
+    private readonly isIdle: () => boolean = () => false,
+    private readonly onProbe: () => void = () => undefined,
+  ) {}
 
   /** Starts the periodic timer, which does not keep the process alive. */
   start(): void {
@@ -41,6 +47,7 @@
         this.#timerDelayMs,
         this.#recentMaxDelayMs * delayDecayFactor,
       );
+      this.onProbe();
       this.start();
     }, intervalMs);
     this.#timer.unref();
