Add failing tests of role changes that come seconds after the demand

The tests show both causes: the rate of a demand that has just begun is divided by 2.5 s, and a change of one engine for a long wait keeps all others from moving for 1.5 times the duration of a change.

--- a/packages/relay/src/roles/queue-wait-policy.test.ts
+++ b/packages/relay/src/roles/queue-wait-policy.test.ts
@@ -285,3 +285,55 @@
   ];
   t.deepEqual(runPolicy(engines, 10_000, 15_000), []);
 });
+
+const createFleet = (): readonly EngineView[] => [
+  ...Array.from({ length: 20 }, (_, i) =>
+    createEngineView(`p${i}`, 'prefill', withLongQueue),
+  ),
+  ...Array.from({ length: 40 }, (_, i) => createEngineView(`d${i}`, 'decode')),
+];
+
+/** Needs 60 prefill engines of 40 tokens a millisecond that are busy half of the time. */
+const highPrefillRate = 1_200_000;
+
+// Long prompts were late for ten seconds, while most engines decoded and were idle.
+test('a token rate that rises right after a change moves engines at once', t => {
+  const { runPolicy } = setUp();
+  const engines = createFleet();
+  const [first, ...others] = runPolicy(engines, 1_500);
+  t.is(first?.to, 'prefill');
+  t.is(others.length, 0);
+  const changing = engines.map(engine => ({
+    ...engine,
+    available: engine.name !== first?.engine,
+  }));
+  const changes = runPolicy(changing, 500, highPrefillRate);
+  t.is(changes.length, 11);
+  t.true(changes.every(({ to }) => to === 'prefill'));
+});
+
+test('at most a fifth of the engines move at the same time', t => {
+  const { runPolicy } = setUp();
+  t.is(runPolicy(createFleet(), 4_000, highPrefillRate).length, 12);
+});
+
+test('engines that have moved make place for the next ones', t => {
+  const { runPolicy } = setUp();
+  const engines = createFleet();
+  const moved = new Set(
+    runPolicy(engines, 1_500, highPrefillRate).map(({ engine }) => engine),
+  );
+  const view = engines.map(engine =>
+    moved.has(engine.name)
+      ? createEngineView(engine.name, 'prefill', withLongQueue)
+      : engine,
+  );
+  const changes = runPolicy(view, 500, highPrefillRate);
+  t.is(changes.length, 12);
+  t.true(changes.every(({ engine }) => !moved.has(engine)));
+});
+
+test('a missing engine that does not arrive is replaced after the interval', t => {
+  const { runPolicy } = setUp();
+  t.is(runPolicy(createFleet(), 6_000, highPrefillRate).length, 24);
+});
