Read what other processes send up to a limit only

Operators of another system saw a faulty target send bytes without end; the machine kept them all and its other callers' requests ended with it. The relay kept nothing, but read errors and refusals that nobody needs until the deadline.

Each read has a limit now, and closes the connection beyond it. An error that is too long keeps its status, and with it whether the request has run.

--- a/packages/cli/src/operator-client.ts
+++ b/packages/cli/src/operator-client.ts
@@ -1,5 +1,10 @@
 /** HTTP client of the daemon's operators' API, with failover between servers. */
-import { errorBodySchema, describeError, Failure } from '@medlarlever/core';
+import {
+  describeError,
+  errorBodySchema,
+  Failure,
+  readBoundedText,
+} from '@medlarlever/core';
 import type { ResultName } from '@medlarlever/core';
 import { Left, Right } from 'purify-ts';
 import type { Either } from 'purify-ts';
@@ -8,6 +13,9 @@
 /** Time limit of one HTTP call, from sending the request to the end of the body. */
 const callTimeoutMs = 15_000;
 
+/** Longest body of a response. */
+const maxResponseBytes = 64 * 1024 * 1024;
+
 /** Servers and credentials of an {@link OperatorClient}. */
 export interface OperatorClientOptions {
   /** Base URLs of the servers, tried in this order. */
@@ -84,7 +92,9 @@
         body: body === undefined ? undefined : JSON.stringify(body),
         signal: AbortSignal.timeout(callTimeoutMs),
       });
-      const text = await response.body.text();
+      const text = await readBoundedText(response.body, {
+        maxBytes: maxResponseBytes,
+      });
       const responseBody: unknown = text === '' ? {} : JSON.parse(text);
       if (response.statusCode < 300) return Right(responseBody);
       const failure = parseFailure(response.statusCode, responseBody);
--- a/packages/core/src/fleet/http-fleet-list.ts
+++ b/packages/core/src/fleet/http-fleet-list.ts
@@ -4,6 +4,7 @@
 import { request } from 'undici';
 import { z } from 'zod';
 
+import { readBoundedText } from '../shared/bounded-body.js';
 import { Failure } from '../shared/failure.js';
 import { describeError } from '../shared/http-errors.js';
 
@@ -12,6 +13,9 @@
 
 const defaultCallTimeoutMs = 5_000;
 
+/** Longest fleet list; an entry of a member takes a few hundred bytes. */
+const maxListBytes = 16 * 1024 * 1024;
+
 export interface HttpFleetListOptions {
   /** URL of the fleet list. */
   readonly url: string;
@@ -67,8 +71,9 @@
         await body.dump();
         return this.#createUnavailableResult(`status ${statusCode}`);
       }
+      const text = await readBoundedText(body, { maxBytes: maxListBytes });
       return Right(
-        parseFleetMembers(targetGroupsSchema.parse(await body.json())),
+        parseFleetMembers(targetGroupsSchema.parse(JSON.parse(text))),
       );
     } catch (error) {
       return this.#createUnavailableResult(describeError(error));
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -84,6 +84,7 @@
 export * from './plans/planned-role-changer.js';
 export * from './config/validate-template-set.js';
 // Clients of external systems
+export * from './shared/bounded-body.js';
 export * from './shared/http-errors.js';
 export * from './table/dynamo-items.js';
 export * from './table/http-table.js';
--- a/packages/core/src/object-store/http-object-store.ts
+++ b/packages/core/src/object-store/http-object-store.ts
@@ -4,6 +4,7 @@
 import { Pool } from 'undici';
 import type { Dispatcher } from 'undici';
 
+import { readBoundedBytes } from '../shared/bounded-body.js';
 import { Failure } from '../shared/failure.js';
 import { describeError, isUnsentError } from '../shared/http-errors.js';
 
@@ -12,6 +13,9 @@
 const defaultCallTimeoutMs = 10_000;
 const maxConnections = 8;
 
+/** Longest object, the largest of which hold configurations. */
+const maxObjectBytes = 64 * 1024 * 1024;
+
 export interface HttpObjectStoreOptions {
   /** Origin of the service, `http://ip:port`. */
   readonly url: string;
@@ -41,7 +45,9 @@
   ): Promise<Either<Failure, Maybe<Uint8Array>>> {
     try {
       const response = await this.#sendRequest('GET', name);
-      const body = await response.body.bytes();
+      const body = await readBoundedBytes(response.body, {
+        maxBytes: maxObjectBytes,
+      });
       if (response.statusCode === 200) return Right(Just(body));
       if (response.statusCode === 404) return Right(Nothing);
       return Left(
--- a/packages/core/src/peers/http-post.ts
+++ b/packages/core/src/peers/http-post.ts
@@ -4,6 +4,7 @@
  */
 import type { Dispatcher, Pool } from 'undici';
 
+import { OversizedBodyError } from '../shared/bounded-body.js';
 import { startReadFirstTimeout } from '../shared/read-first-timeout.js';
 
 /** A message to post. */
@@ -22,13 +23,20 @@
   readonly text: string;
 }
 
-/** Sends the message; rejects if there is no whole answer in time. */
+/** Longest answer; the largest hold the targets and instances that a peer knows. */
+const maxAnswerBytes = 8 * 1024 * 1024;
+
+const createOversizedAnswerError = () =>
+  new OversizedBodyError(`the answer is longer than ${maxAnswerBytes} bytes`);
+
+/** Sends the message; rejects if there is no whole answer in time, or a longer one. */
 export const postText = (
   pool: Pool,
   { path, headers, body, timeoutMs }: PostRequest,
 ): Promise<PostResponse> =>
   new Promise((resolve, reject) => {
     const chunks: Buffer[] = [];
+    let sizeBytes = 0;
     let status = 0;
     let hasTimedOut = false;
     let controller: Dispatcher.DispatchController | undefined;
@@ -48,8 +56,10 @@
         onResponseStart(_controller, responseStatus) {
           status = responseStatus;
         },
-        onResponseData(_controller, chunk) {
-          chunks.push(chunk);
+        onResponseData(responseController, chunk) {
+          sizeBytes += chunk.length;
+          if (sizeBytes <= maxAnswerBytes) chunks.push(chunk);
+          else responseController.abort(createOversizedAnswerError());
         },
         onResponseEnd() {
           cancelTimeout();
--- a/packages/core/src/table/http-table.ts
+++ b/packages/core/src/table/http-table.ts
@@ -6,6 +6,7 @@
 import { Pool } from 'undici';
 import { z } from 'zod';
 
+import { readBoundedText } from '../shared/bounded-body.js';
 import { Failure } from '../shared/failure.js';
 import { describeError, isUnsentError } from '../shared/http-errors.js';
 
@@ -29,6 +30,9 @@
 const maxConnections = 16;
 const maxKeysPerRead = 100;
 
+/** Longest body of a response; a page of rows is a fraction of it. */
+const maxResponseBytes = 32 * 1024 * 1024;
+
 export interface HttpTableOptions {
   /** Origin of the service, `http://ip:port`. */
   readonly url: string;
@@ -257,7 +261,9 @@
         body: JSON.stringify(body),
         signal: AbortSignal.timeout(this.#timeoutMs),
       });
-      const text = await response.body.text();
+      const text = await readBoundedText(response.body, {
+        maxBytes: maxResponseBytes,
+      });
       const parsed: unknown = JSON.parse(text);
       return Right({ status: response.statusCode, body: parsed });
     } catch (error) {
--- a/packages/core/src/target/completion-stream.ts
+++ b/packages/core/src/target/completion-stream.ts
@@ -8,6 +8,9 @@
 /** Data of the last event of a stream. */
 const doneMarker = '[DONE]';
 
+/** Longest event, in characters; it is held until its end has arrived. */
+const maxEventLength = 1024 * 1024;
+
 /** Body of `POST /v1/completions`. */
 export const completionRequestSchema = z.object({
   model: z.string(),
@@ -108,7 +111,7 @@
 /**
  * Reads server-sent events as items; comments become heartbeats. `firstIndex` is
  * the index of the first chunk when events have no sequence number. Throws on a
- * malformed event.
+ * malformed event and on one that is too long.
  */
 export async function* readCompletionStream(
   body: AsyncIterable<Uint8Array>,
@@ -126,6 +129,10 @@
     onComment: () => {
       items.push({ kind: 'heartbeat' });
     },
+    onError: error => {
+      if (error.type === 'max-buffer-size-exceeded') throw error;
+    },
+    maxBufferSize: maxEventLength,
   });
   for await (const bytes of body) {
     parser.feed(decoder.decode(bytes, { stream: true }));
--- a/packages/core/src/target/http-responses.ts
+++ b/packages/core/src/target/http-responses.ts
@@ -4,17 +4,36 @@
 import type { Dispatcher } from 'undici';
 import type { z } from 'zod';
 
+import { OversizedBodyError, readBoundedText } from '../shared/bounded-body.js';
 import { errorBodySchema, Failure } from '../shared/failure.js';
 
 /** Response header; the value `no` means that the request was not run. */
 export const executedHeader = 'x-executed';
 
+/** Longest body of an error response that is read for its message. */
+const maxErrorBytes = 64 * 1024;
+
+/** Longest body of a response to a control request, such as a load report. */
+const maxControlBytes = 4 * 1024 * 1024;
+
+/** Returns the text of an error; an empty one if it is too long to be a message. */
+const readErrorText = async (
+  body: Dispatcher.ResponseData['body'],
+): Promise<string> => {
+  try {
+    return await readBoundedText(body, { maxBytes: maxErrorBytes });
+  } catch (error) {
+    if (error instanceof OversizedBodyError) return '';
+    throw error;
+  }
+};
+
 /** Converts an error response to a failure. */
 export const readFailure = async (
   response: Dispatcher.ResponseData,
 ): Promise<Failure> => {
   const { statusCode, headers, body } = response;
-  const text = await body.text();
+  const text = await readErrorText(body);
   const parsed = errorBodySchema.safeParse(tryParseJson(text));
   const message =
     parsed.data?.error.message ?? `the target returned status ${statusCode}`;
@@ -47,7 +66,10 @@
   schema: S,
 ): Promise<Either<Failure, z.output<S>>> => {
   if (response.statusCode !== 200) return Left(await readFailure(response));
-  const parsed = schema.safeParse(tryParseJson(await response.body.text()));
+  const text = await readBoundedText(response.body, {
+    maxBytes: maxControlBytes,
+  });
+  const parsed = schema.safeParse(tryParseJson(text));
   if (parsed.success) return Right(parsed.data);
   return Left(
     new Failure('target_failed', 'the target returned a malformed response', {
--- a/packages/core/src/target/http-service.ts
+++ b/packages/core/src/target/http-service.ts
@@ -3,6 +3,8 @@
 import type { Either } from 'purify-ts';
 import type { Dispatcher } from 'undici';
 
+import { readBoundedText } from '../shared/bounded-body.js';
+import type { BodyMemory } from '../shared/bounded-body.js';
 import { Failure } from '../shared/failure.js';
 
 import { readFailure } from './http-responses.js';
@@ -15,9 +17,14 @@
 import { Service } from './target.js';
 import type { ServiceResponse, ServiceCall } from './target.js';
 
+/** Longest answer of a service, which is held until it is whole. */
+const maxAnswerBytes = 8 * 1024 * 1024;
+
 /** Options of a target that also has a service name. */
 export interface HttpServiceOptions extends HttpTargetOptions {
   readonly service: string;
+  /** Shared by the services of a process; by default, none is. */
+  readonly answerMemory?: BodyMemory;
 }
 
 /** Lowest status that is a failure; lower ones are answers of the service. */
@@ -42,9 +49,11 @@
   readonly address: string;
   readonly service: string;
   readonly #connections: HttpConnections;
+  readonly #answerMemory: BodyMemory | undefined;
 
-  constructor({ settings, ...member }: HttpServiceOptions) {
+  constructor({ settings, answerMemory, ...member }: HttpServiceOptions) {
     super();
+    this.#answerMemory = answerMemory;
     this.name = member.name;
     this.incarnation = member.incarnation;
     this.dataCenter = member.dataCenter;
@@ -134,7 +143,10 @@
       status: response.statusCode,
       contentType:
         typeof contentType === 'string' ? contentType : 'application/json',
-      body: await response.body.text(),
+      body: await readBoundedText(response.body, {
+        maxBytes: maxAnswerBytes,
+        memory: this.#answerMemory,
+      }),
     };
   }
 }
--- a/packages/relay/src/forwarding/forward-exchange.ts
+++ b/packages/relay/src/forwarding/forward-exchange.ts
@@ -17,6 +17,9 @@
 /** An error body is short; more comes from no instance. */
 const maxFailureBytes = 64 * 1024;
 
+/** Longest declined answer that is read, so that the connection can be used again. */
+const maxDiscardedBytes = 64 * 1024;
+
 /** Headers of the connection between the instances. */
 const connectionHeaderNames: ReadonlySet<string> = new Set([
   'connection',
@@ -52,6 +55,7 @@
   #phase: 'connecting' | 'sent' | 'answering' = 'connecting';
   #status = 0;
   #isAccepted = false;
+  #discardedBytes = 0;
   /** Body of a failure of the other instance; undefined for an answer. */
   #failureText: string | undefined;
 
@@ -105,8 +109,12 @@
       this.#addFailureText(this.#failureText, chunk);
       return;
     }
+    if (!this.#isAccepted) {
+      this.#discard(chunk);
+      return;
+    }
     const { sink, signal } = this.#options;
-    if (!this.#isAccepted || signal.aborted || sink.onData(chunk)) return;
+    if (signal.aborted || sink.onData(chunk)) return;
     controller.pause();
     void sink.waitForDrain().then(() => {
       controller.resume();
@@ -130,6 +138,13 @@
     this.#end({ kind: 'broken', phase: this.#phase, reason: error.message });
   }
 
+  #discard(chunk: Buffer): void {
+    this.#discardedBytes += chunk.length;
+    if (this.#discardedBytes <= maxDiscardedBytes) return;
+    this.#end({ kind: 'declined', status: this.#status });
+    this.#abort('the declined answer is too long');
+  }
+
   #addFailureText(text: string, chunk: Buffer): void {
     this.#failureText = text + chunk.toString();
     if (this.#failureText.length > maxFailureBytes)
