Write whole milliseconds into refusals, so that other instances can read them

The refusal of the other instance had a Retry-After of a fraction of a millisecond (admission computes one), and the schema of error bodies takes whole ones. The caller lost the refusal's promise that nothing had run and the time to come back.

--- a/packages/core/src/shared/failure.ts
+++ b/packages/core/src/shared/failure.ts
@@ -47,6 +47,7 @@
 export class Failure extends Error {
   readonly code: ResultName;
   readonly executed: ExecutionStatus;
+  /** Whole milliseconds. */
   readonly retryAfterMs: number | undefined;
   readonly details: Readonly<Record<string, unknown>> | undefined;
 
@@ -55,7 +56,10 @@
     this.name = 'Failure';
     this.code = code;
     this.executed = options.executed ?? 'no';
-    this.retryAfterMs = options.retryAfterMs;
+    this.retryAfterMs =
+      options.retryAfterMs === undefined
+        ? undefined
+        : Math.ceil(options.retryAfterMs);
     this.details = options.details;
   }
 
