Move engines to prefill when the rate of prompt tokens asks for them, at once

Two causes, each shown by a test that failed before: the rate of a demand that had begun a second ago was divided by 2.5 s, so that the first decision moved one engine (for the wait alone); and that change kept all others from moving for 1.5 times the duration of a change, whatever the rate said by then.

A rate is now averaged over the time since its first report, a second at least. Engines that it asks for don't wait for the effect of earlier changes: those that are moving count as prefill engines, and no more than a fifth of all move at the same time, as one decision allowed before. Decisions by waits and slots wait as before.

--- a/packages/relay/src/roles/prefill-demand.ts
+++ b/packages/relay/src/roles/prefill-demand.ts
@@ -3,10 +3,10 @@
  * prefill, from the running totals that each instance reports.
  */
 
-/** Length of the window over which the rate is averaged. */
+/** Longest time over which the rate is averaged. */
 const rateWindowMs = 2_500;
 
-/** Length of the window in which bursts show; reports come every 150 to 600 ms. */
+/** Shortest time over which a rate is averaged; reports come every 150 to 600 ms. */
 const burstWindowMs = 1_000;
 
 const msPerSecond = 1_000;
@@ -94,6 +94,6 @@
   const [first] = samples;
   const last = samples.at(-1);
   if (first === undefined || last === undefined) return 0;
-  const elapsedMs = Math.max(rateWindowMs, performance.now() - first.atMs);
+  const elapsedMs = Math.max(burstWindowMs, performance.now() - first.atMs);
   return ((last.tokens - first.tokens) * msPerSecond) / elapsedMs;
 };
--- a/packages/relay/src/roles/queue-wait-policy.ts
+++ b/packages/relay/src/roles/queue-wait-policy.ts
@@ -23,8 +23,9 @@
   /** Returns the longest time to a first event that a route of the service aims for. */
   readonly getLatencyTargetMs: () => number;
   /**
-   * Minimum time between two changes, so that the effect of the first change is
-   * visible before the next decision.
+   * Minimum time between a change and a decision by waits or slots, so that the effect
+   * of the change is visible before. Engines that the token rate asks for don't wait
+   * for it: those that are moving already count as prefill engines.
    */
   readonly minChangeIntervalMs: number;
 }
@@ -72,7 +73,7 @@
 /** Number of samples required before the averages are used. */
 const minSamples = 3;
 
-/** Maximum fraction of the engines that may change their role in one decision. */
+/** Maximum fraction of the engines that may move to prefill at the same time. */
 const maxChangingFraction = 0.2;
 
 const msPerSecond = 1_000;
@@ -87,7 +88,7 @@
   readonly decodeReserve: number;
   /** Decode engines that the running requests need, at least the reserve. */
   readonly minDecodeEngineCount: number;
-  /** Prefill engines, each counted by its capacity share. */
+  /** Prefill engines, those that are moving included, each by its capacity share. */
   readonly prefillEngineCount: number;
   /** Decode engines, each counted by its capacity share. */
   readonly decodeEngineCount: number;
@@ -104,6 +105,8 @@
   readonly #runningRequestPeak = new DecayingPeak();
   #sampleCount = 0;
   #changedAtMs = -Infinity;
+  /** Engines that are moving to prefill, and when that was decided. */
+  readonly #joiningSinceMs = new Map<string, number>();
 
   constructor(options: QueueWaitPolicyOptions) {
     super();
@@ -111,7 +114,10 @@
   }
 
   override decideChanges(view: FleetView): RoleDecision {
-    const engines = view.engines.filter(engine => engine.available);
+    this.#updateJoiningEngines(view);
+    const engines = view.engines.filter(
+      ({ available, name }) => available && !this.#joiningSinceMs.has(name),
+    );
     const prefillEngines = engines.filter(engine => engine.role === 'prefill');
     const decodeEngines = engines.filter(engine => engine.role === 'decode');
     const inputs = this.#updateAverages(view, prefillEngines, decodeEngines);
@@ -119,9 +125,11 @@
     const intervalElapsed =
       view.nowMs - this.#changedAtMs >= this.#options.minChangeIntervalMs;
     const isUrgent = decodeEngines.length === 0;
-    if (!isUrgent && (!intervalElapsed || this.#sampleCount < minSamples)) {
-      return { changes: [], explanation };
-    }
+    const isPrefillMissing =
+      inputs.requiredPrefillEngineCount > inputs.prefillEngineCount;
+    const mayDecide =
+      this.#sampleCount >= minSamples && (intervalElapsed || isPrefillMissing);
+    if (!isUrgent && !mayDecide) return { changes: [], explanation };
     const toRoleChange =
       (to: 'prefill' | 'decode') => (engine: EngineView) => ({
         engine: engine.name,
@@ -134,14 +142,30 @@
       prefillEngines,
       decodeEngines,
     );
+    const { newPrefillEngines } = selection;
+    const newDecodeEngines =
+      intervalElapsed || isUrgent ? selection.newDecodeEngines : [];
     const changes = [
-      ...selection.newPrefillEngines.map(toRoleChange('prefill')),
-      ...selection.newDecodeEngines.map(toRoleChange('decode')),
+      ...newPrefillEngines.map(toRoleChange('prefill')),
+      ...newDecodeEngines.map(toRoleChange('decode')),
     ];
     if (changes.length > 0) this.#changedAtMs = view.nowMs;
+    for (const { name } of newPrefillEngines)
+      this.#joiningSinceMs.set(name, view.nowMs);
     return { changes, explanation };
   }
 
+  /** Forgets engines that prefill by now, or that have not arrived in time. */
+  #updateJoiningEngines({ engines, nowMs }: FleetView): void {
+    for (const { name, available, role } of engines) {
+      if (available && role === 'prefill') this.#joiningSinceMs.delete(name);
+    }
+    for (const [name, sinceMs] of this.#joiningSinceMs) {
+      if (nowMs - sinceMs >= this.#options.minChangeIntervalMs)
+        this.#joiningSinceMs.delete(name);
+    }
+  }
+
   #selectRoleChanges(
     inputs: PolicyInputs,
     prefillEngines: readonly EngineView[],
@@ -157,8 +181,14 @@
         newDecodeEngines: [engineForMissingDecode],
       };
     const prefillEngineDelta = computePrefillEngineDelta(inputs);
-    const total = prefillEngines.length + decodeEngines.length;
-    const maxChangeCount = Math.max(1, Math.floor(maxChangingFraction * total));
+    const joiningCount = this.#joiningSinceMs.size;
+    const total = prefillEngines.length + decodeEngines.length + joiningCount;
+    const maxJoiningCount = Math.max(
+      1,
+      Math.floor(maxChangingFraction * total),
+    );
+    if (prefillEngineDelta > 0 && joiningCount >= maxJoiningCount)
+      return { newPrefillEngines: [], newDecodeEngines: [] };
     if (prefillEngineDelta < 0) {
       return {
         newPrefillEngines: [],
@@ -167,7 +197,7 @@
     }
     const newPrefillEngines = selectSpareDecodeEngines(
       decodeEngines,
-      Math.min(maxChangeCount, prefillEngineDelta),
+      Math.min(maxJoiningCount - joiningCount, prefillEngineDelta),
     );
     const needsReplacement =
       prefillEngineDelta > 0 && newPrefillEngines.length === 0;
@@ -189,7 +219,9 @@
       prefillEngines,
       engine => engine.prefillTokens,
     );
-    const prefillEngineCount = sumOverEngines(prefillEngines, getCapacityShare);
+    const prefillEngineCount =
+      sumOverEngines(prefillEngines, getCapacityShare) +
+      this.#joiningSinceMs.size;
     const decodeEngineCount = sumOverEngines(decodeEngines, getCapacityShare);
     const waitMs =
       prefillTokens / Math.max(1, prefillEngineCount) / prefillTokensPerMs;
