Leave a fifth of the engines to decode, however many prompts wait

Only the slots in use at the moment bounded the moves, which say nothing of the KV caches that a decode engine takes one after another, nor of what is lost with a data centre. The test failed before: 12 engines moved where 4 may.

--- a/packages/relay/src/roles/queue-wait-policy.test.ts
+++ b/packages/relay/src/roles/queue-wait-policy.test.ts
@@ -337,3 +337,18 @@
   const { runPolicy } = setUp();
   t.is(runPolicy(createFleet(), 6_000, highPrefillRate).length, 24);
 });
+
+// All but three of 53 engines came to prefill: each prompt's KV cache waited for these
+// three, and a data centre that was cut off took a part of them away.
+test('a high token rate leaves a fifth of the engines to decode', t => {
+  const { runPolicy } = setUp();
+  const engines = [
+    ...Array.from({ length: 44 }, (_, i) =>
+      createEngineView(`p${i}`, 'prefill', withLongQueue),
+    ),
+    ...Array.from({ length: 16 }, (_, i) =>
+      createEngineView(`d${i}`, 'decode', { running: 1 }),
+    ),
+  ];
+  t.is(runPolicy(engines, 4_000, highPrefillRate).length, 4);
+});
--- a/packages/relay/src/roles/queue-wait-policy.ts
+++ b/packages/relay/src/roles/queue-wait-policy.ts
@@ -61,6 +61,13 @@
  */
 export const minPeakUtilizationForReserve = 0.2;
 
+/**
+ * Minimum fraction of the engines that decode in any case. Slots in use do not show all that
+ * a decode engine does: it takes the KV caches of its prompts one after another. And a data
+ * centre may be cut off with its share of them.
+ */
+const minDecodeFraction = 0.2;
+
 /** Average prefill wait below which a prefill engine can be removed. */
 const shortPrefillWaitMs = 15;
 
@@ -86,7 +93,7 @@
   readonly decodeUtilization: number;
   /** Decode engines kept for bursts, whatever prompts wait. */
   readonly decodeReserve: number;
-  /** Decode engines that the running requests need, at least the reserve. */
+  /** Decode engines that the running requests need, at least the reserve and a fraction. */
   readonly minDecodeEngineCount: number;
   /** Prefill engines, those that are moving included, each by its capacity share. */
   readonly prefillEngineCount: number;
@@ -274,6 +281,9 @@
             maxDecodeUtilizationAfterRemoval,
         ),
         decodeReserve,
+        Math.floor(
+          minDecodeFraction * (prefillEngineCount + decodeEngineCount),
+        ),
       ),
       prefillEngineCount,
       decodeEngineCount,
