--- a/packages/relay/src/roles/queue-wait-policy.ts
+++ b/packages/relay/src/roles/queue-wait-policy.ts
@@ -5,7 +5,12 @@
  * grow, and adds one more if the average queue wait stays long despite that.
  */
 import { RolePolicy } from '@medlarlever/core';
-import type { EngineView, FleetView, RoleDecision } from '@medlarlever/core';
+import type {
+  EngineView,
+  FleetView,
+  RoleChange,
+  RoleDecision,
+} from '@medlarlever/core';
 
 import { DecayingPeak } from './decaying-peak.js';
 import {
@@ -137,31 +142,28 @@
     const mayDecide =
       this.#sampleCount >= minSamples && (intervalElapsed || isPrefillMissing);
     if (!isUrgent && !mayDecide) return { changes: [], explanation };
-    const toRoleChange =
-      (to: 'prefill' | 'decode') => (engine: EngineView) => ({
-        engine: engine.name,
-        from: engine.role,
-        to,
-        reason: explanation,
-      });
-    const selection = this.#selectRoleChanges(
+    const { newPrefillEngines, newDecodeEngines } = this.#selectRoleChanges(
       inputs,
       prefillEngines,
       decodeEngines,
     );
-    const { newPrefillEngines } = selection;
-    const newDecodeEngines =
-      intervalElapsed || isUrgent ? selection.newDecodeEngines : [];
     const changes = [
-      ...newPrefillEngines.map(toRoleChange('prefill')),
-      ...newDecodeEngines.map(toRoleChange('decode')),
+      ...createRoleChanges(newPrefillEngines, 'prefill', explanation),
+      ...(intervalElapsed || isUrgent
+        ? createRoleChanges(newDecodeEngines, 'decode', explanation)
+        : []),
     ];
-    if (changes.length > 0) this.#changedAtMs = view.nowMs;
-    for (const { name } of newPrefillEngines)
-      this.#joiningSinceMs.set(name, view.nowMs);
+    this.#recordChanges(changes, view.nowMs);
     return { changes, explanation };
   }
 
+  #recordChanges(changes: readonly RoleChange[], nowMs: number): void {
+    if (changes.length > 0) this.#changedAtMs = nowMs;
+    for (const { engine, to } of changes) {
+      if (to === 'prefill') this.#joiningSinceMs.set(engine, nowMs);
+    }
+  }
+
   /** Forgets engines that prefill by now, or that have not arrived in time. */
   #updateJoiningEngines({ engines, nowMs }: FleetView): void {
     for (const { name, available, role } of engines) {
@@ -339,6 +341,13 @@
     : 0;
 };
 
+const createRoleChanges = (
+  engines: readonly EngineView[],
+  to: 'prefill' | 'decode',
+  reason: string,
+): RoleChange[] =>
+  engines.map(({ name, role }) => ({ engine: name, from: role, to, reason }));
+
 /** A count with one decimal, if it is not whole. */
 const formatCount = (count: number): string => String(Number(count.toFixed(1)));
 
