Let proxies of the soak listen below the ports of outgoing connections

Ports of processes were taken from below that range already; proxies are too now. The test failed before.

--- a/packages/soak/src/network/fault-proxy.test.ts
+++ b/packages/soak/src/network/fault-proxy.test.ts
@@ -99,3 +99,12 @@
   third.destroy();
   t.pass();
 });
+
+/** First of the ports that common operating systems assign to outgoing connections. */
+const firstEphemeralPort = 32_768;
+
+// Another program's connection had the port when a proxy was to listen on it again.
+test('a proxy listens on a port that no outgoing connection is assigned', async t => {
+  const { proxy } = await startProxy(t);
+  t.true(Number(proxy.address.split(':')[1]) < firstEphemeralPort);
+});
--- a/packages/soak/src/network/fault-proxy.ts
+++ b/packages/soak/src/network/fault-proxy.ts
@@ -2,9 +2,11 @@
  * A TCP proxy on the loopback address that injects faults into its connections.
  */
 import { connect, createServer } from 'node:net';
-import type { AddressInfo, Server, Socket } from 'node:net';
+import type { Server, Socket } from 'node:net';
 import { setTimeout as pause } from 'node:timers/promises';
 
+import { allocatePort } from '@medlarlever/platform/stand-ins';
+
 /**
  * Direction in which no bytes pass. The bytes are held back and delivered once
  * the silence ends.
@@ -43,14 +45,14 @@
 
   /**
    * Starts a proxy on a free loopback port for the target address
-   * (`host:port`).
+   * (`host:port`). No other process is assigned the port while connections are refused.
    */
   static async start(targetAddress: string): Promise<FaultProxy> {
     const proxy = new FaultProxy(targetAddress);
+    const port = await allocatePort();
     await new Promise<void>(resolve => {
-      proxy.#server.listen(0, '127.0.0.1', resolve);
+      proxy.#server.listen(port, '127.0.0.1', resolve);
     });
-    const { port } = proxy.#server.address() as AddressInfo;
     proxy.#address = `127.0.0.1:${port}`;
     return proxy;
   }
