--- a/review/lib-2/runner.mjs
+++ b/review/lib-2/runner.mjs
@@ -14,6 +14,7 @@
 export class Runner {
   born = 0;
   sequence = 0;
+  state = 'ready';
   isUp = false;
   handles = new Set();
   #server;
@@ -61,6 +62,12 @@
     this.#beatTimer = setInterval(() => this.#beat(), this.options.heartbeatMs);
   }
 
+  /** Reports that it leaves; it serves on until `crash`. */
+  drain() {
+    this.state = 'draining';
+    this.#beat();
+  }
+
   #beat() {
     if (!this.isUp) return;
     const { store, service, zone, slots, stage } = this.options;
@@ -71,7 +78,7 @@
       zone,
       version: this.version,
       slots,
-      state: 'ready',
+      state: this.state,
       cold_left_ms: 0,
       ...(stage === undefined ? {} : { stage, models: this.#models }),
       sequence: this.sequence,
--- a/review/lib-2/store.mjs
+++ b/review/lib-2/store.mjs
@@ -57,10 +57,11 @@
     const { sequence: _, ...rest } = entry;
     const text = JSON.stringify(rest);
     const known = this.#beats.get(id);
-    this.#beats.set(id, { text, atMs: performance.now() });
     const row = this.#rows.get(rowId({ table: 'servers', key: id }));
-    if (known?.text !== text || row?.value === undefined)
-      this.put('servers', id, entry);
+    const isUnchanged = known?.text === text && row?.value === known.value;
+    if (!isUnchanged) this.put('servers', id, entry);
+    const value = isUnchanged ? known.value : encode(entry);
+    this.#beats.set(id, { text, value, atMs: performance.now() });
   }
 
   /** Removes a runner's entry. */
