--- a/review/lib-2/nodes.mjs
+++ b/review/lib-2/nodes.mjs
@@ -62,6 +62,15 @@
   nodes = [];
   folder = mkdtempSync(join(tmpdir(), 'review-'));
 
+  constructor() {
+    // No process of a machine outlives the script, however it ends.
+    process.once('exit', () => {
+      for (const { child } of this.nodes) child?.kill('SIGKILL');
+    });
+    for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP'])
+      process.once(signal, () => process.exit(2));
+  }
+
   /** `zones` names the zone of each machine. */
   async start(store, zones, { logFile, memoryMb = 350 } = {}) {
     const hosts = zones.map((_, i) => `127.0.1.${i + 1}`);
