Answers without a length are sent in chunks, so that a killed process ends none of them

Cause: HttpCaller passed an answer without framing on without framing. The end of the connection then ends the answer, and the kernel closes the connections of a killed process in the regular way. The record shows it: all cut streams ended within 20 ms after the kill, at the killed process, without length and coding.

Change: the framing is left to the protocol: chunks for HTTP/1.1, none for HTTP/1.0 as before. Whether a broken answer is reset depends on what the caller was sent, so that an answer that breaks off in chunks at the target no longer ends regularly for a caller of HTTP/1.0. The option endsByFraming is gone.

--- a/packages/relay/src/forwarding/forwarded-request-handler.ts
+++ b/packages/relay/src/forwarding/forwarded-request-handler.ts
@@ -110,8 +110,6 @@
       answer: answerResult,
       failure: failureResult,
     },
-    // The end of the connection would not tell the other instance a whole answer.
-    endsByFraming: true,
   });
 
 /** Failure of a sender that may be no instance and so may not name a customer. */
--- a/packages/relay/src/requests/relay-request.ts
+++ b/packages/relay/src/requests/relay-request.ts
@@ -27,7 +27,7 @@
 export interface ResponseHead {
   readonly status: number;
   readonly headers: RawHeaders;
-  /** True when the body ends with the connection, without a declared length. */
+  /** True when the target ends the body with its connection, with neither length nor chunks. */
   readonly isCloseDelimited: boolean;
 }
 
--- a/packages/relay/src/server/caller-connections.test.ts
+++ b/packages/relay/src/server/caller-connections.test.ts
@@ -26,6 +26,8 @@
 
 const headerTimeoutMs = 300;
 const idleTimeoutMs = 400;
+/** Grace period of a planned stop, at whose half connections begin to close. */
+const graceMs = 100;
 
 /** The server looks for late heads this often, and waits a little for them. */
 const headCheckMs = 2_000;
@@ -60,11 +62,12 @@
     },
   };
   const routes = new RouteTableHolder(createMemoryLog());
+  const drainer = new RequestDrainer();
   const server = await CallerServer.open({
     relay: relay as unknown as Relay,
     routes,
     decoder: new PathDecoder(),
-    drainer: new RequestDrainer(),
+    drainer,
     eventLoopDelayMonitor: new EventLoopDelayMonitor(),
     host: '127.0.0.1',
     port: 0,
@@ -84,7 +87,7 @@
       'test',
     );
   setLimits(1, { idleTimeoutMs });
-  return { port: server.port, ran, setLimits };
+  return { port: server.port, ran, setLimits, drainer };
 };
 
 /** A connection that the server has accepted; it stays open after the server's end. */
@@ -199,7 +202,7 @@
   'a request behind an answer that closes the connection is not run',
   async t => {
     let firstCaller: Caller | undefined;
-    const { port, ran } = await openServer(t, (caller, path) => {
+    const { port, ran, drainer } = await openServer(t, (caller, path) => {
       if (path === '/first') firstCaller = caller;
       else answer(caller);
     });
@@ -207,16 +210,21 @@
     const head = (path: string) => createHead(path, 'content-length: 0\r\n');
     socket.write(head('/first') + head('/second'));
     await waitFor(() => firstCaller !== undefined);
-    await pause(50);
+    void drainer.drainRequests(
+      graceMs,
+      () => undefined,
+      () => undefined,
+    );
+    await waitFor(() => drainer.isClosing);
     firstCaller?.writeHead({
       status: 200,
       headers: [],
-      isCloseDelimited: true,
+      isCloseDelimited: false,
     });
     firstCaller?.write(Buffer.from('first'));
     firstCaller?.end();
     await waitFor(() => received.isClosed);
-    t.regex(received.text, /first$/);
+    t.regex(received.text, /\r\nfirst\r\n0\r\n\r\n$/);
     t.deepEqual(ran, ['/first']);
   },
 );
--- a/packages/relay/src/server/http-caller.test.ts
+++ b/packages/relay/src/server/http-caller.test.ts
@@ -93,3 +93,58 @@
     t.is(headers.connection, connection);
   }
 });
+
+const okHead = { status: 200, headers: [], isCloseDelimited: true };
+
+/** Sends a request of the version of HTTP; resolves to the caller and the received text. */
+const openExchange = async (t: ExecutionContext, version: '1.0' | '1.1') => {
+  const callers: HttpCaller[] = [];
+  const port = await startServer(t, caller => callers.push(caller));
+  const socket = connect(port, '127.0.0.1');
+  t.teardown(() => {
+    socket.destroy();
+  });
+  const received = { text: '', end: '' };
+  socket.on('data', chunk => {
+    received.text += chunk.toString();
+  });
+  socket.on('error', ({ message }) => {
+    received.end = message;
+  });
+  socket.on('end', () => {
+    received.end = 'regular';
+  });
+  socket.write(`GET / HTTP/${version}\r\nhost: desk.example\r\n\r\n`);
+  while (callers.length === 0) await setImmediate();
+  const [caller] = callers as [HttpCaller];
+  const waitFor = async (isReached: () => boolean) => {
+    while (!isReached()) await setImmediate();
+  };
+  return { caller, received, waitFor };
+};
+
+// Guards against the end of a killed process looking like the end of an answer.
+test('an answer without a length is sent in chunks and keeps the connection', async t => {
+  const { caller, received, waitFor } = await openExchange(t, '1.1');
+  caller.writeHead(okHead);
+  caller.write(Buffer.from('a part'));
+  caller.end();
+  const lastChunk = '0\r\n\r\n';
+  await waitFor(() => received.text.endsWith(lastChunk) || received.end !== '');
+  t.regex(received.text, /\r\nConnection: keep-alive\r\n/);
+  t.regex(received.text, /\r\nTransfer-Encoding: chunked\r\n/);
+  t.is(received.end, '');
+});
+
+// Guards against a cut answer of a target that sends chunks, which a caller cannot.
+for (const isCloseDelimited of [true, false])
+  test(`an answer ${isCloseDelimited ? 'without framing' : 'in chunks'} that is aborted ends a connection of HTTP/1.0 with a reset`, async t => {
+    const { caller, received, waitFor } = await openExchange(t, '1.0');
+    caller.writeHead({ ...okHead, isCloseDelimited });
+    caller.write(Buffer.from('a part'));
+    await waitFor(() => received.text.endsWith('a part'));
+    t.notRegex(received.text, /transfer-encoding/i);
+    caller.abortResponse();
+    await waitFor(() => received.end !== '');
+    t.is(received.end, 'read ECONNRESET');
+  });
--- a/packages/relay/src/server/http-caller.ts
+++ b/packages/relay/src/server/http-caller.ts
@@ -18,16 +18,25 @@
     readonly answer: string;
     readonly failure: string;
   };
-  /** True if a response without a length is sent in chunks; false by default. */
-  readonly endsByFraming?: boolean;
 }
 
-/** Writes the response for one request to its HTTP/1.1 connection. */
+/** True if the headers name the length of the body. */
+const namesLength = ({ headers }: ResponseHead): boolean =>
+  headers.some(
+    (name, i) => i % 2 === 0 && name.toLowerCase() === 'content-length',
+  );
+
+/**
+ * Writes the response for one request to its HTTP/1.1 connection. A response without a
+ * length is sent in chunks: the kernel closes the connections of a process that is killed in
+ * the regular way, which must not look like the end of the response. A caller of HTTP/1.0
+ * knows no chunks; there the end of the connection is all that ends such a response.
+ */
 export class HttpCaller extends Caller {
   readonly #response: ServerResponse;
   readonly #disconnectController = new AbortController();
   #hasStarted = false;
-  #isCloseDelimited = false;
+  #endsWithConnection = false;
 
   constructor(
     response: ServerResponse,
@@ -62,17 +71,10 @@
 
   override writeHead(head: ResponseHead): void {
     this.#hasStarted = true;
-    this.#isCloseDelimited =
-      head.isCloseDelimited && this.options.endsByFraming !== true;
-    // A response without a length is forwarded without a length, because the
-    // relay cannot know whether it is complete.
-    if (this.#isCloseDelimited) {
-      this.#response.useChunkedEncodingByDefault = false;
-    }
+    this.#endsWithConnection =
+      !this.#response.useChunkedEncodingByDefault && !namesLength(head);
     const headers = [...head.headers, ...this.#createResultHeader('answer')];
-    if (this.#isCloseDelimited || this.options.isClosing()) {
-      headers.push('Connection', 'close');
-    }
+    if (this.options.isClosing()) headers.push('Connection', 'close');
     this.#response.writeHead(head.status, headers);
     this.#response.flushHeaders();
   }
@@ -113,7 +115,7 @@
 
   override abortResponse(): void {
     const { socket } = this.#response;
-    if (this.#isCloseDelimited) socket?.resetAndDestroy();
+    if (this.#endsWithConnection) socket?.resetAndDestroy();
     else this.#response.destroy();
   }
 
