A planned stop resets the unfinished answers of HTTP/1.0 callers; held answers name their length

The process left unfinished answers to the kernel, which closes their connections in the regular way, and without chunks nothing else marks the end. Short answers, which are held until they are whole, went out without the length that is known by then.

Change: RequestDrainer knows how to break off each running answer and does so when the process ends; BufferedResponseSink names the length of a whole answer.

--- a/packages/relay/src/forwarding/forwarded-request-handler.ts
+++ b/packages/relay/src/forwarding/forwarded-request-handler.ts
@@ -86,7 +86,9 @@
       caller.sendFailure(createForbiddenFailure());
       return;
     }
-    const finishRequest = drainer.startRequest();
+    const finishRequest = drainer.startRequest(() => {
+      caller.abortResponse();
+    });
     try {
       await serveRequest(message, from, caller);
     } catch (error) {
--- a/packages/relay/src/relay-daemon.ts
+++ b/packages/relay/src/relay-daemon.ts
@@ -80,7 +80,8 @@
     await this.#kernel.stop((step, error) => {
       log.writeEvent('step_failed', { step, reason: String(error) });
     });
-    const { runningRequests } = this.#kernel.get(requestDrainerToken);
-    log.writeEvent('process_stopped', { running: runningRequests });
+    const drainer = this.#kernel.get(requestDrainerToken);
+    log.writeEvent('process_stopped', { running: drainer.runningRequests });
+    drainer.abortAnswers();
   }
 }
--- a/packages/relay/src/relay/response-sinks.ts
+++ b/packages/relay/src/relay/response-sinks.ts
@@ -1,6 +1,7 @@
 /** Response sinks that forward a target's answer to the caller. */
 import type { AnswerBuffer } from '../buffers/answer-buffer.js';
 import type { ResponseHead, Caller } from '../requests/relay-request.js';
+import { withLength } from '../requests/response-length.js';
 
 import {
   EventBoundary,
@@ -98,10 +99,17 @@
   }
 
   override finish(): void {
-    if (!this.#isForwarding) this.#forwardBufferedResponse();
+    if (!this.#isForwarding) this.#forwardWholeResponse();
     this.caller.end();
   }
 
+  /** Names the length, which tells any caller whether it has got the whole body. */
+  #forwardWholeResponse(): void {
+    if (this.#head !== undefined)
+      this.#head = withLength(this.#head, this.#bufferedBytes);
+    this.#forwardBufferedResponse();
+  }
+
   #forwardBufferedResponse(): boolean {
     this.#isForwarding = true;
     if (this.#head !== undefined) this.caller.writeHead(this.#head);
--- a/packages/relay/src/server/http-caller.ts
+++ b/packages/relay/src/server/http-caller.ts
@@ -5,6 +5,7 @@
 
 import { Caller } from '../requests/relay-request.js';
 import type { ResponseHead } from '../requests/relay-request.js';
+import { namesLength } from '../requests/response-length.js';
 
 import { discardBody, sendFailureResponse } from './failure-response.js';
 
@@ -20,12 +21,6 @@
   };
 }
 
-/** True if the headers name the length of the body. */
-const namesLength = ({ headers }: ResponseHead): boolean =>
-  headers.some(
-    (name, i) => i % 2 === 0 && name.toLowerCase() === 'content-length',
-  );
-
 /**
  * Writes the response for one request to its HTTP/1.1 connection. A response without a
  * length is sent in chunks: the kernel closes the connections of a process that is killed in
--- a/packages/relay/src/server/relay-controller.ts
+++ b/packages/relay/src/server/relay-controller.ts
@@ -86,7 +86,9 @@
     const caller = new HttpCaller(reply.raw, {
       isClosing: () => this.drainer.isClosing,
     });
-    const finishRequest = this.drainer.startRequest();
+    const finishRequest = this.drainer.startRequest(() => {
+      caller.abortResponse();
+    });
     try {
       await this.#serveRequest(
         message,
--- a/packages/relay/src/server/request-drainer.test.ts
+++ b/packages/relay/src/server/request-drainer.test.ts
@@ -58,13 +58,13 @@
   'a request in flight at the close completes before the drain ends',
   async t => {
     const { clock, drainer, state, startDrain } = setUp(t);
-    const finishFirst = drainer.startRequest();
+    const finishFirst = drainer.startRequest(() => undefined);
     startDrain();
     await clock.tickAsync(4_000);
     finishFirst();
     await clock.tickAsync(10);
     t.false(state.isAccepting);
-    const finishInFlight = drainer.startRequest();
+    const finishInFlight = drainer.startRequest(() => undefined);
     await clock.tickAsync(1_500);
     t.false(state.hasEnded);
     finishInFlight();
@@ -77,7 +77,7 @@
   'the drain ends before the process is killed even if a request still runs',
   async t => {
     const { clock, drainer, state, startDrain } = setUp(t);
-    drainer.startRequest();
+    drainer.startRequest(() => undefined);
     startDrain();
     await clock.tickAsync(3_200);
     t.is(drainer.remainingMs, 4_000);
@@ -110,7 +110,7 @@
   async t => {
     for (const drainGraceMs of [600, 1_000, 2_000, 4_000, 8_000, 30_000]) {
       const { clock, drainer, state, startDrain } = setUp(t);
-      const finish = drainer.startRequest();
+      const finish = drainer.startRequest(() => undefined);
       startDrain(drainGraceMs, finish);
       await clock.tickAsync(drainGraceMs);
       t.true(state.hasEnded);
--- a/packages/relay/src/server/request-drainer.ts
+++ b/packages/relay/src/server/request-drainer.ts
@@ -34,7 +34,8 @@
 export class RequestDrainer {
   #isDraining = false;
   #isClosing = false;
-  #runningRequests = 0;
+  /** For each running request, the function that breaks off its answer. */
+  readonly #running = new Set<() => void>();
   #onIdle: (() => void) | undefined;
   /**
    * Latest deadline of an accepted request, in milliseconds on the monotonic clock: the
@@ -62,18 +63,32 @@
 
   /** Number of requests that are currently running. */
   get runningRequests(): number {
-    return this.#runningRequests;
+    return this.#running.size;
   }
 
-  /** Counts a started request. Call the returned function when the request ends. */
-  startRequest(): () => void {
-    this.#runningRequests += 1;
+  /**
+   * Counts a started request, whose answer `abortAnswer` breaks off. Call the returned
+   * function when the request ends.
+   */
+  startRequest(abortAnswer: () => void): () => void {
+    const abort = () => {
+      abortAnswer();
+    };
+    this.#running.add(abort);
     return () => {
-      this.#runningRequests -= 1;
-      if (this.#runningRequests === 0) this.#onIdle?.();
+      this.#running.delete(abort);
+      if (this.#running.size === 0) this.#onIdle?.();
     };
   }
 
+  /**
+   * Breaks off the answers that are not complete, as the process ends. The end of the process
+   * would close their connections in the regular way.
+   */
+  abortAnswers(): void {
+    for (const abort of this.#running) abort();
+  }
+
   /**
    * Resolves when the load balancer has detected the stop and no request runs any
    * more, or `shutdownReserveMs` before `graceMs` milliseconds have passed.
@@ -104,7 +119,7 @@
   }
 
   async #waitUntilIdle(timeoutMs: number): Promise<void> {
-    if (this.#runningRequests === 0 || timeoutMs <= 0) return;
+    if (this.#running.size === 0 || timeoutMs <= 0) return;
     const idleController = new AbortController();
     this.#onIdle = () => {
       idleController.abort();
