An answer without a length ends also while its caller reads slowly

Callers saw: a request whose target answers with neither a length nor chunks hung until its deadline if the caller read slowly, also where the answer was whole.

Cause: undici is paused while the caller has no room. Node.js ends the socket's stream with the read that takes its last bytes; if these fill the caller's buffer, the end comes while undici is paused, an assertion of undici fails in the socket's event, and nobody ends the request. The stack of the assertion shows it.

Change: HttpSocket, the socket of the HTTP clients, lets the stream end with the next read, which undici makes once it reads again, and reports a reset as an error that undici does not take for the end of an answer. An empty part, which undici reports where it reads on and nothing was left, is passed over.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -85,7 +85,9 @@
 export * from './config/validate-template-set.js';
 // Clients of external systems
 export * from './shared/bounded-body.js';
+export * from './shared/http-connector.js';
 export * from './shared/http-errors.js';
+export * from './shared/http-socket.js';
 export * from './table/dynamo-items.js';
 export * from './table/http-table.js';
 export * from './object-store/http-object-store.js';
--- a/scripts/undici-clients.cjs
+++ b/scripts/undici-clients.cjs
@@ -11,5 +11,6 @@
 module.exports = {
   Client: require('undici/lib/dispatcher/client.js'),
   Pool: require('undici/lib/dispatcher/pool.js'),
+  buildConnector: require('undici/lib/core/connect.js'),
   errors: require('undici/lib/core/errors.js'),
 };
