Services, engines, objects and table: a reset is not the end of an answer

Cause: undici's handler of socket errors finishes such an answer on ECONNRESET.

Change: these clients open their connections as HttpSockets, which report a reset as another error.

--- a/packages/core/src/object-store/http-object-store.ts
+++ b/packages/core/src/object-store/http-object-store.ts
@@ -6,6 +6,7 @@
 
 import { readBoundedBytes } from '../shared/bounded-body.js';
 import { Failure } from '../shared/failure.js';
+import { createHttpConnector } from '../shared/http-connector.js';
 import { describeError, isUnsentError } from '../shared/http-errors.js';
 
 import { ObjectStore } from './object-store.js';
@@ -36,7 +37,7 @@
     this.#timeoutMs = options.timeoutMs ?? defaultCallTimeoutMs;
     this.#pool = new Pool(options.url, {
       connections: maxConnections,
-      connectTimeout: this.#timeoutMs,
+      connect: createHttpConnector({ connectTimeoutMs: this.#timeoutMs }),
     });
   }
 
--- a/packages/core/src/table/http-table.ts
+++ b/packages/core/src/table/http-table.ts
@@ -8,6 +8,7 @@
 
 import { readBoundedText } from '../shared/bounded-body.js';
 import { Failure } from '../shared/failure.js';
+import { createHttpConnector } from '../shared/http-connector.js';
 import { describeError, isUnsentError } from '../shared/http-errors.js';
 
 import {
@@ -91,7 +92,7 @@
     this.#timeoutMs = options.timeoutMs ?? defaultCallTimeoutMs;
     this.#pool = new Pool(options.url, {
       connections: maxConnections,
-      connectTimeout: this.#timeoutMs,
+      connect: createHttpConnector({ connectTimeoutMs: this.#timeoutMs }),
     });
   }
 
--- a/packages/core/src/target/http-connections.ts
+++ b/packages/core/src/target/http-connections.ts
@@ -5,6 +5,7 @@
 import type { Dispatcher } from 'undici';
 
 import { Failure } from '../shared/failure.js';
+import { createHttpConnector } from '../shared/http-connector.js';
 import { describeError, isUnsentError } from '../shared/http-errors.js';
 
 const maxStreamConnections = 512;
@@ -169,13 +170,13 @@
   #createPool(connections: number): Pool {
     return new Pool(`http://${this.address}`, {
       connections,
-      connectTimeout: this.settings.connectTimeoutMs,
+      connect: createHttpConnector(this.settings),
     });
   }
 
   #createClient(): Client {
     return new Client(`http://${this.address}`, {
-      connectTimeout: this.settings.connectTimeoutMs,
+      connect: createHttpConnector(this.settings),
     });
   }
 }
