Bodies are kept in blocks and counted by the memory that they take

Cause: BodyReader kept each chunk as a Buffer of its own and counted its content. A small chunk takes a hundred bytes more and holds the memory that was read together with it. A process with the heap of the deploy file ends at one body of 4,000,000 bytes in chunks of 1 byte.

Change: ByteBlocks copies parts into blocks of at most twice the content, for bodies of callers, short answers of targets, answers to prefills, bodies that clients read, answers of other instances; incomplete events had such a buffer already. What counts against the bounds is the memory of the blocks.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -85,6 +85,7 @@
 export * from './config/validate-template-set.js';
 // Clients of external systems
 export * from './shared/bounded-body.js';
+export * from './shared/byte-blocks.js';
 export * from './shared/http-connector.js';
 export * from './shared/http-errors.js';
 export * from './shared/http-socket.js';
--- a/packages/core/src/peers/http-post.ts
+++ b/packages/core/src/peers/http-post.ts
@@ -5,6 +5,7 @@
 import type { Dispatcher, Pool } from 'undici';
 
 import { OversizedBodyError } from '../shared/bounded-body.js';
+import { ByteBlocks } from '../shared/byte-blocks.js';
 import { startReadFirstTimeout } from '../shared/read-first-timeout.js';
 
 /** A message to post. */
@@ -35,8 +36,7 @@
   { path, headers, body, timeoutMs }: PostRequest,
 ): Promise<PostResponse> =>
   new Promise((resolve, reject) => {
-    const chunks: Buffer[] = [];
-    let sizeBytes = 0;
+    const answer = new ByteBlocks();
     let status = 0;
     let hasTimedOut = false;
     let controller: Dispatcher.DispatchController | undefined;
@@ -57,15 +57,13 @@
           status = responseStatus;
         },
         onResponseData(responseController, chunk) {
-          sizeBytes += chunk.length;
-          if (sizeBytes <= maxAnswerBytes) chunks.push(chunk);
-          else responseController.abort(createOversizedAnswerError());
+          answer.append(chunk);
+          if (answer.length > maxAnswerBytes)
+            responseController.abort(createOversizedAnswerError());
         },
         onResponseEnd() {
           cancelTimeout();
-          const [first] = chunks;
-          const content = chunks.length === 1 ? first : Buffer.concat(chunks);
-          resolve({ status, text: content?.toString() ?? '' });
+          resolve({ status, text: answer.take().toString() });
         },
         onResponseError(_controller, error) {
           cancelTimeout();
--- a/packages/core/src/shared/bounded-body.ts
+++ b/packages/core/src/shared/bounded-body.ts
@@ -3,6 +3,8 @@
  * read stops at a limit.
  */
 
+import { ByteBlocks } from './byte-blocks.js';
+
 /** Bytes that bodies which are being read may take in memory together. */
 export class BodyMemory {
   #usedBytes = 0;
@@ -42,26 +44,26 @@
   body: AsyncIterable<unknown>,
   { maxBytes, memory }: BodyLimits,
 ): Promise<Buffer> => {
-  const chunks: Buffer[] = [];
-  let sizeBytes = 0;
+  const blocks = new ByteBlocks();
+  let reservedBytes = 0;
   try {
     // Leaving the loop with an error destroys the body and with it the connection.
     for await (const chunk of body) {
-      const bytes = chunk as Buffer;
-      if (sizeBytes + bytes.length > maxBytes)
+      blocks.append(chunk as Buffer);
+      if (blocks.length > maxBytes)
         throw new OversizedBodyError(
           `the body is longer than ${maxBytes} bytes`,
         );
-      if (memory?.tryReserve(bytes.length) === false)
+      const addedBytes = blocks.allocatedBytes - reservedBytes;
+      if (memory?.tryReserve(addedBytes) === false)
         throw new OversizedBodyError(
           'the bodies that are being read take all memory kept for them',
         );
-      sizeBytes += bytes.length;
-      chunks.push(bytes);
+      reservedBytes += addedBytes;
     }
-    return Buffer.concat(chunks);
+    return blocks.take();
   } finally {
-    memory?.release(sizeBytes);
+    memory?.release(reservedBytes);
   }
 };
 
--- a/packages/relay/src/relay/response-sinks.ts
+++ b/packages/relay/src/relay/response-sinks.ts
@@ -1,4 +1,6 @@
 /** Response sinks that forward a target's answer to the caller. */
+import { ByteBlocks } from '@medlarlever/core';
+
 import type { AnswerBuffer } from '../buffers/answer-buffer.js';
 import type { ResponseHead, Caller } from '../requests/relay-request.js';
 import { withLength } from '../requests/response-length.js';
@@ -61,8 +63,7 @@
  */
 export class BufferedResponseSink extends CallerSink {
   #head: ResponseHead | undefined;
-  #bufferedChunks: Buffer[] = [];
-  #bufferedBytes = 0;
+  #buffered = new ByteBlocks();
   #isForwarding = false;
 
   constructor(
@@ -75,8 +76,7 @@
 
   override onHead(head: ResponseHead): boolean {
     this.#head = head;
-    this.#bufferedChunks = [];
-    this.#bufferedBytes = 0;
+    this.#buffered = new ByteBlocks();
     this.onRunStart();
     this.onProgress();
     this.answerBuffer.hold(0);
@@ -86,11 +86,11 @@
   override onData(chunk: Buffer): boolean {
     this.onProgress();
     if (this.#isForwarding) return this.answerBuffer.write(chunk);
-    this.#bufferedChunks.push(chunk);
-    this.#bufferedBytes += chunk.length;
-    this.answerBuffer.hold(this.#bufferedBytes);
+    this.#buffered.append(chunk);
+    this.answerBuffer.hold(this.#buffered.allocatedBytes);
     return (
-      this.#bufferedBytes <= maxBufferedBytes || this.#forwardBufferedResponse()
+      this.#buffered.length <= maxBufferedBytes ||
+      this.#forwardBufferedResponse()
     );
   }
 
@@ -106,19 +106,16 @@
   /** Names the length, which tells any caller whether it has got the whole body. */
   #forwardWholeResponse(): void {
     if (this.#head !== undefined)
-      this.#head = withLength(this.#head, this.#bufferedBytes);
+      this.#head = withLength(this.#head, this.#buffered.length);
     this.#forwardBufferedResponse();
   }
 
   #forwardBufferedResponse(): boolean {
     this.#isForwarding = true;
     if (this.#head !== undefined) this.caller.writeHead(this.#head);
-    let isWritable = true;
-    const chunks = this.#bufferedChunks;
-    this.#bufferedChunks = [];
+    const bytes = this.#buffered.take();
     this.answerBuffer.hold(0);
-    for (const chunk of chunks) isWritable = this.answerBuffer.write(chunk);
-    return isWritable;
+    return bytes.length === 0 || this.answerBuffer.write(bytes);
   }
 }
 
--- a/packages/relay/src/relay/server-sent-event-buffer.ts
+++ b/packages/relay/src/relay/server-sent-event-buffer.ts
@@ -3,7 +3,7 @@
  * can be resumed after the last complete event.
  */
 
-import { IncompleteEvent } from './incomplete-event.js';
+import { ByteBlocks } from '@medlarlever/core';
 
 const newline = 0x0a;
 const carriageReturn = 0x0d;
@@ -39,7 +39,7 @@
 
 /** Buffers the incomplete event at the end of one stream. */
 export class ServerSentEventBuffer {
-  readonly #incompleteEvent = new IncompleteEvent();
+  readonly #incompleteEvent = new ByteBlocks();
   #scanner = new EventEndScanner();
   #lastEventId: string | undefined;
   #hasCompletedEvent = false;
--- a/packages/relay/src/server/body-reader.ts
+++ b/packages/relay/src/server/body-reader.ts
@@ -1,7 +1,7 @@
 /** Reads request bodies within limits on size, time and memory. */
 import type { IncomingMessage } from 'node:http';
 
-import { Failure } from '@medlarlever/core';
+import { ByteBlocks, Failure } from '@medlarlever/core';
 import { Left, Right } from 'purify-ts';
 import type { Either } from 'purify-ts';
 
@@ -22,7 +22,7 @@
   readonly maxPauseMs: number;
 }
 
-/** Reads bodies and counts the bytes buffered for all requests. */
+/** Reads bodies and counts the memory that they take, for all requests. */
 export class BodyReader {
   #bufferedBytes = 0;
 
@@ -40,7 +40,7 @@
     return Math.min(maxBufferedBytes, memoryBytes * this.memoryShare);
   }
 
-  /** Number of body bytes currently buffered. */
+  /** Bytes of memory that bodies take at present. */
   get bufferedBytes(): number {
     return this.#bufferedBytes;
   }
@@ -54,8 +54,8 @@
     limits: BodyLimits,
   ): Promise<Either<Failure, Buffer>> {
     return new Promise(resolve => {
-      const chunks: Buffer[] = [];
-      let size = 0;
+      const body = new ByteBlocks();
+      let reservedBytes = 0;
       let isFinished = false;
       const finish = (result: Either<Failure, Buffer>) => {
         // A message that ended closes as well, while its body is still in use.
@@ -63,28 +63,31 @@
         isFinished = true;
         clearTimeout(timer);
         message.off('data', onData);
-        if (result.isLeft()) this.releaseBytes(size);
+        this.releaseBytes(reservedBytes);
+        result.ifRight(({ length }) => {
+          this.#bufferedBytes += length;
+        });
         resolve(result);
       };
       const onData = (chunk: Buffer) => {
-        size += chunk.length;
-        this.#bufferedBytes += chunk.length;
-        chunks.push(chunk);
+        body.append(chunk);
+        this.#bufferedBytes += body.allocatedBytes - reservedBytes;
+        reservedBytes = body.allocatedBytes;
         timer.refresh();
-        if (size > limits.maxBytes)
+        if (body.length > limits.maxBytes)
           finish(Left(createTooLargeFailure(limits.maxBytes)));
         else if (this.#bufferedBytes > this.#maxBufferedBytes)
           finish(Left(createOverloadedFailure(this.#maxBufferedBytes)));
       };
       const finishIfLate = async () => {
-        const knownSize = size;
+        const knownLength = body.length;
         await waitForPendingReads();
-        if (size === knownSize) finish(Left(createTimeoutFailure()));
+        if (body.length === knownLength) finish(Left(createTimeoutFailure()));
       };
       const timer = setTimeout(() => void finishIfLate(), limits.maxPauseMs);
       message.on('data', onData);
       message.once('end', () => {
-        finish(Right(Buffer.concat(chunks)));
+        finish(Right(body.take()));
       });
       message.once('close', () => {
         finish(Left(createCallerGoneFailure()));
