The other program keeps the bodies of callers and operators in blocks, too

Callers saw: a body in chunks of one byte takes more than a hundred times its length in medlarleverd's heap, and ends the process within the limit on bodies.

Change: the parser of packages/daemon reads the body with collectBytes, which keeps it in ByteBlocks, and refuses it at the same limit. A refused body is read on and discarded, so that the caller gets its answer.

Test: body-parser, "a long body in chunks of one byte is read with a small heap" (2 MB, 64 MB of heap): the thread ran out of memory before, and answers now. "A body over the limit is refused" checks the new reader; Fastify refused with other words.

--- a/packages/core/src/shared/bounded-body.ts
+++ b/packages/core/src/shared/bounded-body.ts
@@ -3,6 +3,8 @@
  * read stops at a limit.
  */
 
+import type { Readable } from 'node:stream';
+
 import { ByteBlocks } from './byte-blocks.js';
 
 /** Bytes that bodies which are being read may take in memory together. */
@@ -36,6 +38,9 @@
   override readonly name = 'OversizedBodyError';
 }
 
+const createOversizedError = (maxBytes: number): OversizedBodyError =>
+  new OversizedBodyError(`the body is longer than ${maxBytes} bytes`);
+
 /**
  * Reads the whole body. Throws an {@link OversizedBodyError} once it exceeds a limit, and
  * closes the connection on which it arrives.
@@ -50,10 +55,7 @@
     // Leaving the loop with an error destroys the body and with it the connection.
     for await (const chunk of body) {
       blocks.append(chunk as Buffer);
-      if (blocks.length > maxBytes)
-        throw new OversizedBodyError(
-          `the body is longer than ${maxBytes} bytes`,
-        );
+      if (blocks.length > maxBytes) throw createOversizedError(maxBytes);
       const addedBytes = blocks.allocatedBytes - reservedBytes;
       if (memory?.tryReserve(addedBytes) === false)
         throw new OversizedBodyError(
@@ -72,3 +74,30 @@
   body: AsyncIterable<unknown>,
   limits: BodyLimits,
 ): Promise<string> => (await readBoundedBytes(body, limits)).toString('utf8');
+
+/**
+ * Reads the body of a request that a server has received. Rejects with an
+ * {@link OversizedBodyError} once it is longer than `maxBytes`; the rest is then discarded, and
+ * the connection can still carry an answer.
+ */
+export const collectBytes = (
+  body: Readable,
+  maxBytes: number,
+): Promise<Buffer> =>
+  new Promise((resolve, reject) => {
+    const blocks = new ByteBlocks();
+    const onData = (chunk: Buffer) => {
+      blocks.append(chunk);
+      if (blocks.length <= maxBytes) return;
+      body.off('data', onData).resume();
+      reject(createOversizedError(maxBytes));
+    };
+    body.on('data', onData);
+    body.once('end', () => {
+      resolve(blocks.take());
+    });
+    body.once('error', reject);
+    body.once('close', () => {
+      reject(new Error('the connection closed before the end of the body'));
+    });
+  });
--- a/packages/daemon/src/server/body-parser.ts
+++ b/packages/daemon/src/server/body-parser.ts
@@ -2,8 +2,10 @@
  * Parses JSON request bodies and keeps their original text, which is forwarded
  * to targets and enters fingerprints.
  */
-import { Failure } from '@medlarlever/core';
-import type { FastifyInstance } from 'fastify';
+import type { Readable } from 'node:stream';
+
+import { Failure, OversizedBodyError, collectBytes } from '@medlarlever/core';
+import type { FastifyInstance, FastifyRequest } from 'fastify';
 
 /** A parsed JSON body and the text from which it was parsed. */
 export interface JsonBody {
@@ -35,18 +37,24 @@
   fastify.removeAllContentTypeParsers();
   fastify.addContentTypeParser(
     'application/json',
-    { parseAs: 'buffer' },
-    (request, body: Buffer, done) => {
-      try {
-        rejectContentEncoding(request.headers['content-encoding']);
-        done(null, parseJson(body));
-      } catch (error) {
-        done(error as Error);
-      }
+    async (request: FastifyRequest, payload: Readable) => {
+      rejectContentEncoding(request.headers['content-encoding']);
+      const { bodyLimit } = request.routeOptions;
+      return parseJson(await readBody(payload, bodyLimit));
     },
   );
 };
 
+/** Reads the body; throws `body_too_large` if it is longer than the limit. */
+const readBody = async (body: Readable, maxBytes: number): Promise<Buffer> => {
+  try {
+    return await collectBytes(body, maxBytes);
+  } catch (error) {
+    if (!(error instanceof OversizedBodyError)) throw error;
+    throw new Failure('body_too_large', error.message);
+  }
+};
+
 /** Throws `unsupported_media` for compressed bodies. */
 const rejectContentEncoding = (encoding: string | undefined): void => {
   if (encoding === undefined || encoding === 'identity') return;
