--- a/packages/core/src/shared/http-connector.ts
+++ b/packages/core/src/shared/http-connector.ts
@@ -7,19 +7,22 @@
 /** Port of a URL that names none. */
 const defaultPort = 80;
 
+/** Milliseconds without data after which the kernel checks that the other side lives. */
+const keepAliveDelayMs = 60_000;
+
 /** Options of {@link createHttpConnector}. */
 export interface HttpConnectorOptions {
   /** Milliseconds after which a connection attempt has failed. */
   readonly connectTimeoutMs: number;
-  /** Milliseconds without data after which the kernel checks the connection; never by default. */
-  readonly keepAliveDelayMs?: number;
+  /** False if the kernel does not check idle connections; true by default. */
+  readonly keepsAlive?: boolean;
   /** Called with each new connection. */
   readonly onConnect?: (socket: HttpSocket) => void;
 }
 
 const openSocket = (
   { hostname, port }: buildConnector.Options,
-  { connectTimeoutMs, keepAliveDelayMs, onConnect }: HttpConnectorOptions,
+  { connectTimeoutMs, keepsAlive = true, onConnect }: HttpConnectorOptions,
   callback: buildConnector.Callback,
 ): void => {
   const socket = new HttpSocket();
@@ -39,8 +42,7 @@
     callback(null, socket);
   });
   socket.setNoDelay(true);
-  if (keepAliveDelayMs !== undefined)
-    socket.setKeepAlive(true, keepAliveDelayMs);
+  if (keepsAlive) socket.setKeepAlive(true, keepAliveDelayMs);
   socket.connect({ host: hostname, port: Number(port || defaultPort) });
 };
 
