--- a/packages/relay/src/server/request-drainer.ts
+++ b/packages/relay/src/server/request-drainer.ts
@@ -71,6 +71,7 @@
    * function when the request ends.
    */
   startRequest(abortAnswer: () => void): () => void {
+    // A function of its own for each request, as two may pass the same one.
     const abort = () => {
       abortAnswer();
     };
