--- a/packages/bench/src/daemon/deployment.ts
+++ b/packages/bench/src/daemon/deployment.ts
@@ -22,7 +22,9 @@
 export const otherCallerKey = 'other-key';
 export const operatorKey = 'operator-key';
 
-const hashKey = (key: string) => createHash('sha256').update(key).digest('hex');
+/** Returns the hash of a key, as settings and templates name it. */
+export const hashKey = (key: string) =>
+  createHash('sha256').update(key).digest('hex');
 
 const anyPortAddress = '127.0.0.1:0';
 
@@ -33,6 +35,13 @@
   readonly operatorAddress: string;
 }
 
+/** The simulators of a deployment, and the address of the platform as a URL. */
+export interface TestServers {
+  readonly engine: EngineSimulator;
+  readonly service: ServiceSimulator;
+  readonly platformUrl: string;
+}
+
 /** The simulators of a deployment and a function that starts daemons. */
 export interface TestDeployment {
   readonly engine: EngineSimulator;
@@ -91,7 +100,8 @@
   },
 };
 
-const applyTemplate = async (operatorAddress: string): Promise<void> => {
+/** Applies the template of the test's customers as the first revision. */
+export const applyTemplate = async (operatorAddress: string): Promise<void> => {
   const { statusCode, body } = await request(
     `http://${operatorAddress}/operator/configuration`,
     {
@@ -114,11 +124,11 @@
     );
 };
 
-/** Starts the servers; the teardown of the test stops them and every daemon. The first daemon applies the template. */
-export const startTestDeployment = async (
+/** Starts the platform, an engine and a service; the teardown of the test stops them. */
+export const startTestServers = async (
   t: ExecutionContext,
   options: EngineOptions = {},
-): Promise<TestDeployment> => {
+): Promise<TestServers> => {
   const platform = createPlatform({
     fleetLagMs: 0,
     weightBytes: 1,
@@ -150,13 +160,18 @@
       ),
     );
   });
+  return { engine, service, platformUrl: `http://${platformAddress ?? ''}` };
+};
+
+/** Starts the servers; the teardown of the test stops them and every daemon. The first daemon applies the template. */
+export const startTestDeployment = async (
+  t: ExecutionContext,
+  options: EngineOptions = {},
+): Promise<TestDeployment> => {
+  const { engine, service, platformUrl } = await startTestServers(t, options);
   let isFirstDaemon = true;
   const startDaemon = async (name: string, graceMs = 30_000) => {
-    const settings = createSettings(
-      name,
-      `http://${platformAddress ?? ''}`,
-      graceMs,
-    );
+    const settings = createSettings(name, platformUrl, graceMs);
     const daemon = new Daemon(settings, new SilentLog());
     await daemon.start();
     t.teardown(() => daemon.stop());
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -13,6 +13,10 @@
 export * from './target/target.js';
 export * from './target/model-key.js';
 export * from './peers/peer.js';
+export {
+  notificationPath,
+  notificationProtocol,
+} from './peers/notification-stream.js';
 export * from './peers/peer-group.js';
 export * from './membership/target-directory.js';
 export * from './quarantine/quarantine.js';
--- a/scripts/judge-tests.mjs
+++ b/scripts/judge-tests.mjs
@@ -2,6 +2,9 @@
 // list and prints the listed ones. Usage: judge-tests.mjs TAP KNOWN-RED
 import { readFileSync } from 'node:fs';
 
+/** Runs of ava that `npm test` consists of. */
+const expectedRunCount = 2;
+
 const [tapFile, knownFile] = process.argv.slice(2);
 const tapLines = readFileSync(tapFile, 'utf8').split('\n');
 const knownTitles = new Set(
@@ -23,7 +26,10 @@
   .map(getTitle);
 const knownFailures = failures.filter(isKnown);
 const unexpectedFailures = failures.filter(title => !isKnown(title));
-const isFinished = tapLines.some(line => /^1\.\.\d+/.test(line));
+// The report holds one run after the other, each with its plan at its end.
+const runCount = tapLines.filter(line => /^TAP version/.test(line)).length;
+const planCount = tapLines.filter(line => /^1\.\.\d+/.test(line)).length;
+const isFinished = runCount === expectedRunCount && planCount === runCount;
 
 for (const title of knownFailures) console.log(`known red: ${title}`);
 for (const title of unexpectedFailures) console.log(`failed: ${title}`);
