A connection has two unanswered requests at most, at every port of both programs

Callers saw an instance end for want of heap: one client that sends 3 MB of requests ahead and reads no answer was enough, at a host without a route, too; 24 at the path that says ready.

Cause: Node's server makes a request and a response of each head that a read of 64 KB brings, and of the next reads as long as less than 16 KB of answers wait. Nothing bounded what one connection, or all of them, had made.

ConnectionGuard takes the server's place as the reader of each connection. It hands the parser a slice at a time (one head, or 64 lines of chunks), none while two requests are unanswered, and reads nothing while 16 KB wait. All connections share the turns of the event loop; beyond a bound on what all hold the one with most is closed. The limit on the number of connections is not in use yet.

--- a/packages/bench/src/clients/relay-clients.test.ts
+++ b/packages/bench/src/clients/relay-clients.test.ts
@@ -7,6 +7,7 @@
   ScriptedTarget,
   buildResponse,
   headerNames,
+  readinessPath,
   startDaemonWithTargets,
 } from '@medlarlever/platform/stand-ins';
 import type { TestDaemonProcess } from '@medlarlever/platform/stand-ins';
@@ -74,7 +75,7 @@
     body: 'x'.repeat(1_000),
   },
   {
-    url: `http://127.0.0.1:${readinessPort}/api/readyz`,
+    url: `http://127.0.0.1:${readinessPort}${readinessPath}`,
     method: 'GET',
     headers: {},
   },
@@ -180,7 +181,7 @@
 
 /** Paths of the ports that are not for callers; the second one is unknown there. */
 const otherPorts = [
-  ['readinessPort', '/api/readyz'],
+  ['readinessPort', readinessPath],
   ['metricsPort', '/metrics'],
   ['peerPort', '/rpc'],
 ] as const;
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -69,6 +69,7 @@
 export * from './peers/json-rpc-peer.js';
 export * from './peers/peer-server.js';
 export * from './peers/notification-server.js';
+export * from './connections/connection-guard.js';
 export * from './fleet/fleet-watcher.js';
 export * from './membership/instance-record.js';
 export * from './membership/instance-registry.js';
--- a/packages/core/src/shared/events.ts
+++ b/packages/core/src/shared/events.ts
@@ -54,6 +54,11 @@
     'warn',
     'The event loop of the instance was busy all the time.',
   ),
+  connection_limit: defineEvent(
+    108,
+    'warn',
+    'The instance closed a connection because it has too many, or because they hold too much unread input.',
+  ),
 
   // 200: configuration and platform
   revision_in_force: defineEvent(
--- /dev/null
+++ b/packages/daemon/src/server/interface-limits.ts
@@ -0,0 +1,31 @@
+/** Limits of the connections at each HTTP interface. */
+import { ConnectionGuard } from '@medlarlever/core';
+
+import type { DaemonKernel, InterfaceName } from '../kernel/daemon-kernel.js';
+import { logToken, settingsToken } from '../kernel/tokens.js';
+
+/** Shares of the limits that the settings name for the whole process. */
+const interfaceShares: Readonly<Record<InterfaceName, number>> = {
+  caller: 0.7,
+  operator: 0.1,
+  peer: 0.2,
+};
+
+/** Creates the guard of an interface. */
+export const createInterfaceGuard = (
+  kernel: DaemonKernel,
+  name: InterfaceName,
+): ConnectionGuard => {
+  const { max_held_bytes: maxHeldBytes } =
+    kernel.get(settingsToken).connections;
+  const share = interfaceShares[name];
+  return new ConnectionGuard({
+    getMaxConnections: () => Infinity,
+    getMaxHeldBytes: () => maxHeldBytes * share,
+    onLimit: limit => {
+      kernel
+        .get(logToken)
+        .writeEvent('connection_limit', { listener: name, limit });
+    },
+  });
+};
--- a/packages/daemon/src/server/listener.ts
+++ b/packages/daemon/src/server/listener.ts
@@ -19,6 +19,7 @@
 import { installBodyParser } from './body-parser.js';
 import { FailureFilter, classifyError, sendFailure } from './failure-filter.js';
 import type { ErrorReply } from './failure-filter.js';
+import { createInterfaceGuard } from './interface-limits.js';
 import type { OpenListener } from './listener-registry.js';
 
 /** Nest's logger is disabled: the daemon writes only structured events. */
@@ -130,6 +131,7 @@
     app.useGlobalFilters(new FailureFilter(kernel.get(logToken)));
     const fastify = adapter.getInstance<FastifyInstance>();
     installBodyParser(fastify);
+    createInterfaceGuard(kernel, name).watch(fastify.server);
     await app.init();
     const { host, port } = parseAddress(address);
     await app.listen(port, host);
--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -72,6 +72,11 @@
   queue: z.number().int().min(0).default(512),
 });
 
+const connectionsSchema = z.strictObject({
+  /** Memory for what connections send ahead of the answers, at all interfaces together. */
+  max_held_bytes: z.number().int().min(1_048_576).default(16_777_216),
+});
+
 const targetsSchema = z.strictObject({
   /**
    * Names of the engines that refuse commands with an outdated fencing token.
@@ -106,6 +111,7 @@
   operators: z.array(operatorSchema).min(1),
   streams: streamsSchema,
   requests: requestsSchema.prefault({}),
+  connections: connectionsSchema.prefault({}),
   targets: targetsSchema.prefault({}),
   roles: rolesSchema.prefault({}),
   shutdown: shutdownSchema.prefault({}),
--- a/packages/relay/src/metrics/relay-metrics.ts
+++ b/packages/relay/src/metrics/relay-metrics.ts
@@ -29,6 +29,7 @@
   readonly #refusedPromptCounter: Counter<'service'>;
   readonly #roomRefusalCounter: Counter<'service'>;
   readonly #resumptionCounter: Counter<'service' | 'origin'>;
+  readonly #closedConnectionCounter: Counter<'listener' | 'limit'>;
   readonly #customerRequestCounter: Counter<'customer' | 'outcome'>;
   readonly #customerFirstHistogram: Histogram<'customer'>;
   readonly #customerLabels = new LabelLimiter(maxCustomerLabels);
@@ -42,6 +43,12 @@
       labelNames: ['route', 'outcome'],
       registers,
     });
+    this.#closedConnectionCounter = new Counter({
+      name: 'medlarlever_relay_closed_connections_total',
+      help: 'Connections closed because of a limit, by listener and limit',
+      labelNames: ['listener', 'limit'],
+      registers,
+    });
     this.#firstByteHistogram = new Histogram({
       name: 'medlarlever_relay_first_seconds',
       help: 'Time to the first bytes of an answer',
@@ -208,6 +215,11 @@
     this.#refusedPromptCounter.inc({ service });
   }
 
+  /** Records a connection that was closed because of a limit. */
+  recordClosedConnection(listener: string, limit: string): void {
+    this.#closedConnectionCounter.inc({ listener, limit });
+  }
+
   /** Records a request to a target that had named a limit. */
   recordLimitedSend(service: string): void {
     this.#limitedSendCounter.inc({ service });
--- a/packages/relay/src/peers/app.ts
+++ b/packages/relay/src/peers/app.ts
@@ -1,5 +1,9 @@
 /** Plugin for the exchange of data between instances and the peer interface. */
-import { InstanceRegistry, JsonRpcPeer, PeerMesh } from '@medlarlever/core';
+import {
+  InstanceRegistry,
+  JsonRpcPeer,
+  PeerMesh,
+} from '@medlarlever/core';
 import type { Kernel, Peer, Plugin } from '@medlarlever/core';
 import { Maybe } from 'purify-ts';
 
@@ -48,6 +52,7 @@
 import { computeStreamLifetimeMs } from '../targets/software-versions.js';
 import { isKnownAddress } from '../forwarding/known-addresses.js';
 import { createForwardedRequestHandler } from '../forwarding/forwarded-request-handler.js';
+import { createListenerGuard } from '../server/listener-limits.js';
 import { openPeerInterface } from '../server/peer-interface.js';
 
 import { LimitReports } from './limit-reports.js';
@@ -254,6 +259,7 @@
       isAccepted: remoteAddress => isInstanceAddress(kernel, remoteAddress),
       getMemoryBytes: () => kernel.get(settingsToken).current.memoryBytes,
     }),
+    guard: createListenerGuard(kernel, 'peers'),
     ...kernel.get(settingsToken).current.peers,
   });
   const { signal } = kernel.get(servingEndControllerToken);
--- a/packages/relay/src/server/app.ts
+++ b/packages/relay/src/server/app.ts
@@ -33,6 +33,7 @@
 import { registerStateGauges } from '../metrics/state-gauges.js';
 
 import { CallerServer } from './caller-server.js';
+import { createListenerGuard } from './listener-limits.js';
 import { RequestDrainer } from './request-drainer.js';
 import { EventLoopDelayMonitor } from './event-loop-delay-monitor.js';
 import { EventLoopUsage } from './event-loop-usage.js';
@@ -72,6 +73,7 @@
     eventLoopDelayMonitor: kernel.get(eventLoopDelayMonitorToken),
     getMemoryBytes: () => kernel.get(settingsToken).current.memoryBytes,
     overloadGuard: kernel.get(overloadGuardToken),
+    guard: createListenerGuard(kernel, 'callers'),
     ...kernel.get(settingsToken).current.callers,
   });
 
@@ -95,7 +97,8 @@
     });
   };
   const endpoints = [{ path: readinessPath, answer }];
-  return StatusServer.open(readiness.host, readiness.port, endpoints);
+  const guard = createListenerGuard(kernel, 'readiness');
+  return StatusServer.open(readiness.host, readiness.port, endpoints, guard);
 };
 
 const openMetricsServer = (kernel: Kernel): Promise<Listener> => {
@@ -125,7 +128,8 @@
     text: await registry.metrics(),
   });
   const { host, port } = kernel.get(settingsToken).current.metrics;
-  return StatusServer.open(host, port, [{ path: '/metrics', answer }]);
+  const guard = createListenerGuard(kernel, 'metrics');
+  return StatusServer.open(host, port, [{ path: '/metrics', answer }], guard);
 };
 
 /**
--- a/packages/relay/src/server/caller-connections.test.ts
+++ b/packages/relay/src/server/caller-connections.test.ts
@@ -12,6 +12,7 @@
 
 import {
   createConfiguration,
+  createGuard,
   createMemoryLog,
   createRequest,
 } from '../fixtures/relay-fixtures.js';
@@ -64,6 +65,7 @@
   const routes = new RouteTableHolder(createMemoryLog());
   const drainer = new RequestDrainer();
   const server = await CallerServer.open({
+    guard: createGuard(),
     relay: relay as unknown as Relay,
     routes,
     decoder: new PathDecoder(),
--- a/packages/relay/src/server/caller-server.test.ts
+++ b/packages/relay/src/server/caller-server.test.ts
@@ -4,7 +4,11 @@
 import type { ExecutionContext } from 'ava';
 import { Right } from 'purify-ts';
 
-import { createMemoryLog, createRequest } from '../fixtures/relay-fixtures.js';
+import {
+  createGuard,
+  createMemoryLog,
+  createRequest,
+} from '../fixtures/relay-fixtures.js';
 import type { Relay } from '../relay/relay.js';
 import type { Caller } from '../requests/relay-request.js';
 import { RouteTableHolder } from '../routes/route-table-holder.js';
@@ -50,6 +54,7 @@
     },
   };
   const server = await CallerServer.open({
+    guard: createGuard(),
     relay: relay as unknown as Relay,
     routes: new RouteTableHolder(createMemoryLog()),
     decoder: new FixedDecoder(),
--- a/packages/relay/src/server/caller-server.ts
+++ b/packages/relay/src/server/caller-server.ts
@@ -1,6 +1,7 @@
 /** HTTP server for callers, built on Nest and Fastify; bodies are not parsed. */
 import 'reflect-metadata';
 
+import type { ConnectionGuard } from '@medlarlever/core';
 import { Module } from '@nestjs/common';
 import type { DynamicModule, NestApplicationOptions } from '@nestjs/common';
 import { NestFactory } from '@nestjs/core';
@@ -59,6 +60,7 @@
   /** Returns the memory limit of the process, if there is one. */
   readonly getMemoryBytes?: () => number | undefined;
   readonly overloadGuard?: OverloadGuard;
+  readonly guard: ConnectionGuard;
   readonly host: string;
   readonly port: number;
 }
@@ -133,6 +135,7 @@
     await app.init();
     const server = app.getHttpServer();
     connections.watchIdle(server);
+    options.guard.watch(server);
     options.routes.onTableChange(({ configuration }) => {
       server.keepAliveTimeout = configuration.limits.idleTimeoutMs;
       server.headersTimeout = configuration.limits.headerTimeoutMs;
--- /dev/null
+++ b/packages/relay/src/server/listener-limits.ts
@@ -0,0 +1,44 @@
+/** Limits of the connections at each interface of the instance. */
+import { ConnectionGuard } from '@medlarlever/core';
+import type { Kernel } from '@medlarlever/core';
+
+import {
+  logToken,
+  relayMetricsToken,
+  settingsToken,
+} from '../kernel/tokens.js';
+
+/** An interface of the instance. */
+export type ListenerName = 'callers' | 'peers' | 'readiness' | 'metrics';
+
+/** Shares of the process memory that may be taken by what was sent ahead. */
+const heldMemoryShares: Readonly<Record<ListenerName, number>> = {
+  callers: 0.04,
+  peers: 0.02,
+  readiness: 0.005,
+  metrics: 0.005,
+};
+
+/** Memory of a process if its settings name no limit, in bytes. */
+const defaultMemoryBytes = 512 * 1024 * 1024;
+
+/** Creates the guard of an interface, whose limits follow the settings in force. */
+export const createListenerGuard = (
+  kernel: Kernel,
+  name: ListenerName,
+): ConnectionGuard => {
+  const settings = kernel.get(settingsToken);
+  const metrics = kernel.get(relayMetricsToken);
+  const log = kernel.get(logToken);
+  return new ConnectionGuard({
+    getMaxConnections: () => Infinity,
+    getMaxHeldBytes: () => {
+      const { memoryBytes = defaultMemoryBytes } = settings.current;
+      return memoryBytes * heldMemoryShares[name];
+    },
+    onLimit: limit => {
+      metrics.recordClosedConnection(name, limit);
+      log.writeEvent('connection_limit', { listener: name, limit });
+    },
+  });
+};
--- a/packages/relay/src/server/peer-interface.ts
+++ b/packages/relay/src/server/peer-interface.ts
@@ -1,6 +1,6 @@
 /** HTTP server for JSON-RPC 2.0 calls from the other instances. */
 import { NotificationServer, PeerServer, rpcPath } from '@medlarlever/core';
-import type { Kernel, Log } from '@medlarlever/core';
+import type { ConnectionGuard, Kernel, Log } from '@medlarlever/core';
 import Fastify from 'fastify';
 import type { FastifyInstance } from 'fastify';
 import { isJSONRPCRequest } from 'json-rpc-2.0';
@@ -21,6 +21,7 @@
   readonly kernel: Kernel;
   readonly log: Log;
   readonly serveForwardedRequest: ForwardedRequestHandler;
+  readonly guard: ConnectionGuard;
   readonly host: string;
   readonly port: number;
 }
@@ -82,6 +83,7 @@
       logFailedStep('notifications', from, 'a line is no notification');
     },
   });
+  options.guard.watch(fastify.server);
   await fastify.listen({ host: options.host, port: options.port });
   return () => {
     notifications.close();
--- a/packages/relay/src/server/status-server.ts
+++ b/packages/relay/src/server/status-server.ts
@@ -1,4 +1,5 @@
 /** Small HTTP servers: readiness for the load balancer, metrics for operators. */
+import type { ConnectionGuard } from '@medlarlever/core';
 import Fastify from 'fastify';
 import type { FastifyInstance } from 'fastify';
 
@@ -27,11 +28,13 @@
     host: string,
     port: number,
     endpoints: readonly StatusEndpoint[],
+    guard: ConnectionGuard,
   ): Promise<StatusServer> {
     const fastify = Fastify({
       forceCloseConnections: true,
       schemaController: noSchemaCompilers,
     });
+    guard.watch(fastify.server);
     for (const { path, answer } of endpoints) {
       fastify.get(path, async (_request, reply) => {
         const { status, type, text } = await answer();
