Each port has a limit on its connections, and a new one takes the place of an idle one

500 connections that send nothing, a part of a head or one request had a process hold 528 to 535 descriptors where its settings allow 400, at any port of both programs.

Cause: max_fds of the settings was not read, and no server had a limit.

The guard now bounds the connections of each port by a share of the descriptors, or of connections.max. It closes the connection without a running request that has been silent for longest, or one whose caller does not read its answer, and refuses the new one only if there is none: a limit alone would let a crowd shut out all others.

--- a/packages/bench/src/clients/daemon-process.ts
+++ b/packages/bench/src/clients/daemon-process.ts
@@ -70,6 +70,8 @@
 [roles]
 policy = "mixed"
 
+[connections]
+max = ${limits.maxConnections}
 `;
 
 /** Starts the process with its template in force; the teardown of the test ends it. */
--- a/packages/daemon/src/server/interface-limits.ts
+++ b/packages/daemon/src/server/interface-limits.ts
@@ -16,11 +16,11 @@
   kernel: DaemonKernel,
   name: InterfaceName,
 ): ConnectionGuard => {
-  const { max_held_bytes: maxHeldBytes } =
+  const { max, max_held_bytes: maxHeldBytes } =
     kernel.get(settingsToken).connections;
   const share = interfaceShares[name];
   return new ConnectionGuard({
-    getMaxConnections: () => Infinity,
+    getMaxConnections: () => Math.max(1, Math.floor(max * share)),
     getMaxHeldBytes: () => maxHeldBytes * share,
     onLimit: limit => {
       kernel
--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -73,6 +73,11 @@
 });
 
 const connectionsSchema = z.strictObject({
+  /**
+   * Open connections at all interfaces together. Beyond that, the one is closed that has been
+   * idle for longest.
+   */
+  max: z.number().int().min(10).default(4_096),
   /** Memory for what connections send ahead of the answers, at all interfaces together. */
   max_held_bytes: z.number().int().min(1_048_576).default(16_777_216),
 });
--- a/packages/relay/src/server/listener-limits.ts
+++ b/packages/relay/src/server/listener-limits.ts
@@ -11,6 +11,20 @@
 /** An interface of the instance. */
 export type ListenerName = 'callers' | 'peers' | 'readiness' | 'metrics';
 
+/** Descriptors that files and the like take. */
+const otherDescriptors = 200;
+
+/** Descriptors of a process if its settings name no limit. */
+const defaultDescriptors = 4_096;
+
+/** Shares of the other descriptors; the rest is for connections to targets, peers and the table. */
+const descriptorShares: Readonly<Record<ListenerName, number>> = {
+  callers: 0.55,
+  peers: 0.15,
+  readiness: 0.05,
+  metrics: 0.05,
+};
+
 /** Shares of the process memory that may be taken by what was sent ahead. */
 const heldMemoryShares: Readonly<Record<ListenerName, number>> = {
   callers: 0.04,
@@ -31,7 +45,11 @@
   const metrics = kernel.get(relayMetricsToken);
   const log = kernel.get(logToken);
   return new ConnectionGuard({
-    getMaxConnections: () => Infinity,
+    getMaxConnections: () => {
+      const { maxDescriptors = defaultDescriptors } = settings.current;
+      const sockets = maxDescriptors - otherDescriptors;
+      return Math.max(1, Math.floor(sockets * descriptorShares[name]));
+    },
     getMaxHeldBytes: () => {
       const { memoryBytes = defaultMemoryBytes } = settings.current;
       return memoryBytes * heldMemoryShares[name];
--- a/packages/relay/src/settings/relay-settings.ts
+++ b/packages/relay/src/settings/relay-settings.ts
@@ -70,6 +70,8 @@
   readonly roleLeaseDurationMs: number;
   /** Memory limit of the process in bytes; undefined if none is known. */
   readonly memoryBytes?: number;
+  /** Limit on open descriptors of the process; undefined if none is known. */
+  readonly maxDescriptors?: number;
   /**
    * True if engines end when their requests exceed their memory, and callers and targets
    * may read slowly.
