Bodies that are given up leave no garbage, and the one that has stopped growing goes first

100 clients that stop short of the end of a body had an instance take 350 MB (chunks of 64 KB) and 368 MB (with a length), of 280. Callers that came meanwhile were refused for want of memory.

Cause: each body had blocks of its own, which are garbage outside the heap once it is refused or abandoned. In a trial array buffers grew to 229 MB with 32 MB of heap in use; the runtime collects them late, and they stayed when nothing more was sent.

Blocks come from a pool and go back to it. If bodies take too much memory, the one is refused that has not grown for longest, with the same 429 as before. BodyReader moves to packages/core, where the other program can use it; its message for a body that is too long is worded as that of the other program, which a test there asks for.

--- a/packages/relay/src/server/body-reader.test.ts
+++ b/packages/core/src/connections/body-reader.test.ts
@@ -11,7 +11,7 @@
 const limits = { maxBytes: 1_000_000, maxPauseMs: 1_000 };
 
 test('bodies that targets read slowly are bounded by the memory of the process', async t => {
-  const reader = new BodyReader(() => 1_000_000);
+  const reader = new BodyReader(() => 200_000);
   const first = await reader.readBody(createMessage(150_000), limits);
   t.true(first.isRight());
   const second = await reader.readBody(createMessage(100_000), limits);
--- a/packages/core/src/shared/byte-blocks.ts
+++ b/packages/core/src/shared/byte-blocks.ts
@@ -1,10 +1,10 @@
 /** Bytes that arrive in parts of any size and are kept until they are needed as a whole. */
 
-/** Size of the first block. */
-const minBlockBytes = 1_024;
+import { blockBytes as maxBlockBytes } from './block-pool.js';
+import type { BlockPool } from './block-pool.js';
 
-/** Size from which blocks no longer grow. */
-const maxBlockBytes = 64 * 1024;
+/** Size of the first block; later ones grow up to that of the pool. */
+const minBlockBytes = 1_024;
 
 /**
  * Copies parts into blocks, at a cost in time and memory that grows with the number of bytes
@@ -19,6 +19,9 @@
   #length = 0;
   #allocatedBytes = 0;
 
+  /** Long blocks come from the pool, if there is one, and go back to it. */
+  constructor(private readonly pool?: BlockPool) {}
+
   /** Number of bytes. */
   get length(): number {
     return this.#length;
@@ -48,18 +51,30 @@
       this.#fullBlocks.length === 0
         ? last
         : Buffer.concat([...this.#fullBlocks, last]);
+    // A single block is handed out itself.
+    if (this.#fullBlocks.length === 0) this.#block = Buffer.alloc(0);
+    this.clear();
+    return bytes;
+  }
+
+  /** Drops all bytes. */
+  clear(): void {
+    for (const block of [...this.#fullBlocks, this.#block])
+      if (block.length === maxBlockBytes) this.pool?.give(block);
     this.#fullBlocks = [];
     this.#block = Buffer.alloc(0);
     this.#usedBytes = 0;
     this.#length = 0;
     this.#allocatedBytes = 0;
-    return bytes;
   }
 
   #addBlock(): void {
     if (this.#block.length > 0) this.#fullBlocks.push(this.#block);
     const grownBytes = Math.max(minBlockBytes, this.#allocatedBytes);
-    this.#block = Buffer.allocUnsafeSlow(Math.min(maxBlockBytes, grownBytes));
+    this.#block =
+      this.pool !== undefined && grownBytes >= maxBlockBytes
+        ? this.pool.take()
+        : Buffer.allocUnsafeSlow(Math.min(maxBlockBytes, grownBytes));
     this.#usedBytes = 0;
     this.#allocatedBytes += this.#block.length;
   }
--- a/packages/relay/src/forwarding/forwarded-request-handler.ts
+++ b/packages/relay/src/forwarding/forwarded-request-handler.ts
@@ -1,16 +1,15 @@
 /** Serves requests that other instances hand over because they reach no target. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
-import { Failure } from '@medlarlever/core';
+import { BodyReader, Failure, waitForPendingReads } from '@medlarlever/core';
 import type { Log } from '@medlarlever/core';
 import { Either } from 'purify-ts';
 
 import type { Relay } from '../relay/relay.js';
 import type { RelayRequest } from '../requests/relay-request.js';
-import { BodyReader } from '../server/body-reader.js';
+import { getMaxBodyMemory } from '../server/body-memory.js';
 import { HttpCaller } from '../server/http-caller.js';
 import type { RequestDrainer } from '../server/request-drainer.js';
-import { waitForPendingReads } from '../shared/pending-reads.js';
 
 import {
   answerResult,
@@ -54,7 +53,9 @@
   isAccepted,
   getMemoryBytes,
 }: ForwardedRequestHandlerOptions): ForwardedRequestHandler => {
-  const bodyReader = new BodyReader(getMemoryBytes, forwardedMemoryShare);
+  const bodyReader = new BodyReader(() =>
+    getMaxBodyMemory(getMemoryBytes(), forwardedMemoryShare),
+  );
 
   const serveRequest = async (
     message: IncomingMessage,
--- a/packages/relay/src/peers/app.ts
+++ b/packages/relay/src/peers/app.ts
@@ -1,9 +1,5 @@
 /** Plugin for the exchange of data between instances and the peer interface. */
-import {
-  InstanceRegistry,
-  JsonRpcPeer,
-  PeerMesh,
-} from '@medlarlever/core';
+import { InstanceRegistry, JsonRpcPeer, PeerMesh } from '@medlarlever/core';
 import type { Kernel, Peer, Plugin } from '@medlarlever/core';
 import { Maybe } from 'purify-ts';
 
--- a/packages/relay/src/server/caller-connections.ts
+++ b/packages/relay/src/server/caller-connections.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 
-import { waitForPendingReads } from '../shared/pending-reads.js';
+import { waitForPendingReads } from '@medlarlever/core';
 
 import { writeInvalidRequestResponse } from './invalid-request-response.js';
 
--- a/packages/relay/src/server/caller-server.ts
+++ b/packages/relay/src/server/caller-server.ts
@@ -1,6 +1,7 @@
 /** HTTP server for callers, built on Nest and Fastify; bodies are not parsed. */
 import 'reflect-metadata';
 
+import { BodyReader } from '@medlarlever/core';
 import type { ConnectionGuard } from '@medlarlever/core';
 import { Module } from '@nestjs/common';
 import type { DynamicModule, NestApplicationOptions } from '@nestjs/common';
@@ -13,7 +14,7 @@
 import type { Relay } from '../relay/relay.js';
 import type { RouteTableHolder } from '../routes/route-table-holder.js';
 
-import { BodyReader } from './body-reader.js';
+import { getMaxBodyMemory } from './body-memory.js';
 import { CallerConnections } from './caller-connections.js';
 import type { RequestDrainer } from './request-drainer.js';
 import type { EventLoopDelayMonitor } from './event-loop-delay-monitor.js';
@@ -36,6 +37,9 @@
 const defaultIdleTimeoutMs = 15_000;
 const connectionCheckIntervalMs = 1_000;
 
+/** Share of the process memory that bodies from callers may take. */
+const callerMemoryShare = 0.2;
+
 /** Maximum number of connections that wait to be accepted. */
 const listenBacklog = 511;
 
@@ -77,7 +81,9 @@
     { provide: requestDecoderProvider, useValue: options.decoder },
     {
       provide: bodyReaderProvider,
-      useValue: new BodyReader(options.getMemoryBytes),
+      useValue: new BodyReader(() =>
+        getMaxBodyMemory(options.getMemoryBytes?.(), callerMemoryShare),
+      ),
     },
     { provide: requestDrainerProvider, useValue: options.drainer },
     {
--- a/packages/relay/src/server/overload.test.ts
+++ b/packages/relay/src/server/overload.test.ts
@@ -1,6 +1,7 @@
 import { IncomingMessage, ServerResponse } from 'node:http';
 import { Socket } from 'node:net';
 
+import { BodyReader } from '@medlarlever/core';
 import test from 'ava';
 import type { FastifyReply, FastifyRequest } from 'fastify';
 import { Right } from 'purify-ts';
@@ -18,7 +19,6 @@
 import type { Caller } from '../requests/relay-request.js';
 import { RouteTableHolder } from '../routes/route-table-holder.js';
 
-import { BodyReader } from './body-reader.js';
 import { CallerConnections } from './caller-connections.js';
 import { EventLoopDelayMonitor } from './event-loop-delay-monitor.js';
 import { RelayController } from './relay-controller.js';
@@ -62,7 +62,7 @@
     relay as unknown as Relay,
     routes,
     decoder,
-    new BodyReader(),
+    new BodyReader(() => 1_000_000),
     new RequestDrainer(),
     new EventLoopDelayMonitor(),
     new OverloadGuard({
--- a/packages/relay/src/server/relay-controller.ts
+++ b/packages/relay/src/server/relay-controller.ts
@@ -2,7 +2,8 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 
-import { Failure } from '@medlarlever/core';
+import { Failure, waitForPendingReads } from '@medlarlever/core';
+import type { BodyReader } from '@medlarlever/core';
 import { All, Controller, Inject, Req, Res } from '@nestjs/common';
 import type { FastifyReply, FastifyRequest } from 'fastify';
 
@@ -10,9 +11,7 @@
 import type { Relay } from '../relay/relay.js';
 import type { RouteTableHolder } from '../routes/route-table-holder.js';
 import type { CallerLimits } from '../routes/route-configuration.js';
-import { waitForPendingReads } from '../shared/pending-reads.js';
 
-import type { BodyReader } from './body-reader.js';
 import type { CallerConnections } from './caller-connections.js';
 import { discardBody, sendFailureResponse } from './failure-response.js';
 import type { RequestDrainer } from './request-drainer.js';
