All bodies that are read at once share a bound, at every port of both programs

100 bodies of 8 MB that stop short of their end had medlarleverd take 909 to 987 MB, at each interface, and 300 of 1 MB had an instance take 435 to 444 at its readiness, metrics and peers' ports, where 40 in chunks of one byte ended it.

Cause: each body had a limit, all together none; Fastify's parser joins small chunks as text.

BodyReader reads the bodies of medlarleverd (requests.max_buffered_bytes) and those of calls between instances. The readiness and metrics ports have no body parsers.

--- a/packages/bench/src/clients/daemon-process.ts
+++ b/packages/bench/src/clients/daemon-process.ts
@@ -70,6 +70,9 @@
 [roles]
 policy = "mixed"
 
+[requests]
+max_buffered_bytes = ${limits.maxBufferedBytes}
+
 [connections]
 max = ${limits.maxConnections}
 `;
--- a/packages/core/src/shared/bounded-body.ts
+++ b/packages/core/src/shared/bounded-body.ts
@@ -3,8 +3,6 @@
  * read stops at a limit.
  */
 
-import type { Readable } from 'node:stream';
-
 import { ByteBlocks } from './byte-blocks.js';
 
 /** Bytes that bodies which are being read may take in memory together. */
@@ -74,30 +72,3 @@
   body: AsyncIterable<unknown>,
   limits: BodyLimits,
 ): Promise<string> => (await readBoundedBytes(body, limits)).toString('utf8');
-
-/**
- * Reads the body of a request that a server has received. Rejects with an
- * {@link OversizedBodyError} once it is longer than `maxBytes`; the rest is then discarded, and
- * the connection can still carry an answer.
- */
-export const collectBytes = (
-  body: Readable,
-  maxBytes: number,
-): Promise<Buffer> =>
-  new Promise((resolve, reject) => {
-    const blocks = new ByteBlocks();
-    const onData = (chunk: Buffer) => {
-      blocks.append(chunk);
-      if (blocks.length <= maxBytes) return;
-      body.off('data', onData).resume();
-      reject(createOversizedError(maxBytes));
-    };
-    body.on('data', onData);
-    body.once('end', () => {
-      resolve(blocks.take());
-    });
-    body.once('error', reject);
-    body.once('close', () => {
-      reject(new Error('the connection closed before the end of the body'));
-    });
-  });
--- a/packages/daemon/src/server/body-parser.ts
+++ b/packages/daemon/src/server/body-parser.ts
@@ -4,7 +4,8 @@
  */
 import type { Readable } from 'node:stream';
 
-import { Failure, OversizedBodyError, collectBytes } from '@medlarlever/core';
+import { Failure } from '@medlarlever/core';
+import type { BodyReader, RequestBodyLimits } from '@medlarlever/core';
 import type { FastifyInstance, FastifyRequest } from 'fastify';
 
 /** A parsed JSON body and the text from which it was parsed. */
@@ -33,26 +34,46 @@
  * Replaces Fastify's body parsers by one for `application/json` that returns a
  * `JsonBody`. Bodies of any other content type are refused by Fastify.
  */
-export const installBodyParser = (fastify: FastifyInstance): void => {
+export const installBodyParser = (
+  fastify: FastifyInstance,
+  bodyReader: BodyReader,
+  maxPauseMs: number,
+): void => {
   fastify.removeAllContentTypeParsers();
   fastify.addContentTypeParser(
     'application/json',
     async (request: FastifyRequest, payload: Readable) => {
       rejectContentEncoding(request.headers['content-encoding']);
-      const { bodyLimit } = request.routeOptions;
-      return parseJson(await readBody(payload, bodyLimit));
+      const { bodyLimit: maxBytes } = request.routeOptions;
+      const limits = { maxBytes, maxPauseMs };
+      const bytes = await readBody(bodyReader, payload, limits);
+      try {
+        return parseJson(bytes);
+      } finally {
+        bodyReader.releaseBytes(bytes.length);
+      }
     },
   );
 };
 
-/** Reads the body; throws `body_too_large` if it is longer than the limit. */
-const readBody = async (body: Readable, maxBytes: number): Promise<Buffer> => {
-  try {
-    return await collectBytes(body, maxBytes);
-  } catch (error) {
-    if (!(error instanceof OversizedBodyError)) throw error;
-    throw new Failure('body_too_large', error.message);
-  }
+/**
+ * Reads the body. Throws a failure if it is too long or too late, or if bodies take too much
+ * memory; the rest is then discarded, and the connection can still carry an answer.
+ */
+const readBody = async (
+  bodyReader: BodyReader,
+  body: Readable,
+  limits: RequestBodyLimits,
+): Promise<Buffer> => {
+  const bytes = await bodyReader.readBody(body, limits);
+  return bytes
+    .ifLeft(() => body.resume())
+    .caseOf({
+      Left: failure => {
+        throw failure;
+      },
+      Right: value => value,
+    });
 };
 
 /** Throws `unsupported_media` for compressed bodies. */
--- a/packages/daemon/src/server/interface-limits.ts
+++ b/packages/daemon/src/server/interface-limits.ts
@@ -1,5 +1,5 @@
-/** Limits of the connections at each HTTP interface. */
-import { ConnectionGuard } from '@medlarlever/core';
+/** Limits of the connections and bodies at each HTTP interface. */
+import { BodyReader, ConnectionGuard } from '@medlarlever/core';
 
 import type { DaemonKernel, InterfaceName } from '../kernel/daemon-kernel.js';
 import { logToken, settingsToken } from '../kernel/tokens.js';
@@ -29,3 +29,12 @@
     },
   });
 };
+
+/** Creates the reader of the bodies at an interface. */
+export const createInterfaceBodyReader = (
+  kernel: DaemonKernel,
+  name: InterfaceName,
+): BodyReader => {
+  const { max_buffered_bytes: maxBytes } = kernel.get(settingsToken).requests;
+  return new BodyReader(() => maxBytes * interfaceShares[name]);
+};
--- a/packages/daemon/src/server/listener.ts
+++ b/packages/daemon/src/server/listener.ts
@@ -19,7 +19,10 @@
 import { installBodyParser } from './body-parser.js';
 import { FailureFilter, classifyError, sendFailure } from './failure-filter.js';
 import type { ErrorReply } from './failure-filter.js';
-import { createInterfaceGuard } from './interface-limits.js';
+import {
+  createInterfaceBodyReader,
+  createInterfaceGuard,
+} from './interface-limits.js';
 import type { OpenListener } from './listener-registry.js';
 
 /** Nest's logger is disabled: the daemon writes only structured events. */
@@ -130,7 +133,9 @@
     );
     app.useGlobalFilters(new FailureFilter(kernel.get(logToken)));
     const fastify = adapter.getInstance<FastifyInstance>();
-    installBodyParser(fastify);
+    const bodyReader = createInterfaceBodyReader(kernel, name);
+    const { requests } = kernel.get(settingsToken);
+    installBodyParser(fastify, bodyReader, requests.body_timeout_ms);
     createInterfaceGuard(kernel, name).watch(fastify.server);
     await app.init();
     const { host, port } = parseAddress(address);
--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -66,6 +66,11 @@
 
 const requestsSchema = z.strictObject({
   max_body_bytes: z.number().int().min(1_024).default(8_388_608),
+  /**
+   * Memory for bodies that are being read, at all interfaces together. One that has not grown
+   * for longest is refused if there is too little.
+   */
+  max_buffered_bytes: z.number().int().min(1_048_576).default(134_217_728),
   body_timeout_ms: z.number().int().min(100).default(10_000),
   /** Maximum number of requests that this instance runs at once per service. */
   concurrency: z.number().int().min(1).default(256),
--- a/packages/relay/src/peers/app.ts
+++ b/packages/relay/src/peers/app.ts
@@ -1,5 +1,10 @@
 /** Plugin for the exchange of data between instances and the peer interface. */
-import { InstanceRegistry, JsonRpcPeer, PeerMesh } from '@medlarlever/core';
+import {
+  BodyReader,
+  InstanceRegistry,
+  JsonRpcPeer,
+  PeerMesh,
+} from '@medlarlever/core';
 import type { Kernel, Peer, Plugin } from '@medlarlever/core';
 import { Maybe } from 'purify-ts';
 
@@ -48,6 +53,7 @@
 import { computeStreamLifetimeMs } from '../targets/software-versions.js';
 import { isKnownAddress } from '../forwarding/known-addresses.js';
 import { createForwardedRequestHandler } from '../forwarding/forwarded-request-handler.js';
+import { getMaxBodyMemory } from '../server/body-memory.js';
 import { createListenerGuard } from '../server/listener-limits.js';
 import { openPeerInterface } from '../server/peer-interface.js';
 
@@ -226,6 +232,9 @@
   ]);
 };
 
+/** Share of the process memory that calls of other instances may take. */
+const callMemoryShare = 0.05;
+
 /** True if the settings speak of customers, whether or not a configuration is known yet. */
 const mayHaveCustomers = (kernel: Kernel): boolean => {
   const { revocation, usage } = kernel.get(settingsToken).current;
@@ -256,6 +265,12 @@
       getMemoryBytes: () => kernel.get(settingsToken).current.memoryBytes,
     }),
     guard: createListenerGuard(kernel, 'peers'),
+    bodyReader: new BodyReader(() =>
+      getMaxBodyMemory(
+        kernel.get(settingsToken).current.memoryBytes,
+        callMemoryShare,
+      ),
+    ),
     ...kernel.get(settingsToken).current.peers,
   });
   const { signal } = kernel.get(servingEndControllerToken);
--- a/packages/relay/src/server/peer-interface.ts
+++ b/packages/relay/src/server/peer-interface.ts
@@ -1,8 +1,15 @@
 /** HTTP server for JSON-RPC 2.0 calls from the other instances. */
+import type { Readable } from 'node:stream';
+
 import { NotificationServer, PeerServer, rpcPath } from '@medlarlever/core';
-import type { ConnectionGuard, Kernel, Log } from '@medlarlever/core';
+import type {
+  BodyReader,
+  ConnectionGuard,
+  Kernel,
+  Log,
+} from '@medlarlever/core';
 import Fastify from 'fastify';
-import type { FastifyInstance } from 'fastify';
+import type { FastifyInstance, FastifyRequest } from 'fastify';
 import { isJSONRPCRequest } from 'json-rpc-2.0';
 
 import {
@@ -16,16 +23,55 @@
 /** Peer connections without a request for this long are closed. */
 const peerIdleTimeoutMs = 35_000;
 
+/** Limits of the body of one call. */
+const callLimits = { maxBytes: 1_048_576, maxPauseMs: 5_000 };
+
 /** Dependencies and listen address of the peer interface. */
 export interface PeerInterfaceOptions {
   readonly kernel: Kernel;
   readonly log: Log;
   readonly serveForwardedRequest: ForwardedRequestHandler;
   readonly guard: ConnectionGuard;
+  /** Reads the bodies of calls. */
+  readonly bodyReader: BodyReader;
   readonly host: string;
   readonly port: number;
 }
 
+/** Reads the bodies of calls within the memory for them, which Fastify's own parser does not. */
+const installCallParser = (
+  fastify: FastifyInstance,
+  bodyReader: BodyReader,
+): void => {
+  fastify.removeAllContentTypeParsers();
+  fastify.addContentTypeParser(
+    'application/json',
+    async (_request: FastifyRequest, payload: Readable) => {
+      const body = await bodyReader.readBody(payload, callLimits);
+      const bytes = body
+        .ifLeft(() => payload.resume())
+        .caseOf({
+          Left: ({ status, message }) => {
+            throw Object.assign(new Error(message), { statusCode: status });
+          },
+          Right: value => value,
+        });
+      bodyReader.releaseBytes(bytes.length);
+      return parseCall(bytes);
+    },
+  );
+};
+
+/** Parses a call; an object that is none if the bytes are no JSON object. */
+const parseCall = (bytes: Buffer): object => {
+  try {
+    const value: unknown = JSON.parse(bytes.toString('utf8'));
+    return typeof value === 'object' && value !== null ? value : {};
+  } catch {
+    return {};
+  }
+};
+
 /** Registers the paths of forwarded requests, whose handler reads the body itself. */
 const registerForwarding = (
   scope: FastifyInstance,
@@ -56,6 +102,7 @@
     keepAliveTimeout: peerIdleTimeoutMs,
     schemaController: noSchemaCompilers,
   });
+  installCallParser(fastify, options.bodyReader);
   fastify.post(rpcPath, async (request, reply) => {
     const call = request.body;
     if (!isJSONRPCRequest(call)) return reply.status(400).send();
--- a/packages/relay/src/server/status-server.ts
+++ b/packages/relay/src/server/status-server.ts
@@ -34,6 +34,8 @@
       forceCloseConnections: true,
       schemaController: noSchemaCompilers,
     });
+    // Bodies say nothing here, and are not kept.
+    fastify.removeAllContentTypeParsers();
     guard.watch(fastify.server);
     for (const { path, answer } of endpoints) {
       fastify.get(path, async (_request, reply) => {
