Unfinished lines of notifications are bounded together

100 streams of notifications that send 4 MB without a line feed ended an instance for want of heap. Any client of the peers' port may open one.

Cause: one line is bounded by 4 MB, all of them were by nothing.

The streams may have 16 MB of unfinished lines together; the one with the longest is closed.

--- a/packages/core/src/peers/notification-server.ts
+++ b/packages/core/src/peers/notification-server.ts
@@ -15,6 +15,9 @@
 /** Longest notification; the connection of a longer one is closed. */
 const maxLineLength = 4 * 1024 * 1024;
 
+/** Characters of the unfinished lines of all streams together. */
+const maxPendingLength = 16 * 1024 * 1024;
+
 /** An open stream without a notification for this long is closed. */
 const idleTimeoutMs = 35_000;
 
@@ -32,6 +35,9 @@
 /** Accepts streams of notifications at an HTTP server. */
 export class NotificationServer {
   readonly #sockets = new Set<Duplex>();
+  /** Characters of unfinished lines, by stream. */
+  readonly #pendingLengths = new Map<Duplex, number>();
+  #pendingLength = 0;
 
   constructor(private readonly options: NotificationServerOptions) {
     options.server.on(
@@ -91,6 +97,7 @@
       const lines = (pendingText + decoder.write(chunk)).split('\n');
       pendingText = lines.pop() ?? '';
       const isWellFormed = lines.every(line => this.#run(line, from));
+      this.#countPending(socket, pendingText.length);
       if (isWellFormed && pendingText.length <= maxLineLength) return;
       this.options.onMalformed(from);
       socket.destroy();
@@ -100,9 +107,24 @@
       clearTimeout(acknowledgement);
       clearTimeout(idleTimer);
       this.#sockets.delete(socket);
+      this.#countPending(socket, 0);
     });
   }
 
+  /** Closes the streams with the longest lines while all of them are too long together. */
+  #countPending(socket: Duplex, length: number): void {
+    this.#pendingLength += length - (this.#pendingLengths.get(socket) ?? 0);
+    if (length === 0) this.#pendingLengths.delete(socket);
+    else this.#pendingLengths.set(socket, length);
+    while (this.#pendingLength > maxPendingLength) {
+      const [longest] = [...this.#pendingLengths].reduce((a, b) =>
+        b[1] > a[1] ? b : a,
+      );
+      longest.destroy();
+      this.#countPending(longest, 0);
+    }
+  }
+
   /** Runs the notification; false if the line is none. */
   #run(line: string, from: string): boolean {
     let notification: unknown;
