Closed connections are logged once a second at most

A crowd has thousands of connections closed, each of which wrote a line; medlarleverd writes its log without a limit. LimitLog counts them in one line a second for each limit of a listener.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -71,6 +71,7 @@
 export * from './peers/notification-server.js';
 export * from './connections/body-reader.js';
 export * from './connections/connection-guard.js';
+export * from './connections/limit-log.js';
 export { waitForPendingReads } from './shared/pending-reads.js';
 export * from './fleet/fleet-watcher.js';
 export * from './membership/instance-record.js';
--- a/packages/core/src/shared/events.ts
+++ b/packages/core/src/shared/events.ts
@@ -57,7 +57,7 @@
   connection_limit: defineEvent(
     108,
     'warn',
-    'The instance closed a connection because it has too many, or because they hold too much unread input.',
+    'The instance closed connections because it has too many, or because they hold too much unread input.',
   ),
 
   // 200: configuration and platform
--- a/packages/daemon/src/server/interface-limits.ts
+++ b/packages/daemon/src/server/interface-limits.ts
@@ -1,5 +1,5 @@
 /** Limits of the connections and bodies at each HTTP interface. */
-import { BodyReader, ConnectionGuard } from '@medlarlever/core';
+import { BodyReader, ConnectionGuard, LimitLog } from '@medlarlever/core';
 
 import type { DaemonKernel, InterfaceName } from '../kernel/daemon-kernel.js';
 import { logToken, settingsToken } from '../kernel/tokens.js';
@@ -19,13 +19,12 @@
   const { max, max_held_bytes: maxHeldBytes } =
     kernel.get(settingsToken).connections;
   const share = interfaceShares[name];
+  const log = new LimitLog(kernel.get(logToken), name);
   return new ConnectionGuard({
     getMaxConnections: () => Math.max(1, Math.floor(max * share)),
     getMaxHeldBytes: () => maxHeldBytes * share,
     onLimit: limit => {
-      kernel
-        .get(logToken)
-        .writeEvent('connection_limit', { listener: name, limit });
+      log.record(limit);
     },
   });
 };
--- a/packages/relay/src/server/listener-limits.ts
+++ b/packages/relay/src/server/listener-limits.ts
@@ -1,5 +1,5 @@
 /** Limits of the connections at each interface of the instance. */
-import { ConnectionGuard } from '@medlarlever/core';
+import { ConnectionGuard, LimitLog } from '@medlarlever/core';
 import type { Kernel } from '@medlarlever/core';
 
 import {
@@ -43,7 +43,7 @@
 ): ConnectionGuard => {
   const settings = kernel.get(settingsToken);
   const metrics = kernel.get(relayMetricsToken);
-  const log = kernel.get(logToken);
+  const log = new LimitLog(kernel.get(logToken), name);
   return new ConnectionGuard({
     getMaxConnections: () => {
       const { maxDescriptors = defaultDescriptors } = settings.current;
@@ -56,7 +56,7 @@
     },
     onLimit: limit => {
       metrics.recordClosedConnection(name, limit);
-      log.writeEvent('connection_limit', { listener: name, limit });
+      log.record(limit);
     },
   });
 };
