Review: each case reads TROUBLE itself

Cause: cases 11 and 13 to 15 took the switch from a shared module, so that nothing in their folders showed that it is read.

What the scripts play is the same.

--- a/review/lib-3/crashing-part.mjs
+++ b/review/lib-3/crashing-part.mjs
@@ -8,7 +8,6 @@
   countBy,
   createPromptHeaders,
   createStreamConfiguration,
-  hasTrouble,
   settlingMs,
   threeInstances,
   zones,
@@ -33,12 +32,13 @@
   documents[Math.floor(Math.random() * documents.length)];
 
 /**
- * `framing` is that of the runners' answers; `furtherParts` the number of further parts of
- * each prompt, after the one that may crash runners.
+ * Without `hasTrouble` the part crashes nothing. `framing` is that of the runners' answers;
+ * `furtherParts` the number of further parts of each prompt, after the one that may crash
+ * runners.
  */
 export const playCrashingPart = async (
   deployment,
-  { framing = 'chunked', furtherParts = 0 },
+  { hasTrouble, framing = 'chunked', furtherParts = 0 },
 ) => {
   let isRunning = true;
   const crashesAtMs = [];
--- a/review/lib-3/run-case.mjs
+++ b/review/lib-3/run-case.mjs
@@ -3,9 +3,6 @@
 
 const maxRunMs = 115_000;
 
-/** False if the case is to be run without its disruption. */
-export const hasTrouble = process.env.TROUBLE !== '0';
-
 /**
  * `play` gets the deployment and returns what was counted, and whether the rule was broken.
  * The record is written to `folder`.
